--- /dev/null
+++ b/include/berylspring/core/fwd.h
@@ -0,0 +1,15 @@
+#pragma once
+
+namespace berylspring::core {
+
+template<typename Tag>
+class Name;
+template<typename Key, typename Value>
+class ShardedMap;
+class Digest;
+class Error;
+class Refusal;
+enum class Outcome;
+enum class RefusalReason;
+
+}
--- /dev/null
+++ b/include/berylspring/wire/fwd.h
@@ -0,0 +1,11 @@
+#pragma once
+
+namespace berylspring::wire {
+
+class Error;
+enum class ErrorCode;
+class PeerPool;
+class PeerServer;
+class DatagramCodec;
+
+}
--- /dev/null
+++ b/tests/support/section.cpp
@@ -0,0 +1,59 @@
+#include "support/section.h"
+
+#include <exception>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+namespace berylspring::test {
+
+namespace {
+
+std::vector<std::string> &openSections()
+{
+    static std::vector<std::string> sections;
+    return sections;
+}
+
+/** @brief Keeps the title on the path while the section runs, also when a check leaves it by an exception. */
+class OpenSection
+{
+public:
+    explicit OpenSection(const std::string &title)
+    {
+        openSections().push_back(title);
+    }
+    ~OpenSection()
+    {
+        if (std::uncaught_exceptions() > 0) {
+            UT_PRINT(("in section: " + currentSection()).c_str());
+        }
+        openSections().pop_back();
+    }
+    OpenSection(const OpenSection &) = delete;
+    OpenSection &operator=(const OpenSection &) = delete;
+};
+
+}
+
+void section(const std::string &title, const std::function<void()> &body)
+{
+    const OpenSection open(title);
+    body();
+}
+
+std::string currentSection()
+{
+    std::string path;
+    for (const auto &title : openSections()) {
+        path += (path.empty() ? "" : " > ") + title;
+    }
+    return path;
+}
+
+void detail::failWith(const std::string &message)
+{
+    FAIL(message.c_str());
+}
+
+}
