Add the HTTP server and client, telemetry, settings and the table of requests in flight

Cause: the request path needs its edges before the deciding packages arrive. Change: Beast server with one strand per connection that cancels a handler when its client leaves, a client that reports whether any byte may have been sent, problem documents, strict parsing of control fields and announcements, JSON logs, metrics, spans as OTLP JSON, checked INI settings, context tokens that lend shares of the retry allowance to nested calls.

--- /dev/null
+++ b/include/berylspring/http/client.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "berylspring/core/time.h"
+#include "berylspring/http/error.h"
+#include "berylspring/http/messages.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+namespace berylspring::http {
+
+/** @brief Limits of a client. */
+struct ClientOptions
+{
+    std::uint64_t bodyLimitBytes = 1'048'576;
+    core::Duration connectTimeout = std::chrono::seconds(1);
+    std::size_t idleConnections = 64; ///< Kept open for later requests.
+    [[nodiscard]] bool operator==(const ClientOptions &) const = default;
+};
+
+/** @brief HTTP/1.1 client of one server with keep-alive connections; never sends a request twice. */
+class Client
+{
+public:
+    /** @param address IP number and port, "127.0.0.1:80". */
+    Client(boost::asio::any_io_executor executor, std::string address, ClientOptions options = {});
+    ~Client();
+    Client(const Client &) = delete;
+    Client &operator=(const Client &) = delete;
+
+    /**
+     * @brief Sends a request and waits for its whole response. Cancelling the wait closes the connection.
+     * @param timeout For the whole exchange.
+     */
+    boost::asio::awaitable<Result<Response>> send(Request request, core::Duration timeout);
+
+private:
+    class Implementation;
+    std::shared_ptr<Implementation> m_implementation;
+};
+
+}
--- /dev/null
+++ b/include/berylspring/http/messages.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "berylspring/core/immutable.h"
+#include "berylspring/core/time.h"
+#include "berylspring/wire/messages.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace berylspring::http {
+
+/** @brief A whole HTTP request. */
+struct RequestFields
+{
+    std::string method;
+    std::string target; ///< Path and query.
+    wire::Headers headers; ///< Without the fields that belong to one connection.
+    std::string body;
+    [[nodiscard]] bool operator==(const RequestFields &) const = default;
+};
+using Request = core::Immutable<RequestFields>;
+
+/** @brief A whole HTTP response. */
+struct ResponseFields
+{
+    std::uint16_t status = 200;
+    wire::Headers headers;
+    std::string body;
+    [[nodiscard]] bool operator==(const ResponseFields &) const = default;
+};
+using Response = core::Immutable<ResponseFields>;
+
+/** @return The value of the first field of that name in any case, or an empty text. */
+[[nodiscard]] std::string_view headerValue(const wire::Headers &headers, std::string_view name) noexcept;
+
+/** @return Whether the names are equal without regard to case. */
+[[nodiscard]] bool isSameHeaderName(std::string_view left, std::string_view right) noexcept;
+
+/** @return The target without its query. */
+[[nodiscard]] std::string_view pathOf(std::string_view target) noexcept;
+
+/** @return The decoded value of a query parameter, or an empty text. */
+[[nodiscard]] std::string queryParameter(std::string_view target, std::string_view name);
+
+/** @return A response with a JSON body. */
+[[nodiscard]] Response jsonResponse(std::uint16_t status, std::string json);
+
+}
--- /dev/null
+++ b/include/berylspring/node/fwd.h
@@ -0,0 +1,10 @@
+#pragma once
+
+namespace berylspring::node {
+
+class Error;
+class Node;
+class Settings;
+class InFlightTable;
+
+}
--- /dev/null
+++ b/include/berylspring/telemetry/metrics.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "berylspring/core/outcome.h"
+#include "berylspring/core/time.h"
+#include "berylspring/core/types.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace berylspring::telemetry {
+
+/** @brief One gauge or counter reading for a scrape. */
+struct Sample
+{
+    std::string name;
+    double value = 0;
+    std::map<std::string, std::string> labels;
+    [[nodiscard]] bool operator==(const Sample &) const = default;
+};
+
+/** @brief Part of the request path whose time is measured. */
+enum class Hop {
+    Entry, ///< Whole time at the entry node.
+    Queue, ///< Wait in the admission queue.
+    Endpoint, ///< Call of the endpoint.
+};
+
+/** @brief Metrics of one node in the Prometheus text format. */
+class Metrics
+{
+public:
+    Metrics();
+    ~Metrics();
+    Metrics(const Metrics &) = delete;
+    Metrics &operator=(const Metrics &) = delete;
+
+    /** @brief Counts a finished request of a caller. */
+    void countRequest(core::Outcome outcome, std::optional<core::RefusalReason> reason, core::PriorityLevel priority);
+    void countRetry();
+    void observe(Hop hop, core::Duration time);
+    /** @brief Registers a function that is asked for gauge readings at each scrape. */
+    void addSource(std::function<std::vector<Sample>()> source);
+    /** @return All metrics in the text exposition format. */
+    [[nodiscard]] std::string text();
+
+private:
+    class Implementation;
+    std::unique_ptr<Implementation> m_implementation;
+};
+
+}
--- /dev/null
+++ b/include/berylspring/telemetry/span_buffer.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "berylspring/telemetry/span.h"
+
+#include <array>
+#include <atomic>
+#include <cstddef>
+#include <cstdint>
+#include <mutex>
+#include <vector>
+
+namespace berylspring::telemetry {
+
+/** @brief Bounded store of finished spans until the exporter takes them; drops new spans when it is full. */
+class SpanBuffer
+{
+public:
+    static constexpr std::size_t ShardCount = 8;
+    static constexpr std::size_t SpansPerShard = 512;
+
+    void add(Span span);
+    /** @return All stored spans; the buffer is empty afterwards. */
+    [[nodiscard]] std::vector<Span> takeAll();
+    /** @return Spans dropped since the start. */
+    [[nodiscard]] std::uint64_t dropped() const noexcept
+    {
+        return m_dropped.load(std::memory_order_relaxed);
+    }
+
+private:
+    struct Shard
+    {
+        std::mutex mutex;
+        std::vector<Span> spans;
+    };
+    std::array<Shard, ShardCount> m_shards;
+    std::atomic<std::uint64_t> m_dropped{0};
+};
+
+}
--- /dev/null
+++ b/src/http/client.cpp
@@ -0,0 +1,180 @@
+#include "berylspring/http/client.h"
+
+#include "http/address.h"
+#include "http/beast_convert.h"
+
+#include <mutex>
+#include <vector>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+namespace berylspring::http {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+/** @brief One open connection; used by one exchange at a time. */
+struct Connection
+{
+    explicit Connection(const asio::any_io_executor &executor)
+        : stream(executor)
+    {
+    }
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+};
+using ConnectionPointer = std::unique_ptr<Connection>;
+
+/** @brief Whether an idle connection was not closed by the server, as far as can be seen now. */
+bool isUsable(Connection &connection)
+{
+    error_code error;
+    char byte = 0;
+    connection.stream.socket().non_blocking(true, error);
+    connection.stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+    return error == asio::error::would_block;
+}
+
+ErrorCode codeOf(const error_code &error)
+{
+    if (error == beast::error::timeout) {
+        return ErrorCode::Timeout;
+    }
+    if (error == beast::http::error::body_limit || error == beast::http::error::header_limit) {
+        return ErrorCode::TooLarge;
+    }
+    const bool isSystemError = error.category() == asio::error::get_system_category();
+    if (isSystemError || error == asio::error::eof || error == beast::http::error::end_of_stream
+        || error == beast::http::error::partial_message) {
+        return ErrorCode::ConnectionLost;
+    }
+    return ErrorCode::Malformed;
+}
+
+}
+
+class Client::Implementation
+{
+public:
+    Implementation(asio::any_io_executor executor, std::string address, ClientOptions options)
+        : m_executor(std::move(executor))
+        , m_address(std::move(address))
+        , m_options(options)
+    {
+    }
+
+    asio::awaitable<Result<Response>> send(Request request, core::Duration timeout)
+    {
+        const auto deadline = std::chrono::steady_clock::now() + timeout;
+        Result<ConnectionPointer> connection = takeIdle();
+        if (!*connection) {
+            connection = co_await connect(std::min(timeout, m_options.connectTimeout));
+        }
+        if (!connection) {
+            co_return tl::unexpected(connection.error());
+        }
+        (*connection)->stream.expires_at(deadline);
+        // The stream's timer runs on the connection's strand, so its exchanges do, too.
+        const asio::any_io_executor strand = (*connection)->stream.get_executor();
+        co_return co_await asio::co_spawn(
+            strand, exchange(std::move(*connection), std::move(request)), asio::use_awaitable);
+    }
+
+private:
+    asio::awaitable<Result<ConnectionPointer>> connect(core::Duration timeout)
+    {
+        const auto endpoint = detail::parseAddress(m_address);
+        if (!endpoint) {
+            co_return tl::unexpected(endpoint.error());
+        }
+        auto connection = std::make_unique<Connection>(asio::make_strand(m_executor));
+        connection->stream.expires_after(timeout);
+        error_code error;
+        co_await connection->stream.async_connect(*endpoint, asio::redirect_error(asio::use_awaitable, error));
+        if (error) {
+            co_return tl::unexpected(Error(ErrorCode::Unreachable, false, m_address + ": " + error.message()));
+        }
+        connection->stream.socket().set_option(tcp::no_delay(true), error);
+        co_return std::move(connection);
+    }
+
+    asio::awaitable<Result<Response>> exchange(ConnectionPointer connection, Request request)
+    {
+        error_code error;
+        const detail::BeastRequest message = detail::toBeast(request, m_address);
+        co_await beast::http::async_write(
+            connection->stream, message, asio::redirect_error(asio::use_awaitable, error));
+        if (error) {
+            co_return tl::unexpected(Error(codeOf(error), true, error.message()));
+        }
+        beast::http::response_parser<beast::http::string_body> parser;
+        parser.body_limit(m_options.bodyLimitBytes);
+        parser.skip(request->method == "HEAD");
+        co_await beast::http::async_read(
+            connection->stream, connection->buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+        if (error) {
+            co_return tl::unexpected(Error(codeOf(error), true, error.message()));
+        }
+        const bool keepAlive = parser.get().keep_alive();
+        Response response = detail::fromBeast(parser.release());
+        if (keepAlive) {
+            giveBack(std::move(connection));
+        }
+        co_return response;
+    }
+
+    /** @return An open connection, or null. */
+    ConnectionPointer takeIdle()
+    {
+        const std::scoped_lock lock(m_mutex);
+        while (!m_idle.empty()) {
+            ConnectionPointer connection = std::move(m_idle.back());
+            m_idle.pop_back();
+            if (isUsable(*connection)) {
+                return connection;
+            }
+        }
+        return nullptr;
+    }
+
+    void giveBack(ConnectionPointer connection)
+    {
+        connection->stream.expires_never();
+        const std::scoped_lock lock(m_mutex);
+        if (m_idle.size() < m_options.idleConnections) {
+            m_idle.push_back(std::move(connection));
+        }
+    }
+
+    asio::any_io_executor m_executor;
+    std::string m_address;
+    ClientOptions m_options;
+    std::mutex m_mutex;
+    std::vector<ConnectionPointer> m_idle;
+};
+
+Client::Client(asio::any_io_executor executor, std::string address, ClientOptions options)
+    : m_implementation(std::make_shared<Implementation>(std::move(executor), std::move(address), options))
+{
+}
+
+Client::~Client() = default;
+
+asio::awaitable<Result<Response>> Client::send(Request request, core::Duration timeout)
+{
+    const std::shared_ptr<Implementation> implementation = m_implementation;
+    co_return co_await implementation->send(std::move(request), timeout);
+}
+
+}
--- /dev/null
+++ b/src/node/in_flight_table.cpp
@@ -0,0 +1,78 @@
+#include "berylspring/node/in_flight_table.h"
+
+#include <openssl/rand.h>
+
+#include <algorithm>
+#include <array>
+
+namespace berylspring::node {
+
+namespace {
+
+constexpr std::size_t TokenBytes = 16;
+
+/** The token stands for a workspace's rights, so it comes from the cryptographic generator. */
+std::string makeToken(const core::RandomSource &fallback)
+{
+    std::array<unsigned char, TokenBytes> bytes{};
+    if (RAND_bytes(bytes.data(), static_cast<int>(bytes.size())) != 1) {
+        std::generate(bytes.begin(), bytes.end(), [&] { return static_cast<unsigned char>(fallback()); });
+    }
+    constexpr std::string_view Digits = "0123456789abcdef";
+    std::string token;
+    for (const unsigned char byte : bytes) {
+        token.push_back(Digits[byte >> 4U]);
+        token.push_back(Digits[byte & 0xfU]);
+    }
+    return token;
+}
+
+}
+
+InFlightTable::InFlightTable(core::RandomSource random)
+    : m_random(std::move(random))
+{
+}
+
+std::string InFlightTable::add(InFlight request)
+{
+    std::string token = makeToken(m_random);
+    m_requests.insertOrAssign(token, std::move(request));
+    return token;
+}
+
+std::optional<InFlight> InFlightTable::remove(const std::string &token)
+{
+    return m_requests.update(token,
+                             [](std::optional<InFlight> &request) { return std::exchange(request, std::nullopt); });
+}
+
+std::optional<InFlight> InFlightTable::find(const std::string &token) const
+{
+    return m_requests.find(token);
+}
+
+std::uint32_t InFlightTable::takeRetryAllowance(const std::string &token)
+{
+    return m_requests.update(token, [](std::optional<InFlight> &request) -> std::uint32_t {
+        if (!request) {
+            return 0;
+        }
+        const std::uint32_t taken = ((*request)->retryAllowance + 1) / 2;
+        request = request->with(&InFlightFields::retryAllowance, (*request)->retryAllowance - taken);
+        return taken;
+    });
+}
+
+void InFlightTable::settleRetryAllowance(const std::string &token, std::uint32_t lent, std::uint32_t spent)
+{
+    const std::uint32_t used = std::min(lent, spent);
+    m_requests.update(token, [&](std::optional<InFlight> &request) {
+        if (request) {
+            request = request->with(&InFlightFields::retryAllowance, (*request)->retryAllowance + (lent - used))
+                          .with(&InFlightFields::retriesSpent, (*request)->retriesSpent + used);
+        }
+    });
+}
+
+}
--- /dev/null
+++ b/src/node/settings.cpp
@@ -0,0 +1,288 @@
+#include "berylspring/node/settings.h"
+
+#include <algorithm>
+#include <charconv>
+#include <fstream>
+#include <functional>
+#include <map>
+#include <set>
+#include <sstream>
+
+#include <boost/asio/ip/address.hpp>
+#include <boost/property_tree/ini_parser.hpp>
+#include <boost/property_tree/ptree.hpp>
+
+namespace berylspring::node {
+
+namespace {
+
+using boost::property_tree::ptree;
+
+constexpr std::size_t MinSecretLength = 16;
+
+/** @brief Thrown inside this file only; parseSettings() turns it into an Error. */
+struct InvalidValue
+{
+    std::string detail;
+};
+
+[[noreturn]] void refuse(const std::string &name, const std::string &value, const std::string &range)
+{
+    throw InvalidValue{"setting " + name + " = \"" + value + "\": must be " + range};
+}
+
+/** @brief Reads values by "section.name" and remembers which names are known. */
+class Reader
+{
+public:
+    explicit Reader(const ptree &tree)
+        : m_tree(tree)
+    {
+    }
+
+    std::string text(const std::string &name, const std::string &fallback)
+    {
+        m_known.insert(name);
+        return m_tree.get<std::string>(ptree::path_type(name, '.'), fallback);
+    }
+
+    std::string required(const std::string &name, const std::string &range)
+    {
+        std::string value = text(name, {});
+        if (value.empty()) {
+            refuse(name, value, range);
+        }
+        return value;
+    }
+
+    std::uint64_t number(const std::string &name, std::uint64_t fallback, std::uint64_t low, std::uint64_t high)
+    {
+        const std::string value = text(name, std::to_string(fallback));
+        std::uint64_t result = 0;
+        const auto parsed = std::from_chars(value.data(), value.data() + value.size(), result);
+        if (parsed.ec != std::errc{} || parsed.ptr != value.data() + value.size() || result < low || result > high) {
+            refuse(name, value, "a number from " + std::to_string(low) + " to " + std::to_string(high));
+        }
+        return result;
+    }
+
+    std::uint16_t port(const std::string &name)
+    {
+        return static_cast<std::uint16_t>(number(name, 0, 0, 65535));
+    }
+
+    std::chrono::milliseconds
+    milliseconds(const std::string &name, std::uint64_t fallback, std::uint64_t low, std::uint64_t high)
+    {
+        return std::chrono::milliseconds(number(name, fallback, low, high));
+    }
+
+    double ratio(const std::string &name, double fallback)
+    {
+        const std::string value = text(name, std::to_string(fallback));
+        std::istringstream stream(value);
+        double result = -1;
+        stream >> result;
+        if (!stream.eof() || stream.fail() || result < 0 || result > 1) {
+            refuse(name, value, "a number from 0 to 1");
+        }
+        return result;
+    }
+
+    bool flag(const std::string &name, bool fallback)
+    {
+        const std::string value = text(name, fallback ? "on" : "off");
+        if (value != "on" && value != "off") {
+            refuse(name, value, "on or off");
+        }
+        return value == "on";
+    }
+
+    std::string validName(const std::string &name)
+    {
+        const std::string range = "1 to 63 characters a-z, 0-9 and '-'";
+        std::string value = required(name, range);
+        if (!core::isValidName(value)) {
+            refuse(name, value, range);
+        }
+        return value;
+    }
+
+    /** @return The words of a comma-separated value. */
+    std::vector<std::string> list(const std::string &name)
+    {
+        std::vector<std::string> words;
+        std::istringstream stream(text(name, {}));
+        for (std::string word; std::getline(stream, word, ',');) {
+            word.erase(0, word.find_first_not_of(' '));
+            word.erase(word.find_last_not_of(' ') + 1);
+            if (!word.empty()) {
+                words.push_back(word);
+            }
+        }
+        return words;
+    }
+
+    /** @brief Refuses what no call has asked for. */
+    void refuseUnknown() const
+    {
+        for (const auto &[section, values] : m_tree) {
+            if (values.empty()) {
+                throw InvalidValue{"unknown setting " + section};
+            }
+            for (const auto &entry : values) {
+                const std::string name = section + "." + entry.first;
+                if (!m_known.contains(name)) {
+                    throw InvalidValue{"unknown setting " + name};
+                }
+            }
+        }
+    }
+
+private:
+    const ptree &m_tree;
+    std::set<std::string> m_known;
+};
+
+std::string readFile(const std::string &path)
+{
+    std::ifstream file(path);
+    if (!file) {
+        throw InvalidValue{"cannot read " + path};
+    }
+    std::ostringstream content;
+    content << file.rdbuf();
+    return content.str();
+}
+
+std::string ipAddress(Reader &reader, const std::string &name)
+{
+    std::string value = reader.required(name, "an IP number");
+    boost::system::error_code error;
+    boost::asio::ip::make_address(value, error);
+    if (error) {
+        refuse(name, value, "an IP number");
+    }
+    return value;
+}
+
+void readNode(Reader &reader, SettingsFields &fields)
+{
+    fields.host = core::HostId(reader.validName("node.host"));
+    fields.dataCentre = core::DataCentreId(reader.validName("node.data_centre"));
+    fields.address = ipAddress(reader, "node.address");
+    fields.threads = static_cast<std::uint32_t>(reader.number("node.threads", 2, 1, 64));
+    fields.stopTimeout = reader.milliseconds("node.stop_timeout_ms", 30'000, 100, 600'000);
+    fields.callerPort = reader.port("ports.caller");
+    fields.endpointPort = reader.port("ports.endpoint");
+    fields.operatorPort = reader.port("ports.operator");
+    fields.peerPort = reader.port("ports.peer");
+}
+
+std::string readSecret(Reader &reader)
+{
+    const std::string path = reader.text("fleet.secret_file", {});
+    std::string secret = reader.text("fleet.secret", {});
+    if (!path.empty()) {
+        secret = readFile(path);
+        secret.erase(secret.find_last_not_of(" \r\n") + 1);
+    }
+    if (secret.size() < MinSecretLength) {
+        refuse("fleet.secret", "...", "at least 16 characters, here or in the file fleet.secret_file");
+    }
+    return secret;
+}
+
+void readFleet(Reader &reader, SettingsFields &fields)
+{
+    for (const std::string &name : reader.list("fleet.data_centres")) {
+        if (!core::isValidName(name)) {
+            refuse("fleet.data_centres", name, "names of 1 to 63 characters a-z, 0-9 and '-'");
+        }
+        fields.dataCentres.emplace_back(name);
+    }
+    const auto &all = fields.dataCentres;
+    if (std::find(all.begin(), all.end(), fields.dataCentre) == all.end()) {
+        refuse("fleet.data_centres", reader.text("fleet.data_centres", {}), "a list that contains node.data_centre");
+    }
+    fields.secret = readSecret(reader);
+    fields.seeds = reader.list("fleet.seeds");
+    const std::string digest = reader.required("operator.token_digest", "64 hexadecimal digits");
+    const auto parsed = core::Digest::fromHex(digest);
+    if (!parsed) {
+        refuse("operator.token_digest", digest, "64 hexadecimal digits");
+    }
+    fields.operatorTokenDigest = *parsed;
+}
+
+void readPlatform(Reader &reader, SettingsFields &fields)
+{
+    fields.logAddress = reader.required("platform.log", "an IP number with a port");
+    fields.snapshotInterval = reader.milliseconds("platform.snapshot_interval_ms", 600'000, 100, 86'400'000);
+}
+
+void readLimits(Reader &reader, SettingsFields &fields)
+{
+    fields.maxHeaderBytes =
+        static_cast<std::uint32_t>(reader.number("limits.max_header_bytes", 16'384, 1024, 1'048'576));
+    fields.maxBodyBytes =
+        static_cast<std::uint32_t>(reader.number("limits.max_body_bytes", 1'048'576, 1024, 67'108'864));
+    fields.maxFrameBytes =
+        static_cast<std::uint32_t>(reader.number("limits.max_frame_bytes", 4'194'304, 65'536, 268'435'456));
+    fields.maxLimitHold = reader.milliseconds("limits.max_hold_ms", 30, 0, 1000);
+    if (fields.maxFrameBytes < fields.maxBodyBytes + 2 * fields.maxHeaderBytes) {
+        refuse("limits.max_frame_bytes",
+               std::to_string(fields.maxFrameBytes),
+               "at least max_body_bytes + 2 x max_header_bytes");
+    }
+}
+
+void readTelemetry(Reader &reader, SettingsFields &fields)
+{
+    fields.otlpAddress = reader.text("traces.otlp", {});
+    fields.spanFile = reader.text("traces.file", {});
+    fields.sampleRatio = reader.ratio("traces.sample_ratio", 0.01);
+    const std::string level = reader.text("log.level", "info");
+    const auto severity = telemetry::severityFromString(level);
+    if (!severity) {
+        refuse("log.level", level, "debug, info, warning or error");
+    }
+    fields.logLevel = *severity;
+    fields.areControlsOn = reader.flag("controls.enabled", true);
+}
+
+}
+
+Result<Settings> parseSettings(const std::string &text)
+{
+    ptree tree;
+    try {
+        std::istringstream stream(text);
+        boost::property_tree::read_ini(stream, tree);
+        Reader reader(tree);
+        SettingsFields fields;
+        readNode(reader, fields);
+        readFleet(reader, fields);
+        readPlatform(reader, fields);
+        readLimits(reader, fields);
+        readTelemetry(reader, fields);
+        reader.refuseUnknown();
+        return Settings(std::move(fields));
+    } catch (const InvalidValue &invalid) {
+        return tl::unexpected(Error(ErrorCode::InvalidSettings, invalid.detail));
+    } catch (const boost::property_tree::ini_parser_error &error) {
+        return tl::unexpected(
+            Error(ErrorCode::InvalidSettings, error.message() + " in line " + std::to_string(error.line())));
+    }
+}
+
+Result<Settings> loadSettings(const std::string &path)
+{
+    try {
+        return parseSettings(readFile(path));
+    } catch (const InvalidValue &invalid) {
+        return tl::unexpected(Error(ErrorCode::StartFailed, invalid.detail));
+    }
+}
+
+}
--- /dev/null
+++ b/tests/http/a_server_and_its_client.cpp
@@ -0,0 +1,159 @@
+#include "berylspring/http/client.h"
+#include "berylspring/http/server.h"
+#include "support/section.h"
+
+#include <atomic>
+#include <string>
+#include <vector>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/thread_pool.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/use_future.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace berylspring;
+using namespace std::chrono_literals;
+using test::section;
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr auto Patience = std::chrono::seconds(30); // far above any expected time, so that a busy machine passes
+
+class EchoServer
+{
+public:
+    explicit EchoServer(http::ServerOptions options = {})
+        : m_server(m_pool.get_executor(), options, [this](http::Request request) { return answer(std::move(request)); })
+        , m_port(m_server.listen("127.0.0.1", 0).value())
+    {
+    }
+    ~EchoServer()
+    {
+        m_server.close();
+        m_pool.join();
+    }
+    EchoServer(const EchoServer &) = delete;
+    EchoServer &operator=(const EchoServer &) = delete;
+
+    http::Result<http::Response>
+    send(http::Client &client, const http::Request &request, core::Duration timeout = Patience)
+    {
+        return asio::co_spawn(m_pool, client.send(request, timeout), asio::use_future).get();
+    }
+    http::Client client(http::ClientOptions options = {})
+    {
+        return {m_pool.get_executor(), "127.0.0.1:" + std::to_string(m_port), options};
+    }
+    http::Server &server()
+    {
+        return m_server;
+    }
+    asio::thread_pool &pool()
+    {
+        return m_pool;
+    }
+    [[nodiscard]] int cancelled() const
+    {
+        return m_cancelled;
+    }
+
+private:
+    asio::awaitable<http::Reply> answer(http::Request request)
+    {
+        if (request->target == "/never") {
+            asio::steady_timer timer(co_await asio::this_coro::executor, asio::steady_timer::time_point::max());
+            boost::system::error_code error;
+            try {
+                co_await timer.async_wait(asio::use_awaitable);
+            } catch (const boost::system::system_error &) {
+                ++m_cancelled;
+                throw;
+            }
+        }
+        co_return http::Reply(
+            http::Response({.status = 200, .headers = {{"X-Method", request->method}}, .body = request->body}));
+    }
+
+    std::atomic<int> m_cancelled{0};
+    asio::thread_pool m_pool{3};
+    http::Server m_server;
+    std::uint16_t m_port;
+};
+
+}
+
+TEST_GROUP(AServerAndItsClient){};
+
+TEST(AServerAndItsClient, exchangeWholeBodiesOverOneConnectionOrMany)
+{
+    EchoServer server;
+    http::Client client = server.client();
+    for (const std::size_t size : {0U, 1U, 70'000U}) {
+        const http::Request request({.method = "POST", .target = "/", .body = std::string(size, 'x')});
+        const auto response = server.send(client, request);
+        CHECK(response.has_value());
+        CHECK((*response)->body == request->body);
+        CHECK(http::headerValue((*response)->headers, "X-Method") == "POST");
+    }
+    section("many at a time each get their own answer", [&] {
+        std::vector<std::future<http::Result<http::Response>>> answers;
+        for (int i = 0; i < 100; ++i) {
+            const http::Request request({.method = "POST", .target = "/", .body = std::to_string(i)});
+            answers.push_back(asio::co_spawn(server.pool(), client.send(request, Patience), asio::use_future));
+        }
+        for (int i = 0; i < 100; ++i) {
+            CHECK(answers[static_cast<std::size_t>(i)].get().value()->body == std::to_string(i));
+        }
+    });
+}
+
+TEST(AServerAndItsClient, refuseWhatIsTooLarge)
+{
+    EchoServer server({.headerLimitBytes = 1024, .bodyLimitBytes = 1000});
+    http::Client client = server.client();
+    section("a request body over the limit", [&] {
+        const auto response =
+            server.send(client, http::Request({.method = "POST", .target = "/", .body = std::string(1001, 'x')}));
+        LONGS_EQUAL(413, (*response)->status);
+    });
+    section("a header over the limit", [&] {
+        const auto response =
+            server.send(client, http::Request({.method = "GET", .target = "/" + std::string(2000, 'x')}));
+        LONGS_EQUAL(431, (*response)->status);
+    });
+    section("a response body over the client's limit is an error, not a cut body", [&] {
+        http::Client strict = server.client({.bodyLimitBytes = 10});
+        const auto response =
+            server.send(strict, http::Request({.method = "POST", .target = "/", .body = std::string(11, 'x')}));
+        CHECK(response.error().code() == http::ErrorCode::TooLarge);
+        CHECK(response.error().maybeSent());
+    });
+}
+
+TEST(AServerAndItsClient, cancelTheHandlerWhenTheClientLeaves)
+{
+    EchoServer server;
+    http::Client client = server.client();
+    const auto response = server.send(client, http::Request({.method = "GET", .target = "/never"}), 50ms);
+    CHECK(response.error().code() == http::ErrorCode::Timeout);
+    CHECK(response.error().maybeSent());
+    server.server().stopAccepting();
+    asio::co_spawn(server.pool(), server.server().idle(), asio::use_future).get();
+    LONGS_EQUAL(1, server.cancelled());
+}
+
+TEST(AServerAndItsClient, tellWhenNothingWasSent)
+{
+    EchoServer server;
+    http::Client client(server.pool().get_executor(), "127.0.0.1:1");
+    const auto response = server.send(client, http::Request({.method = "GET", .target = "/"}));
+    CHECK(response.error().code() == http::ErrorCode::Unreachable);
+    CHECK_FALSE(response.error().maybeSent());
+}
