Add the inner protocol: codec, datagrams, server and pool

Cause: all other packages exchange the message values of wire, but nothing encoded or carried them. Change: FlatBuffers schemas with committed generated code, strict codecs, authenticated datagrams with a replay window, and peer connections at both ends (handshake, heartbeats, matching by epoch and number, cancellation, write queue).

--- /dev/null
+++ b/src/wire/envelope_codec.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "berylspring/wire/error.h"
+#include "wire/encoded_frame.h"
+#include "wire/envelope.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <span>
+
+namespace berylspring::wire::detail {
+
+/**
+ * @param key Key of the frame.
+ * @param message Request or answer.
+ * @param maxFrameBytes Limit of the frame with its prefix.
+ * @return The frame, or TooLarge.
+ */
+[[nodiscard]] Result<EncodedFrame> encode(const RequestKey &key, const Message &message, std::size_t maxFrameBytes);
+
+/** @return The frame, or TooLarge. */
+[[nodiscard]] Result<EncodedFrame> encode(const Envelope &envelope, std::size_t maxFrameBytes);
+
+/**
+ * @param frame A whole frame with its length prefix, from any source.
+ * @return The envelope, or Malformed when anything in the frame is missing, out of range or inconsistent.
+ */
+[[nodiscard]] Result<Envelope> decode(std::span<const std::uint8_t> frame);
+
+}
--- /dev/null
+++ b/src/wire/link_io.cpp
@@ -0,0 +1,203 @@
+// Writing, timer and reading of Link.
+
+// GCC 12 takes the frame allocator of Asio's coroutines for a mismatched pair once it inlines one half of it.
+#pragma GCC diagnostic ignored "-Wmismatched-new-delete"
+
+#include "wire/clock.h"
+#include "wire/link.h"
+
+#include <algorithm>
+#include <span>
+#include <utility>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace berylspring::wire::detail {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr auto AsTuple = asio::as_tuple(asio::use_awaitable);
+
+Error lostBy(const boost::system::error_code &error)
+{
+    return {ErrorCode::ConnectionLost, true, error.message()};
+}
+
+}
+
+void Link::write()
+{
+    for (;;) {
+        std::vector<asio::const_buffer> buffers;
+        {
+            const std::scoped_lock lock(m_mutex);
+            const auto batch =
+                m_stage == Stage::Closed ? std::vector<std::span<const std::uint8_t>>() : m_queue.takeBatch();
+            if (batch.empty()) {
+                m_isWriting = false;
+                return;
+            }
+            std::transform(batch.begin(), batch.end(), std::back_inserter(buffers), [](const auto &bytes) {
+                return asio::const_buffer(bytes.data(), bytes.size());
+            });
+        }
+        boost::system::error_code error;
+        const std::size_t byteCount = m_socket.write_some(buffers, error);
+        {
+            const std::scoped_lock lock(m_mutex);
+            m_queue.written(byteCount);
+            m_hasSent = m_hasSent || byteCount > 0;
+            if (byteCount > 0) {
+                m_lastProgress = currentTime();
+            }
+        }
+        if (error == asio::error::would_block || error == asio::error::try_again) {
+            waitUntilWritable();
+            return;
+        }
+        if (error) {
+            close(lostBy(error));
+        }
+    }
+}
+
+void Link::waitUntilWritable()
+{
+    asio::post(m_socket.get_executor(), [self = shared_from_this()] {
+        self->m_socket.async_wait(asio::ip::tcp::socket::wait_write, [self](const boost::system::error_code &error) {
+            if (error) {
+                self->close(lostBy(error));
+            }
+            self->write();
+        });
+    });
+}
+
+bool Link::claimWriting(core::TimePoint now)
+{
+    if (m_stage != Stage::Open || m_isWriting || m_queue.isEmpty()) {
+        return false;
+    }
+    m_isWriting = true;
+    m_lastProgress = now;
+    return true;
+}
+
+void Link::queueCancel(std::uint64_t number)
+{
+    const auto frame = encode(Envelope{RequestKey{m_epoch, number}, CallCancel{}}, m_options->maxFrameBytes);
+    // Without room for it the peer finishes work that nobody waits for, which is harmless.
+    (void)(frame && m_queue.push(0, *frame));
+}
+
+void Link::armTimer()
+{
+    const auto deadline = m_pending.nextDeadline();
+    const auto wake = deadline ? std::min(*deadline, m_nextTick) : m_nextTick;
+    if (m_armedFor && *m_armedFor <= wake) {
+        return;
+    }
+    m_armedFor = wake;
+    m_timer.expires_at(wake);
+    m_timer.async_wait([self = shared_from_this()](const boost::system::error_code &error) {
+        if (!error) {
+            self->onTimer();
+        }
+    });
+}
+
+void Link::onTimer()
+{
+    const auto now = currentTime();
+    std::vector<std::pair<Waiter, bool>> expired;
+    std::optional<Error> failure;
+    bool isIdleNow = false;
+    bool mustWrite = false;
+    {
+        const std::scoped_lock lock(m_mutex);
+        if (m_stage == Stage::Closed) {
+            return;
+        }
+        m_armedFor.reset();
+        for (auto &[number, waiter] : m_pending.removeExpired(now)) {
+            const bool maybeSent = !m_queue.withdraw(number);
+            if (maybeSent) {
+                queueCancel(number);
+            }
+            expired.emplace_back(std::move(waiter), maybeSent);
+        }
+        if (now >= m_nextTick) {
+            failure = tick(now);
+            isIdleNow = isIdle(now);
+            m_nextTick = now + m_options->heartbeat;
+        }
+        mustWrite = claimWriting(now);
+        armTimer();
+    }
+    for (auto &[waiter, maybeSent] : expired) {
+        waiter->complete(tl::unexpected(Error(ErrorCode::Timeout, maybeSent, "no answer in time")), Resume::Posted);
+    }
+    if (mustWrite) {
+        write();
+    }
+    if (failure || isIdleNow) {
+        close(failure);
+    }
+}
+
+std::optional<Error> Link::tick(core::TimePoint now)
+{
+    m_silence = m_silence.ticked(now);
+    if (m_silence.isSilent(now)) {
+        const auto code = m_stage == Stage::Open ? ErrorCode::ConnectionLost : ErrorCode::Unreachable;
+        return Error(code, true, "peer is silent");
+    }
+    if (m_isWriting && now - m_lastProgress >= m_options->silenceLimit) {
+        return Error(ErrorCode::ConnectionLost, true, "peer does not read");
+    }
+    if (m_stage == Stage::Open && !m_hasSent) {
+        const auto frame = encode(Envelope{RequestKey{}, Heartbeat{}}, m_options->maxFrameBytes);
+        (void)(frame && m_queue.push(0, *frame));
+    }
+    m_hasSent = false;
+    return std::nullopt;
+}
+
+bool Link::isIdle(core::TimePoint now) const
+{
+    return m_role == Role::Client && m_pending.size() == 0 && now - m_lastUse >= m_options->idleLimit;
+}
+
+Link::Awaitable<boost::system::error_code> Link::readSome()
+{
+    const auto room = m_reader.prepare();
+    const asio::mutable_buffer buffer(room.data(), room.size());
+    const auto [error, byteCount] = co_await m_socket.async_read_some(buffer, AsTuple);
+    m_reader.commit(byteCount);
+    co_return error;
+}
+
+Link::Awaitable<std::optional<Error>> Link::readUntilClosed()
+{
+    for (;;) {
+        // The first pass takes requests that came with the last frame of the handshake.
+        const Result<void> processed = processFrames();
+        if (!processed) {
+            co_return processed.error();
+        }
+        const boost::system::error_code error = co_await readSome();
+        if (error == asio::error::eof && m_role == Role::Server) {
+            co_return std::nullopt; // Clients close idle connections.
+        }
+        if (error) {
+            co_return lostBy(error);
+        }
+    }
+}
+
+}
--- /dev/null
+++ b/src/wire/peer_pool.cpp
@@ -0,0 +1,253 @@
+#include "berylspring/wire/peer_pool.h"
+
+#include "wire/link.h"
+
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <chrono>
+#include <mutex>
+#include <optional>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/strand.hpp>
+
+namespace berylspring::wire {
+
+namespace asio = boost::asio;
+using detail::Link;
+
+namespace {
+
+constexpr std::size_t ShardCount = 16;
+// A further connection to a peer is opened only when each of its connections has this many calls in progress.
+constexpr std::size_t BusyConnectionCalls = 16;
+// An idle connection may be closed, or found to be dead, just when a call chooses it; the call then takes another.
+constexpr int MaxAttempts = 2;
+
+/** @return Whether the message certainly was not sent and the connection, not the peer, was at fault. */
+bool mayUseAnotherConnection(const Error &error)
+{
+    return error.code() == ErrorCode::ConnectionLost && !error.maybeSent();
+}
+
+}
+
+struct PeerPool::State : std::enable_shared_from_this<PeerPool::State>
+{
+    struct Shard
+    {
+        mutable std::mutex mutex;
+        std::unordered_map<core::HostId, std::vector<Link::Pointer>> links;
+    };
+
+    State(asio::any_io_executor poolExecutor, PeerOptions poolOptions, AddressBook book)
+        : executor(std::move(poolExecutor))
+        , options(std::make_shared<const PeerOptions>(std::move(poolOptions)))
+        , addressBook(std::move(book))
+    {
+    }
+
+    static asio::awaitable<Result<Message>>
+    call(std::shared_ptr<State> self, core::HostId to, Message message, core::Duration timeout)
+    {
+        const auto deadline = std::chrono::steady_clock::now() + timeout;
+        for (int attempt = 1;; ++attempt) {
+            const Result<Link::Pointer> link = self->linkTo(to);
+            if (!link) {
+                co_return tl::unexpected(link.error());
+            }
+            auto exchange = Link::request(*link, message, deadline);
+            Result<Message> reply = co_await std::move(exchange);
+            if (reply || attempt == MaxAttempts || !mayUseAnotherConnection(reply.error())) {
+                co_return reply;
+            }
+        }
+    }
+
+    Shard &shardOf(const core::HostId &host)
+    {
+        return shards[std::hash<core::HostId>{}(host) % ShardCount];
+    }
+
+    /** @return The connection with the fewest calls; nothing when another one should be opened. */
+    Link::Pointer chooseLink(const std::vector<Link::Pointer> &links) const
+    {
+        if (links.size() == 1 && options->connectionsPerPeer <= 1) {
+            return links.front()->isClosed() ? nullptr : links.front();
+        }
+        Link::Pointer best;
+        std::size_t bestCount = 0;
+        std::size_t openCount = 0;
+        for (const auto &link : links) {
+            if (link->isClosed()) {
+                continue;
+            }
+            ++openCount;
+            const std::size_t count = link->pendingCount();
+            if (!best || count < bestCount) {
+                best = link;
+                bestCount = count;
+            }
+        }
+        return openCount < options->connectionsPerPeer && bestCount >= BusyConnectionCalls ? nullptr : best;
+    }
+
+    Result<Link::Pointer> linkTo(const core::HostId &to)
+    {
+        Shard &shard = shardOf(to);
+        {
+            const std::scoped_lock lock(shard.mutex);
+            const auto found = shard.links.find(to);
+            if (auto link = found == shard.links.end() ? nullptr : chooseLink(found->second)) {
+                return link;
+            }
+        }
+        const auto address = addressBook(to);
+        if (!address) {
+            return tl::unexpected(Error(ErrorCode::Unreachable, false, "peer is not known"));
+        }
+        const auto link = makeLink(to);
+        {
+            const std::scoped_lock lock(shard.mutex);
+            if (isClosed) {
+                return tl::unexpected(Error(ErrorCode::Unreachable, false, "pool is closed"));
+            }
+            auto &links = shard.links[to];
+            if (auto other = chooseLink(links)) {
+                return other; // Another thread was faster; the new link was not started.
+            }
+            links.push_back(link);
+        }
+        ++started;
+        Link::connect(link, *address, to);
+        return link;
+    }
+
+    Link::Pointer makeLink(const core::HostId &to)
+    {
+        Link::Hooks hooks;
+        hooks.onOpen = [self = shared_from_this(), to](const Link::Pointer &link) {
+            self->closeOlder(to, (*link->peer())->bootId);
+        };
+        hooks.onClosed = [self = shared_from_this(), to](const Link::Pointer &link, const std::optional<Error> &error) {
+            self->forget(to, link, error.has_value());
+        };
+        asio::ip::tcp::socket socket(asio::any_io_executor(asio::make_strand(executor)));
+        return std::make_shared<Link>(std::move(socket), options, detail::Role::Client, ++lastEpoch, std::move(hooks));
+    }
+
+    void forget(const core::HostId &to, const Link::Pointer &link, bool isLost)
+    {
+        lost += isLost ? 1 : 0;
+        droppedAnswers += link->droppedAnswers();
+        Shard &shard = shardOf(to);
+        const std::scoped_lock lock(shard.mutex);
+        const auto found = shard.links.find(to);
+        if (found != shard.links.end()) {
+            std::erase(found->second, link);
+            if (found->second.empty()) {
+                shard.links.erase(found);
+            }
+        }
+    }
+
+    void closeOlder(const core::HostId &host, std::uint64_t bootId)
+    {
+        std::vector<Link::Pointer> candidates;
+        {
+            Shard &shard = shardOf(host);
+            const std::scoped_lock lock(shard.mutex);
+            const auto found = shard.links.find(host);
+            if (found != shard.links.end()) {
+                candidates = found->second;
+            }
+        }
+        for (const auto &link : candidates) {
+            const auto peer = link->peer();
+            if (peer && (*peer)->bootId < bootId) {
+                link->close(Error(ErrorCode::ConnectionLost, true, "peer has started again"));
+            }
+        }
+    }
+
+    void close()
+    {
+        isClosed = true;
+        std::vector<Link::Pointer> links;
+        for (Shard &shard : shards) {
+            const std::scoped_lock lock(shard.mutex);
+            for (const auto &[host, ofHost] : shard.links) {
+                links.insert(links.end(), ofHost.begin(), ofHost.end());
+            }
+        }
+        for (const auto &link : links) {
+            link->close(std::nullopt);
+        }
+    }
+
+    asio::any_io_executor executor;
+    std::shared_ptr<const PeerOptions> options;
+    AddressBook addressBook;
+    std::array<Shard, ShardCount> shards;
+    std::atomic<bool> isClosed{false};
+    std::atomic<std::uint64_t> lastEpoch{0};
+    std::atomic<std::uint64_t> started{0};
+    std::atomic<std::uint64_t> lost{0};
+    std::atomic<std::uint64_t> droppedAnswers{0};
+};
+
+PeerPool::PeerPool(asio::any_io_executor executor, PeerOptions options, AddressBook addressBook)
+    : m_state(std::make_shared<State>(std::move(executor), std::move(options), std::move(addressBook)))
+{
+}
+
+PeerPool::~PeerPool()
+{
+    close();
+}
+
+asio::awaitable<Result<Message>> PeerPool::call(core::HostId to, Message message, core::Duration timeout)
+{
+    return State::call(m_state, std::move(to), std::move(message), timeout);
+}
+
+PeerCall PeerPool::asPeerCall()
+{
+    return [state = m_state](core::HostId to, Message message, core::Duration timeout) {
+        return State::call(state, std::move(to), std::move(message), timeout);
+    };
+}
+
+void PeerPool::notePeerBoot(const core::HostId &host, std::uint64_t bootId)
+{
+    m_state->closeOlder(host, bootId);
+}
+
+void PeerPool::close()
+{
+    m_state->close();
+}
+
+PeerPoolCounters PeerPool::counters() const
+{
+    PeerPoolCounters counters;
+    counters.connectionsStarted = m_state->started;
+    counters.connectionsLost = m_state->lost;
+    counters.droppedAnswers = m_state->droppedAnswers;
+    for (const auto &shard : m_state->shards) {
+        const std::scoped_lock lock(shard.mutex);
+        for (const auto &[host, links] : shard.links) {
+            counters.connections += links.size();
+            for (const auto &link : links) {
+                counters.droppedAnswers += link->droppedAnswers();
+            }
+        }
+    }
+    return counters;
+}
+
+}
--- /dev/null
+++ b/src/wire/schema_reader.h
@@ -0,0 +1,173 @@
+#pragma once
+
+#include "berylspring/core/digest.h"
+#include "berylspring/core/time.h"
+#include "berylspring/core/types.h"
+#include "wire/generated/schema.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace berylspring::wire::detail {
+
+/**
+ * @brief Reads verified FlatBuffers fields and remembers the first value that is out of range.
+ *
+ * The result of a read counts only when isValid() holds at the end.
+ */
+class SchemaReader
+{
+public:
+    /**
+     * @param byteBudget Most bytes that the reader copies. Tables that share a large string or body could otherwise
+     * make a small input expand to any size.
+     */
+    explicit SchemaReader(std::size_t byteBudget)
+        : m_byteBudget(byteBudget)
+    {
+    }
+
+    [[nodiscard]] bool isValid() const noexcept
+    {
+        return m_fault.empty();
+    }
+    /** @return The first fault, empty when there is none. */
+    [[nodiscard]] std::string_view fault() const noexcept
+    {
+        return m_fault;
+    }
+
+    void fail(std::string_view fault) noexcept
+    {
+        if (m_fault.empty()) {
+            m_fault = fault;
+        }
+    }
+
+    [[nodiscard]] std::string text(const flatbuffers::String *value)
+    {
+        if (value == nullptr || !spend(value->size())) {
+            return {};
+        }
+        return {value->c_str(), value->size()};
+    }
+
+    template<typename Name>
+    [[nodiscard]] Name name(const flatbuffers::String *value)
+    {
+        return Name(text(value));
+    }
+
+    /** @brief Converts between enumerations with the same enumerators in the same order. */
+    template<typename To, typename From>
+    [[nodiscard]] To enumerator(From value)
+    {
+        static_assert(static_cast<int>(From::MIN) == 0);
+        if (value > From::MAX) {
+            fail("enumerator out of range");
+        }
+        return static_cast<To>(value);
+    }
+
+    [[nodiscard]] double number(double value)
+    {
+        if (!std::isfinite(value)) {
+            fail("number is not finite");
+        }
+        return value;
+    }
+
+    [[nodiscard]] core::PriorityLevel priority(std::uint8_t value)
+    {
+        if (value > core::MaxPriority) {
+            fail("priority out of range");
+        }
+        return value;
+    }
+
+    /** @brief A node that admits nothing reports the level above the highest. */
+    [[nodiscard]] core::PriorityLevel admittedLevel(std::uint8_t value)
+    {
+        if (value > core::MaxPriority + 1) {
+            fail("admitted level out of range");
+        }
+        return value;
+    }
+
+    [[nodiscard]] core::Duration duration(std::int64_t nanoseconds) const noexcept
+    {
+        return std::chrono::nanoseconds(nanoseconds);
+    }
+
+    template<typename SchemaDigest>
+    [[nodiscard]] core::Digest digest(const SchemaDigest *value)
+    {
+        core::Digest::Bytes bytes{};
+        if (value == nullptr) {
+            fail("digest is missing");
+        } else {
+            std::copy_n(value->bytes()->Data(), bytes.size(), bytes.begin());
+        }
+        return core::Digest(bytes);
+    }
+
+    /** @return The elements, each converted by read(const Element &). */
+    template<typename Value, typename Element, typename Read>
+    [[nodiscard]] std::vector<Value> list(const flatbuffers::Vector<flatbuffers::Offset<Element>> *elements,
+                                          Read &&read)
+    {
+        std::vector<Value> values;
+        if (elements != nullptr) {
+            if (!spend(elements->size() * MinElementBytes)) {
+                return values;
+            }
+            values.reserve(elements->size());
+            for (const Element *element : *elements) {
+                values.push_back(read(*element));
+            }
+        }
+        return values;
+    }
+
+protected:
+    /** @return Whether that many bytes may be copied; otherwise the input is at fault. */
+    [[nodiscard]] bool spend(std::size_t bytes)
+    {
+        if (bytes > m_byteBudget) {
+            fail("shared values exceed the size of the input");
+            return false;
+        }
+        m_byteBudget -= bytes;
+        return true;
+    }
+
+private:
+    static constexpr std::size_t MinElementBytes = 16; ///< Smallest table of a list with its offset.
+
+    std::size_t m_byteBudget;
+    std::string_view m_fault;
+};
+
+/** @return Bytes at an address that is aligned for every scalar: the input, or a copy of it in the storage. */
+[[nodiscard]] inline std::span<const std::uint8_t> alignedBytes(std::span<const std::uint8_t> input,
+                                                                std::vector<std::uint64_t> &storage)
+{
+    constexpr std::size_t Alignment = alignof(std::uint64_t);
+    if (reinterpret_cast<std::uintptr_t>(input.data()) % Alignment == 0) {
+        return input;
+    }
+    storage.resize((input.size() + Alignment - 1) / Alignment);
+    auto *bytes = reinterpret_cast<std::uint8_t *>(storage.data());
+    std::copy(input.begin(), input.end(), bytes);
+    return {bytes, input.size()};
+}
+
+}
--- /dev/null
+++ b/src/wire/silence_monitor.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "berylspring/core/time.h"
+
+#include <algorithm>
+#include <compare>
+
+namespace berylspring::wire::detail {
+
+/** @brief Decides whether a peer has been silent for too long. Immutable. */
+class SilenceMonitor
+{
+public:
+    /**
+     * @param interval Time between two ticks.
+     * @param limit Longest silence of a peer that is in order.
+     * @param now Start of the connection.
+     */
+    SilenceMonitor(core::Duration interval, core::Duration limit, core::TimePoint now) noexcept
+        : m_interval(interval)
+        , m_limit(limit)
+        , m_lastHeard(now)
+        , m_lastTick(now)
+    {
+    }
+
+    /** @return The monitor after a frame arrived. */
+    [[nodiscard]] SilenceMonitor heard(core::TimePoint now) const noexcept
+    {
+        SilenceMonitor next = *this;
+        next.m_lastHeard = now;
+        return next;
+    }
+
+    /**
+     * @return The monitor after a tick. The time by which the tick itself is late does not count as silence of the
+     * peer: a process that was paused has not read what the peer sent meanwhile.
+     */
+    [[nodiscard]] SilenceMonitor ticked(core::TimePoint now) const noexcept
+    {
+        SilenceMonitor next = *this;
+        const auto late = now - m_lastTick - m_interval;
+        if (late > core::Duration::zero()) {
+            next.m_lastHeard = std::min(next.m_lastHeard + late, now);
+        }
+        next.m_lastTick = now;
+        return next;
+    }
+
+    [[nodiscard]] bool isSilent(core::TimePoint now) const noexcept
+    {
+        return now - m_lastHeard >= m_limit;
+    }
+
+    [[nodiscard]] bool operator==(const SilenceMonitor &) const = default;
+
+private:
+    core::Duration m_interval;
+    core::Duration m_limit;
+    core::TimePoint m_lastHeard;
+    core::TimePoint m_lastTick;
+};
+
+}
--- /dev/null
+++ b/tests/wire/fleet.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "berylspring/wire/peer_pool.h"
+#include "berylspring/wire/peer_server.h"
+
+#include <atomic>
+#include <chrono>
+#include <cstdint>
+#include <exception>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+
+namespace berylspring::test {
+
+/** @brief Long enough that a wait of this length means failure on any machine. */
+inline constexpr core::Duration Forever = std::chrono::seconds(60);
+
+inline wire::PeerOptions peerOptions(const std::string &host, const std::string &secret = "fleet secret")
+{
+    wire::PeerOptions options;
+    options.self = core::HostId(host);
+    options.bootId = 1;
+    options.secret = secret;
+    return options;
+}
+
+/** @brief Addresses that a test sets; safe to use from several threads. */
+class Addresses
+{
+public:
+    void set(const std::string &host, std::uint16_t port)
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_ports[core::HostId(host)] = port;
+    }
+
+    [[nodiscard]] wire::AddressBook book()
+    {
+        return [this](const core::HostId &host) -> std::optional<wire::PeerAddress> {
+            const std::scoped_lock lock(m_mutex);
+            const auto found = m_ports.find(host);
+            if (found == m_ports.end()) {
+                return std::nullopt;
+            }
+            return wire::PeerAddress{"127.0.0.1", found->second};
+        };
+    }
+
+private:
+    std::mutex m_mutex;
+    std::map<core::HostId, std::uint16_t> m_ports;
+};
+
+/**
+ * @brief Runs a coroutine to its end on a number of threads, then what remains until no work is left.
+ * @param story Must close what it opened, or the run does not end.
+ */
+inline void
+runStory(boost::asio::io_context &context, int threadCount, const std::function<boost::asio::awaitable<void>()> &story)
+{
+    std::exception_ptr failure;
+    auto running = story();
+    boost::asio::co_spawn(context, std::move(running), [&](const std::exception_ptr &error) { failure = error; });
+    {
+        std::vector<std::jthread> threads;
+        for (int i = 1; i < threadCount; ++i) {
+            threads.emplace_back([&] { context.run(); });
+        }
+        context.run();
+    }
+    if (failure) {
+        std::rethrow_exception(failure);
+    }
+}
+
+}
