--- /dev/null
+++ b/include/berylspring/platform/fwd.h
@@ -0,0 +1,10 @@
+#pragma once
+
+namespace berylspring::platform {
+
+class Error;
+enum class ErrorCode;
+struct LogHooks;
+struct LogTimeouts;
+
+}
--- /dev/null
+++ b/include/berylspring/platform/log_hooks.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "berylspring/core/time.h"
+#include "berylspring/core/types.h"
+#include "berylspring/platform/error.h"
+#include "berylspring/platform/log_page.h"
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
+#include <boost/asio/awaitable.hpp>
+
+namespace berylspring::platform {
+
+/** @brief Access to the platform log. Both hooks must be safe to call from several threads. */
+struct LogHooks
+{
+    /** @brief Appends a record and returns its offset. */
+    std::function<boost::asio::awaitable<Result<core::Offset>>(std::string stream, std::string data)> append;
+
+    /**
+     * @brief Reads at most limit records at and after an offset.
+     *
+     * Waits up to `wait` while there are none. Fails with Expired when `from` is below the first retained offset.
+     */
+    std::function<boost::asio::awaitable<Result<LogPage>>(
+        std::string stream, core::Offset from, std::uint32_t limit, core::Duration wait)>
+        read;
+};
+
+}
--- /dev/null
+++ b/include/berylspring/platform/log_page.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "berylspring/core/immutable.h"
+#include "berylspring/core/types.h"
+
+#include <string>
+#include <vector>
+
+namespace berylspring::platform {
+
+/** @brief One record of a stream. */
+struct LogEntry
+{
+    core::Offset offset = 0;
+    std::string data;
+    [[nodiscard]] bool operator==(const LogEntry &) const = default;
+};
+
+/** @brief Consecutive records of a stream, in ascending order of their offsets. */
+struct LogPageFields
+{
+    std::vector<LogEntry> records;
+    core::Offset first = 0; ///< First offset that the log retains.
+    core::Offset next = 0; ///< Offset after the last record of the page; without records, the end of the stream.
+    [[nodiscard]] bool operator==(const LogPageFields &) const = default;
+};
+using LogPage = core::Immutable<LogPageFields>;
+
+}
