Add resources, log records and the catalogue that results from folding them

Cause: every node has to derive the same configuration from the records of the log. Change: strict JSON of the five resource types, the log record, and an immutable catalogue with indexes whose copies share unchanged buckets. Withdrawn digests and recent operations are part of the catalogue.

--- /dev/null
+++ b/include/berylspring/config/resource.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include "berylspring/config/error.h"
+#include "berylspring/config/resource_type.h"
+#include "berylspring/core/digest.h"
+#include "berylspring/core/immutable.h"
+#include "berylspring/core/name.h"
+#include "berylspring/core/time.h"
+#include "berylspring/core/types.h"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace berylspring::config {
+
+using LimitId = core::Name<struct LimitTag>;
+using PriorityId = core::Name<struct PriorityTag>;
+
+/** @brief What a data centre does after it heard from neither the log nor another data centre for a time. */
+enum class Staleness : std::uint8_t {
+    Serve,
+    Refuse,
+};
+
+/** @brief A tenant. */
+struct WorkspaceFields
+{
+    core::WorkspaceId name;
+    double weight = 1; ///< Share among workspaces in a full queue; 0.001 to 1000.
+    Staleness staleness = Staleness::Serve;
+    core::Duration stalenessLimit = std::chrono::hours(1); ///< 1 s to 7 days.
+    [[nodiscard]] bool operator==(const WorkspaceFields &) const = default;
+};
+using Workspace = core::Immutable<WorkspaceFields>;
+
+/** @brief A key that callers present, by its digest. */
+struct KeyFields
+{
+    core::KeyId name;
+    core::WorkspaceId workspace;
+    core::Digest digest; ///< SHA-256 of the key.
+    [[nodiscard]] bool operator==(const KeyFields &) const = default;
+};
+using Key = core::Immutable<KeyFields>;
+
+/** @brief Rate and burst of a workspace over all hosts. */
+struct LimitFields
+{
+    LimitId name;
+    core::WorkspaceId workspace;
+    double rate = 0; ///< Tokens per second, 0.001 to 10^9.
+    double burst = 0; ///< Tokens, at least 1 and at least rate x 10 ms, at most 10^9.
+    [[nodiscard]] bool operator==(const LimitFields &) const = default;
+};
+using Limit = core::Immutable<LimitFields>;
+
+/** @brief Importance of the requests of a route. */
+struct PriorityFields
+{
+    PriorityId name;
+    core::PriorityLevel level = 0;
+    double worth = 1; ///< Declared worth of one complete request, 0 to 10^9.
+    [[nodiscard]] bool operator==(const PriorityFields &) const = default;
+};
+using Priority = core::Immutable<PriorityFields>;
+
+/** @brief Path prefix that selects a service. */
+struct RouteFields
+{
+    core::RouteId name;
+    std::string prefix; ///< Segments of A-Z a-z 0-9 - . _ ~, without a slash at the end except for "/".
+    core::ServiceId service;
+    PriorityId priority;
+    bool isOpen = false; ///< Needs no key.
+    core::Duration timeout = std::chrono::seconds(10); ///< For the whole request; 1 ms to 10 min.
+    std::uint32_t retries = 2; ///< Retry allowance of a root request, 0 to 10.
+    std::map<std::string, bool> idempotency; ///< By method; a method without an entry follows HTTP.
+    [[nodiscard]] bool operator==(const RouteFields &) const = default;
+};
+using Route = core::Immutable<RouteFields>;
+
+/** @brief Any resource; the alternatives are in the order of ResourceType. */
+using Resource = std::variant<Workspace, Key, Limit, Priority, Route>;
+
+/**
+ * @brief Reads a resource strictly: unknown members, wrong types and values out of range are errors.
+ * @param type Type of the resource.
+ * @param name Its name; a member `name` is optional and must be equal to it.
+ * @param json One JSON object.
+ * @return The resource, or Invalid with member, value and range.
+ */
+[[nodiscard]] Result<Resource> parseResource(ResourceType type, std::string_view name, std::string_view json);
+
+/** @return One JSON object with all members, the same text for equal resources. */
+[[nodiscard]] std::string toJson(const Resource &resource);
+
+[[nodiscard]] ResourceType typeOf(const Resource &resource) noexcept;
+[[nodiscard]] const std::string &nameOf(const Resource &resource) noexcept;
+
+/** @return Whether the route's override, or HTTP's rule without one, makes the method idempotent. */
+[[nodiscard]] bool isIdempotent(const Route &route, std::string_view method);
+
+}
--- /dev/null
+++ b/include/berylspring/config/resource_type.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <array>
+#include <optional>
+#include <string_view>
+
+namespace berylspring::config {
+
+enum class ResourceType {
+    Workspace,
+    Key,
+    Limit,
+    Priority,
+    Route,
+};
+
+inline constexpr std::array<ResourceType, 5> ResourceTypes{
+    ResourceType::Workspace, ResourceType::Key, ResourceType::Limit, ResourceType::Priority, ResourceType::Route};
+
+/** @return The plural that is used in paths and records, for example "workspaces". */
+[[nodiscard]] std::string_view toString(ResourceType type) noexcept;
+[[nodiscard]] std::optional<ResourceType> resourceTypeFromString(std::string_view text) noexcept;
+
+}
--- /dev/null
+++ b/src/config/catalogue.cpp
@@ -0,0 +1,180 @@
+#include "berylspring/config/catalogue.h"
+
+#include "config/catalogue_tables.h"
+#include "config/path.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace berylspring::config {
+
+using detail::CatalogueTables;
+using detail::StoredPtr;
+
+namespace {
+
+constexpr std::array<std::string_view, VoidReasonCount> ReasonTexts{
+    "accepted",
+    "the first record of the log never takes effect",
+    "the operation is in the log already",
+    "another change was made first",
+    "there is no such resource",
+    "the digest was withdrawn and is never accepted again",
+    "the digest of a key cannot change",
+    "another key has the digest",
+    "another route has the prefix",
+    "the workspace or priority does not exist",
+    "other resources refer to it",
+    "the offset was folded already",
+};
+
+template<typename Value>
+const Value *valueOf(const StoredPtr *stored)
+{
+    return stored == nullptr ? nullptr : std::get_if<Value>(&(*stored)->resource);
+}
+
+ResourceView viewOf(const detail::Stored &stored)
+{
+    return {nameOf(stored.resource), stored.version, toJson(stored.resource)};
+}
+
+}
+
+std::string_view toString(VoidReason reason) noexcept
+{
+    return ReasonTexts.at(static_cast<std::size_t>(reason));
+}
+
+Catalogue::Catalogue()
+    : m_tables(std::make_shared<const CatalogueTables>())
+{
+}
+
+FoldResult Catalogue::withRecord(core::Offset offset, std::string_view data) const
+{
+    if (offset < m_appliedOffset) {
+        return {*this, Verdict::Void, VoidReason::AlreadyFolded};
+    }
+    const Catalogue unchanged(offset + 1, m_tables);
+    const auto record = parseLogRecord(data);
+    if (!record) {
+        return {unchanged, Verdict::Malformed, VoidReason::None};
+    }
+    if (offset == 0) {
+        return {unchanged, Verdict::Void, VoidReason::FirstOffset};
+    }
+    const OperationResult *known = m_tables->operations.find((*record)->operationId);
+    if (known != nullptr && known->offset + OperationWindow >= offset) {
+        return {unchanged, Verdict::Void, VoidReason::Duplicate};
+    }
+    const detail::RecordEffect effect = detail::effectOf(*m_tables, offset, *record);
+    if (effect.verdict == Verdict::Malformed) {
+        return {unchanged, Verdict::Malformed, VoidReason::None};
+    }
+    auto tables = effect.tables.withOperation((*record)->operationId, {offset, effect.reason});
+    return {Catalogue(offset + 1, std::make_shared<const CatalogueTables>(std::move(tables))),
+            effect.verdict,
+            effect.reason};
+}
+
+const Key *Catalogue::findKey(const core::Digest &digest) const
+{
+    return valueOf<Key>(m_tables->keysByDigest.find(digest));
+}
+
+bool Catalogue::isWithdrawn(const core::Digest &digest) const
+{
+    return m_tables->withdrawn.find(digest) != nullptr;
+}
+
+const Workspace *Catalogue::findWorkspace(const core::WorkspaceId &name) const
+{
+    return valueOf<Workspace>(m_tables->byName[static_cast<std::size_t>(ResourceType::Workspace)].find(name.value()));
+}
+
+const Limit *Catalogue::findLimit(const core::WorkspaceId &workspace) const
+{
+    const auto *limits = m_tables->limitsByWorkspace.find(workspace.value());
+    return limits == nullptr ? nullptr : valueOf<Limit>(&limits->back());
+}
+
+const Priority *Catalogue::findPriority(const PriorityId &name) const
+{
+    return valueOf<Priority>(m_tables->byName[static_cast<std::size_t>(ResourceType::Priority)].find(name.value()));
+}
+
+const Key *Catalogue::findKeyNamed(std::string_view name) const
+{
+    return valueOf<Key>(m_tables->byName[static_cast<std::size_t>(ResourceType::Key)].find(name));
+}
+
+const Route *Catalogue::findRoute(std::string_view path) const
+{
+    path = path.substr(0, path.find_first_of("?#"));
+    std::string buffer;
+    if (path.find('%') != std::string_view::npos) {
+        auto decoded = detail::decoded(path);
+        if (!decoded) {
+            return nullptr;
+        }
+        buffer = std::move(*decoded);
+        path = buffer;
+    }
+    if (!detail::isUnambiguous(path)) {
+        return nullptr;
+    }
+    // Longer prefixes do not exist; without this bound a long path would cost one lookup for each of its segments.
+    if (path.size() > detail::MaxPrefixLength) {
+        path = path.substr(0, path.rfind('/', detail::MaxPrefixLength));
+    }
+    if (path.size() > 1 && path.back() == '/') {
+        path.remove_suffix(1);
+    }
+    while (!path.empty() && path != "/") {
+        if (const StoredPtr *stored = m_tables->routesByPrefix.find(path)) {
+            return valueOf<Route>(stored);
+        }
+        path = path.substr(0, path.rfind('/'));
+    }
+    return valueOf<Route>(m_tables->routesByPrefix.find(std::string_view("/")));
+}
+
+std::optional<ResourceView> Catalogue::resource(ResourceType type, std::string_view name) const
+{
+    const StoredPtr stored = m_tables->find(type, name);
+    return stored ? std::optional(viewOf(*stored)) : std::nullopt;
+}
+
+std::vector<ResourceView> Catalogue::list(ResourceType type) const
+{
+    std::vector<ResourceView> views;
+    m_tables->byName.at(static_cast<std::size_t>(type)).forEach([&](const std::string &, const StoredPtr &stored) {
+        views.push_back(viewOf(*stored));
+    });
+    std::sort(views.begin(), views.end(), [](const auto &a, const auto &b) { return a.name < b.name; });
+    return views;
+}
+
+std::size_t Catalogue::resourceCount() const
+{
+    std::size_t count = 0;
+    for (const auto &table : m_tables->byName) {
+        count += table.size();
+    }
+    return count;
+}
+
+std::size_t Catalogue::withdrawnCount() const
+{
+    return m_tables->withdrawn.size();
+}
+
+std::optional<OperationResult> Catalogue::findOperation(std::string_view operationId) const
+{
+    const OperationResult *known = m_tables->operations.find(operationId);
+    return known == nullptr ? std::nullopt : std::optional(*known);
+}
+
+}
--- /dev/null
+++ b/src/config/catalogue_tables.cpp
@@ -0,0 +1,238 @@
+#include "config/catalogue_tables.h"
+
+#include "config/json_reader.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace berylspring::config::detail {
+
+namespace {
+
+using Counts = PersistentMap<std::string, std::uint32_t>;
+
+Counts increased(const Counts &counts, const std::string &name)
+{
+    const std::uint32_t *count = counts.find(name);
+    return counts.with(name, count == nullptr ? 1 : *count + 1);
+}
+
+Counts decreased(const Counts &counts, const std::string &name)
+{
+    const std::uint32_t *count = counts.find(name);
+    return count == nullptr || *count <= 1 ? counts.without(name) : counts.with(name, *count - 1);
+}
+
+void index(CatalogueTables &tables, const StoredPtr &stored)
+{
+    if (const auto *key = std::get_if<Key>(&stored->resource)) {
+        tables.keysByDigest = tables.keysByDigest.with((*key)->digest, stored);
+        tables.workspaceUses = increased(tables.workspaceUses, (*key)->workspace.value());
+    } else if (const auto *limit = std::get_if<Limit>(&stored->resource)) {
+        const std::string &workspace = (*limit)->workspace.value();
+        const auto *known = tables.limitsByWorkspace.find(workspace);
+        auto limits = known == nullptr ? std::vector<StoredPtr>() : *known;
+        const auto place = std::upper_bound(
+            limits.begin(), limits.end(), stored, [](const auto &a, const auto &b) { return a->version < b->version; });
+        limits.insert(place, stored);
+        tables.limitsByWorkspace = tables.limitsByWorkspace.with(workspace, std::move(limits));
+        tables.workspaceUses = increased(tables.workspaceUses, workspace);
+    } else if (const auto *route = std::get_if<Route>(&stored->resource)) {
+        tables.routesByPrefix = tables.routesByPrefix.with((*route)->prefix, stored);
+        tables.priorityUses = increased(tables.priorityUses, (*route)->priority.value());
+    }
+}
+
+void removeFromIndex(CatalogueTables &tables, const StoredPtr &stored)
+{
+    if (const auto *key = std::get_if<Key>(&stored->resource)) {
+        tables.keysByDigest = tables.keysByDigest.without((*key)->digest);
+        tables.workspaceUses = decreased(tables.workspaceUses, (*key)->workspace.value());
+    } else if (const auto *limit = std::get_if<Limit>(&stored->resource)) {
+        const std::string &workspace = (*limit)->workspace.value();
+        const auto *known = tables.limitsByWorkspace.find(workspace);
+        auto limits = known == nullptr ? std::vector<StoredPtr>() : *known;
+        std::erase(limits, stored);
+        tables.limitsByWorkspace = limits.empty() ? tables.limitsByWorkspace.without(workspace)
+                                                  : tables.limitsByWorkspace.with(workspace, std::move(limits));
+        tables.workspaceUses = decreased(tables.workspaceUses, workspace);
+    } else if (const auto *route = std::get_if<Route>(&stored->resource)) {
+        tables.routesByPrefix = tables.routesByPrefix.without((*route)->prefix);
+        tables.priorityUses = decreased(tables.priorityUses, (*route)->priority.value());
+    }
+}
+
+bool hasWorkspace(const CatalogueTables &tables, const core::WorkspaceId &workspace)
+{
+    return tables.find(ResourceType::Workspace, workspace.value()) != nullptr;
+}
+
+VoidReason obstacleToKey(const CatalogueTables &tables, const Key &key, const StoredPtr &current)
+{
+    if (tables.withdrawn.find(key->digest) != nullptr) {
+        return VoidReason::DigestWithdrawn;
+    }
+    if (current && std::get<Key>(current->resource)->digest != key->digest) {
+        return VoidReason::DigestFixed;
+    }
+    const StoredPtr *holder = tables.keysByDigest.find(key->digest);
+    if (holder != nullptr && *holder != current) {
+        return VoidReason::DigestInUse;
+    }
+    return hasWorkspace(tables, key->workspace) ? VoidReason::None : VoidReason::MissingReference;
+}
+
+VoidReason obstacleToRoute(const CatalogueTables &tables, const Route &route, const StoredPtr &current)
+{
+    const StoredPtr *holder = tables.routesByPrefix.find(route->prefix);
+    if (holder != nullptr && *holder != current) {
+        return VoidReason::PrefixInUse;
+    }
+    const bool hasPriority = tables.find(ResourceType::Priority, route->priority.value()) != nullptr;
+    return hasPriority ? VoidReason::None : VoidReason::MissingReference;
+}
+
+VoidReason obstacleToPut(const CatalogueTables &tables, const Resource &resource, const StoredPtr &current)
+{
+    if (const auto *key = std::get_if<Key>(&resource)) {
+        return obstacleToKey(tables, *key, current);
+    }
+    if (const auto *limit = std::get_if<Limit>(&resource)) {
+        return hasWorkspace(tables, (*limit)->workspace) ? VoidReason::None : VoidReason::MissingReference;
+    }
+    if (const auto *route = std::get_if<Route>(&resource)) {
+        return obstacleToRoute(tables, *route, current);
+    }
+    return VoidReason::None;
+}
+
+bool isExpected(const LogRecord &record, const StoredPtr &current)
+{
+    return !record->expectedVersion || *record->expectedVersion == (current ? current->version : 0);
+}
+
+RecordEffect effectOfPut(const CatalogueTables &tables, core::Offset offset, const LogRecord &record)
+{
+    auto resource = parseResource(record->type, record->name, record->body);
+    if (!resource) {
+        return {tables, Verdict::Malformed, VoidReason::None};
+    }
+    const StoredPtr current = tables.find(record->type, record->name);
+    if (!isExpected(record, current)) {
+        return {tables, Verdict::Void, VoidReason::VersionMismatch};
+    }
+    const VoidReason obstacle = obstacleToPut(tables, *resource, current);
+    if (obstacle != VoidReason::None) {
+        return {tables, Verdict::Void, obstacle};
+    }
+    const auto stored = std::make_shared<const Stored>(Stored{std::move(*resource), offset});
+    return {tables.withStored(stored), Verdict::Accepted, VoidReason::None};
+}
+
+/**
+ * Withdraws the digest that the record names, whatever became of the key of that name meanwhile: nodes have refused
+ * the digest since its tombstone was announced, so the log must not contradict them.
+ */
+RecordEffect effectOfWithdrawal(const CatalogueTables &tables, const LogRecord &record, const StoredPtr &current)
+{
+    std::optional<core::Digest> digest;
+    if (!record->body.empty()) {
+        const auto object = parseObject(record->body);
+        JsonReader reader(*object);
+        digest = core::Digest::fromHex(reader.text("digest"));
+        if (!digest || reader.finish()) {
+            return {tables, Verdict::Malformed, VoidReason::None};
+        }
+    } else if (current) {
+        digest = std::get<Key>(current->resource)->digest;
+    } else {
+        return {tables, Verdict::Void, VoidReason::NotFound};
+    }
+    if (tables.withdrawn.find(*digest) != nullptr) {
+        return {tables, Verdict::Void, VoidReason::DigestWithdrawn};
+    }
+    const StoredPtr *holder = tables.keysByDigest.find(*digest);
+    const auto without =
+        holder == nullptr ? tables : tables.withoutResource(ResourceType::Key, nameOf((*holder)->resource));
+    return {without.withWithdrawn(*digest), Verdict::Accepted, VoidReason::None};
+}
+
+bool isInUse(const CatalogueTables &tables, const LogRecord &record)
+{
+    return (record->type == ResourceType::Workspace && tables.workspaceUses.find(record->name) != nullptr)
+           || (record->type == ResourceType::Priority && tables.priorityUses.find(record->name) != nullptr);
+}
+
+RecordEffect effectOfDelete(const CatalogueTables &tables, const LogRecord &record)
+{
+    const StoredPtr current = tables.find(record->type, record->name);
+    if (!isExpected(record, current)) {
+        return {tables, Verdict::Void, VoidReason::VersionMismatch};
+    }
+    if (record->type == ResourceType::Key) {
+        return effectOfWithdrawal(tables, record, current);
+    }
+    if (!current) {
+        return {tables, Verdict::Void, VoidReason::NotFound};
+    }
+    if (isInUse(tables, record)) {
+        return {tables, Verdict::Void, VoidReason::InUse};
+    }
+    return {tables.withoutResource(record->type, record->name), Verdict::Accepted, VoidReason::None};
+}
+
+}
+
+StoredPtr CatalogueTables::find(ResourceType type, std::string_view name) const
+{
+    const StoredPtr *stored = byName.at(static_cast<std::size_t>(type)).find(name);
+    return stored == nullptr ? nullptr : *stored;
+}
+
+CatalogueTables CatalogueTables::withStored(const StoredPtr &stored) const
+{
+    CatalogueTables copy = *this;
+    const ResourceType type = typeOf(stored->resource);
+    const std::string &name = nameOf(stored->resource);
+    if (const StoredPtr current = find(type, name)) {
+        removeFromIndex(copy, current);
+    }
+    auto &table = copy.byName.at(static_cast<std::size_t>(type));
+    table = table.with(name, stored);
+    index(copy, stored);
+    return copy;
+}
+
+CatalogueTables CatalogueTables::withoutResource(ResourceType type, const std::string &name) const
+{
+    CatalogueTables copy = *this;
+    if (const StoredPtr current = find(type, name)) {
+        removeFromIndex(copy, current);
+    }
+    auto &table = copy.byName.at(static_cast<std::size_t>(type));
+    table = table.without(name);
+    return copy;
+}
+
+CatalogueTables CatalogueTables::withWithdrawn(const core::Digest &digest) const
+{
+    CatalogueTables copy = *this;
+    copy.withdrawn = withdrawn.with(digest, true);
+    return copy;
+}
+
+CatalogueTables CatalogueTables::withOperation(const std::string &operationId, OperationResult result) const
+{
+    CatalogueTables copy = *this;
+    copy.operations = operations.with(operationId, result, [&](const OperationResult &known) {
+        return known.offset + Catalogue::OperationWindow >= result.offset;
+    });
+    return copy;
+}
+
+RecordEffect effectOf(const CatalogueTables &tables, core::Offset offset, const LogRecord &record)
+{
+    return record->kind == RecordKind::Put ? effectOfPut(tables, offset, record) : effectOfDelete(tables, record);
+}
+
+}
--- /dev/null
+++ b/src/config/catalogue_tables.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "berylspring/config/catalogue.h"
+#include "berylspring/config/log_record.h"
+#include "config/persistent_map.h"
+
+#include <array>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace berylspring::config::detail {
+
+/** @brief A resource with the offset of the record that wrote it. */
+struct Stored
+{
+    Resource resource;
+    core::Offset version = 0;
+};
+using StoredPtr = std::shared_ptr<const Stored>;
+
+/** @brief Contents of a catalogue and the indexes over them; a value that is copied and changed by functions. */
+struct CatalogueTables
+{
+    std::array<PersistentMap<std::string, StoredPtr>, ResourceTypes.size()> byName;
+    PersistentMap<core::Digest, StoredPtr> keysByDigest;
+    PersistentMap<core::Digest, bool> withdrawn;
+    PersistentMap<std::string, std::vector<StoredPtr>> limitsByWorkspace; ///< By ascending version.
+    PersistentMap<std::string, StoredPtr> routesByPrefix;
+    PersistentMap<std::string, std::uint32_t> workspaceUses; ///< Number of keys and limits.
+    PersistentMap<std::string, std::uint32_t> priorityUses; ///< Number of routes.
+    PersistentMap<std::string, OperationResult> operations;
+
+    [[nodiscard]] StoredPtr find(ResourceType type, std::string_view name) const;
+    /** @return A copy with the resource in place of the one of the same type and name. */
+    [[nodiscard]] CatalogueTables withStored(const StoredPtr &stored) const;
+    [[nodiscard]] CatalogueTables withoutResource(ResourceType type, const std::string &name) const;
+    [[nodiscard]] CatalogueTables withWithdrawn(const core::Digest &digest) const;
+    [[nodiscard]] CatalogueTables withOperation(const std::string &operationId, OperationResult result) const;
+};
+
+/** @brief The rule of the fold: what a record does to the tables. */
+struct RecordEffect
+{
+    CatalogueTables tables;
+    Verdict verdict = Verdict::Void;
+    VoidReason reason = VoidReason::None;
+};
+
+/** @return The effect of a record at an offset above 0 whose operation is new. */
+[[nodiscard]] RecordEffect effectOf(const CatalogueTables &tables, core::Offset offset, const LogRecord &record);
+
+}
--- /dev/null
+++ b/src/config/resource.cpp
@@ -0,0 +1,266 @@
+#include "berylspring/config/resource.h"
+
+#include "config/json_reader.h"
+#include "config/path.h"
+#include "config/resource_json.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/json.hpp>
+
+namespace berylspring::config {
+
+namespace json = boost::json;
+using detail::JsonReader;
+
+namespace {
+
+constexpr std::array<std::string_view, 5> TypeNames{"workspaces", "keys", "limits", "priorities", "routes"};
+constexpr double LeastWeight = 0.001;
+constexpr double MostWeight = 1000;
+constexpr double LeastRate = 0.001;
+constexpr double MostTokens = 1e9;
+/** Shorter bursts cannot be granted in batches; see section 6.3 of the design. */
+constexpr double LeastBurstSeconds = 0.010;
+constexpr std::uint64_t MostStalenessSeconds = 7ULL * 24 * 3600;
+constexpr std::uint64_t MostTimeoutMs = 600'000;
+constexpr std::uint64_t MostRetries = 10;
+constexpr std::size_t MaxMethodLength = 20;
+
+template<typename Unit>
+core::Duration durationOf(std::uint64_t count)
+{
+    return std::chrono::duration_cast<core::Duration>(Unit(count));
+}
+
+Workspace parseWorkspace(JsonReader &reader, std::string name)
+{
+    const WorkspaceFields defaults;
+    WorkspaceFields fields;
+    fields.name = core::WorkspaceId(std::move(name));
+    fields.weight = reader.number("weight", LeastWeight, MostWeight, defaults.weight);
+    const std::string staleness = reader.contains("staleness") ? reader.text("staleness") : "serve";
+    if (staleness != "serve" && staleness != "refuse") {
+        reader.fail("staleness", "\"serve\" or \"refuse\"");
+    }
+    fields.staleness = staleness == "refuse" ? Staleness::Refuse : Staleness::Serve;
+    const auto limit = std::chrono::duration_cast<std::chrono::seconds>(defaults.stalenessLimit).count();
+    fields.stalenessLimit = durationOf<std::chrono::seconds>(
+        reader.integer("staleness_limit_s", 1, MostStalenessSeconds, static_cast<std::uint64_t>(limit)));
+    return Workspace(std::move(fields));
+}
+
+Key parseKey(JsonReader &reader, std::string name)
+{
+    KeyFields fields;
+    fields.name = core::KeyId(std::move(name));
+    fields.workspace = core::WorkspaceId(reader.name("workspace"));
+    const auto digest = core::Digest::fromHex(reader.text("digest"));
+    if (!digest) {
+        reader.fail("digest", "the SHA-256 digest of the key in 64 hexadecimal digits");
+    }
+    fields.digest = digest.value_or(core::Digest());
+    return Key(std::move(fields));
+}
+
+Limit parseLimit(JsonReader &reader, std::string name)
+{
+    LimitFields fields;
+    fields.name = LimitId(std::move(name));
+    fields.workspace = core::WorkspaceId(reader.name("workspace"));
+    fields.rate = reader.number("rate", LeastRate, MostTokens);
+    fields.burst = reader.number("burst", std::max(1.0, fields.rate * LeastBurstSeconds), MostTokens);
+    return Limit(std::move(fields));
+}
+
+Priority parsePriority(JsonReader &reader, std::string name)
+{
+    PriorityFields fields;
+    fields.name = PriorityId(std::move(name));
+    fields.level = static_cast<core::PriorityLevel>(reader.integer("level", 0, core::MaxPriority));
+    fields.worth = reader.number("worth", 0, MostTokens, fields.worth);
+    return Priority(std::move(fields));
+}
+
+bool isMethod(std::string_view text)
+{
+    return !text.empty() && text.size() <= MaxMethodLength
+           && std::all_of(text.begin(), text.end(), [](char c) { return c >= 'A' && c <= 'Z'; });
+}
+
+std::map<std::string, bool> parseIdempotency(JsonReader &reader)
+{
+    std::map<std::string, bool> methods;
+    const json::object *object = reader.object("idempotency");
+    if (object == nullptr) {
+        return methods;
+    }
+    for (const auto &entry : *object) {
+        std::string method(entry.key().data(), entry.key().size());
+        if (!isMethod(method) || !entry.value().is_bool()) {
+            reader.fail("idempotency", "an object of methods in capitals with true or false");
+            return methods;
+        }
+        methods.insert_or_assign(std::move(method), entry.value().get_bool());
+    }
+    return methods;
+}
+
+Route parseRoute(JsonReader &reader, std::string name)
+{
+    const RouteFields defaults;
+    RouteFields fields;
+    fields.name = core::RouteId(std::move(name));
+    fields.prefix = reader.text("prefix");
+    if (!detail::isValidPrefix(fields.prefix)) {
+        reader.fail("prefix", "\"/\" or a path of up to 256 characters without empty or dot segments and final slash");
+    }
+    fields.service = core::ServiceId(reader.name("service"));
+    fields.priority = PriorityId(reader.name("priority"));
+    fields.isOpen = reader.boolean("is_open", defaults.isOpen);
+    const auto timeout = std::chrono::duration_cast<std::chrono::milliseconds>(defaults.timeout).count();
+    fields.timeout = durationOf<std::chrono::milliseconds>(
+        reader.integer("timeout_ms", 1, MostTimeoutMs, static_cast<std::uint64_t>(timeout)));
+    fields.retries = static_cast<std::uint32_t>(reader.integer("retries", 0, MostRetries, defaults.retries));
+    fields.idempotency = parseIdempotency(reader);
+    return Route(std::move(fields));
+}
+
+Resource parseMembers(ResourceType type, JsonReader &reader, std::string name)
+{
+    switch (type) {
+    case ResourceType::Workspace:
+        return parseWorkspace(reader, std::move(name));
+    case ResourceType::Key:
+        return parseKey(reader, std::move(name));
+    case ResourceType::Limit:
+        return parseLimit(reader, std::move(name));
+    case ResourceType::Priority:
+        return parsePriority(reader, std::move(name));
+    case ResourceType::Route:
+        break;
+    }
+    return parseRoute(reader, std::move(name));
+}
+
+template<typename Unit>
+std::int64_t countOf(core::Duration duration)
+{
+    return std::chrono::duration_cast<Unit>(duration).count();
+}
+
+json::object members(const Workspace &workspace)
+{
+    return {{"name", workspace->name.value()},
+            {"weight", workspace->weight},
+            {"staleness", workspace->staleness == Staleness::Refuse ? "refuse" : "serve"},
+            {"staleness_limit_s", countOf<std::chrono::seconds>(workspace->stalenessLimit)}};
+}
+
+json::object members(const Key &key)
+{
+    return {{"name", key->name.value()}, {"workspace", key->workspace.value()}, {"digest", key->digest.toHex()}};
+}
+
+json::object members(const Limit &limit)
+{
+    return {{"name", limit->name.value()},
+            {"workspace", limit->workspace.value()},
+            {"rate", limit->rate},
+            {"burst", limit->burst}};
+}
+
+json::object members(const Priority &priority)
+{
+    return {{"name", priority->name.value()}, {"level", priority->level}, {"worth", priority->worth}};
+}
+
+json::object members(const Route &route)
+{
+    json::object methods;
+    for (const auto &[method, isIdempotent] : route->idempotency) {
+        methods.emplace(method, isIdempotent);
+    }
+    return {{"name", route->name.value()},
+            {"prefix", route->prefix},
+            {"service", route->service.value()},
+            {"priority", route->priority.value()},
+            {"is_open", route->isOpen},
+            {"timeout_ms", countOf<std::chrono::milliseconds>(route->timeout)},
+            {"retries", route->retries},
+            {"idempotency", std::move(methods)}};
+}
+
+}
+
+std::string_view toString(ResourceType type) noexcept
+{
+    return TypeNames.at(static_cast<std::size_t>(type));
+}
+
+std::optional<ResourceType> resourceTypeFromString(std::string_view text) noexcept
+{
+    const auto found = std::find(TypeNames.begin(), TypeNames.end(), text);
+    if (found == TypeNames.end()) {
+        return std::nullopt;
+    }
+    return static_cast<ResourceType>(found - TypeNames.begin());
+}
+
+Result<Resource> parseResource(ResourceType type, std::string_view name, std::string_view json)
+{
+    if (!core::isValidName(name)) {
+        return tl::unexpected(Error::invalid("name", '"' + std::string(name.substr(0, 80)) + '"', "a valid name"));
+    }
+    const auto object = detail::parseObject(json);
+    if (!object) {
+        return tl::unexpected(object.error());
+    }
+    return detail::readResource(type, name, *object);
+}
+
+Result<Resource> detail::readResource(ResourceType type, std::string_view name, const json::object &object)
+{
+    JsonReader reader(object);
+    if (reader.contains("name") && reader.name("name") != name) {
+        reader.fail("name", "the name \"" + std::string(name) + "\" of the resource");
+    }
+    Resource resource = parseMembers(type, reader, std::string(name));
+    if (auto error = reader.finish()) {
+        return tl::unexpected(std::move(*error));
+    }
+    return resource;
+}
+
+json::object detail::writeResource(const Resource &resource)
+{
+    return std::visit([](const auto &value) { return members(value); }, resource);
+}
+
+std::string toJson(const Resource &resource)
+{
+    return json::serialize(detail::writeResource(resource));
+}
+
+ResourceType typeOf(const Resource &resource) noexcept
+{
+    return static_cast<ResourceType>(resource.index());
+}
+
+const std::string &nameOf(const Resource &resource) noexcept
+{
+    return std::visit([](const auto &value) -> const std::string & { return value->name.value(); }, resource);
+}
+
+bool isIdempotent(const Route &route, std::string_view method)
+{
+    const auto found = route->idempotency.find(std::string(method));
+    if (found != route->idempotency.end()) {
+        return found->second;
+    }
+    constexpr std::array<std::string_view, 6> IdempotentMethods{"GET", "HEAD", "OPTIONS", "PUT", "DELETE", "TRACE"};
+    return std::find(IdempotentMethods.begin(), IdempotentMethods.end(), method) != IdempotentMethods.end();
+}
+
+}
--- /dev/null
+++ b/src/config/resource_json.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "berylspring/config/resource.h"
+
+#include <string_view>
+
+#include <boost/json.hpp>
+
+namespace berylspring::config::detail {
+
+/** @brief parseResource() for a document that is parsed already. */
+[[nodiscard]] Result<Resource>
+readResource(ResourceType type, std::string_view name, const boost::json::object &object);
+[[nodiscard]] boost::json::object writeResource(const Resource &resource);
+
+}
