Let claim messages name their attempt, the memory of the standby and the age of a send

Cause: a release could erase a later claim of the same home, a home could not learn that its standby joined too lately to know the past, and a send that was under way for long could run after its name was answered not-run. Change: ClaimRecord boot and attempt, ClaimState::Released, ClaimReply memory and challenge, HomeRequest age and challenge. Only additions; the codec has to carry them.

--- a/include/berylspring/wire/messages.h
+++ b/include/berylspring/wire/messages.h
@@ -62,10 +62,16 @@
 };
 using CallResponse = core::Immutable<CallResponseFields>;
 
-/** @brief A non-idempotent request for the home of its name; answered by a CallResponse. */
+/**
+ * @brief A non-idempotent request for the home of its name.
+ *
+ * Answered by a CallResponse, by a ClaimReply with a challenge, or by Refused if the receiver is not the home.
+ */
 struct HomeRequestFields
 {
     CallRequest call;
+    core::Duration age{}; ///< Time since the entry took the request from its caller, as seen when the message was made.
+    std::uint64_t challenge = 0; ///< Of the ClaimReply that asked to send the request again, else 0.
     [[nodiscard]] bool operator==(const HomeRequestFields &) const = default;
 };
 using HomeRequest = core::Immutable<HomeRequestFields>;
@@ -150,6 +156,7 @@
     Dispatched, ///< Bytes may have reached an endpoint.
     Answered, ///< The response is stored.
     Unknown, ///< It may have run; no answer will come.
+    Released, ///< No send of the name has run up to now, and a caller was told so.
 };
 
 /** @brief What is known about one name of a non-idempotent request. */
@@ -157,6 +164,8 @@
 {
     std::string name;
     core::HostId home; ///< The node that runs it.
+    std::uint64_t boot = 0; ///< Random number of the home's process.
+    std::uint64_t attempt = 0; ///< Grows with each claim of one process, so that an old message changes no later claim.
     core::Digest requestDigest; ///< Of method, target, body and workspace.
     ClaimState state = ClaimState::Claimed;
     std::optional<CallResponse> response; ///< With state Answered.
@@ -169,7 +178,7 @@
 struct ClaimRequestFields
 {
     ClaimRecord record;
-    bool isRelease = false; ///< Nothing was run: forget the claim.
+    bool isRelease = false; ///< Nothing was run: forget the claim, and with state Released keep that as a record.
     [[nodiscard]] bool operator==(const ClaimRequestFields &) const = default;
 };
 using ClaimRequest = core::Immutable<ClaimRequestFields>;
@@ -177,7 +186,9 @@
 struct ClaimReplyFields
 {
     bool isAccepted = false;
-    std::optional<ClaimRecord> existing; ///< The record that stands in the way.
+    std::optional<ClaimRecord> existing; ///< The record that stands in the way, or the release that was replaced.
+    core::Duration memory{}; ///< How long the answering process has kept claims.
+    std::uint64_t challenge = 0; ///< To a HomeRequest: send it again at once with this number and its age as of then.
     [[nodiscard]] bool operator==(const ClaimReplyFields &) const = default;
 };
 using ClaimReply = core::Immutable<ClaimReplyFields>;
