Add claims, home order and the IdempotencyService

Change: HomeSelection, HomeOrder, Claim, ClaimTable (deciding types) and IdempotencyService (entry, home, standby, handover) against hooks. Conclusion: signatures are usable; the service itself is not tested yet.

--- /dev/null
+++ b/include/berylspring/idempotency/claim_name.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "berylspring/core/digest.h"
+#include "berylspring/core/name.h"
+#include "berylspring/core/types.h"
+#include "berylspring/wire/messages.h"
+
+#include <string>
+#include <string_view>
+
+namespace berylspring::idempotency {
+
+/**
+ * @param workspace Empty on an open route without a key.
+ * @param key Value of `Idempotency-Key`.
+ * @return Name of the request, "WORKSPACE/ROUTE/KEY". Workspace and route names contain no '/'.
+ */
+[[nodiscard]] std::string
+claimName(const core::WorkspaceId &workspace, const core::RouteId &route, std::string_view key);
+
+/** @return The key in a claim name, or the whole text if it is not one. */
+[[nodiscard]] std::string_view keyOf(std::string_view claimName) noexcept;
+
+/** @return A key for a request that came without one. Its home is in the given data centre. */
+[[nodiscard]] std::string oneTimeKey(const core::DataCentreId &dataCentre, const core::RandomSource &random);
+
+/** @return SHA-256 of method, target, body and workspace: equal for resends, different for another request. */
+[[nodiscard]] core::Digest requestDigest(const wire::CallRequest &call);
+
+}
--- a/include/berylspring/retry/backoff.h
+++ b/include/berylspring/retry/backoff.h
@@ -16,7 +16,7 @@
      * @param first Upper bound of the first pause; at least 1 ns.
      * @param longest Upper bound of every pause.
      */
-    BackoffPolicy(core::Duration first, core::Duration longest) noexcept
+    constexpr BackoffPolicy(core::Duration first, core::Duration longest) noexcept
         : m_first(first)
         , m_longest(longest)
     {
--- /dev/null
+++ b/src/idempotency/claim_name.cpp
@@ -0,0 +1,55 @@
+#include "berylspring/idempotency/claim_name.h"
+
+namespace berylspring::idempotency {
+
+namespace {
+
+constexpr char Separator = '/';
+
+void appendWithLength(std::string &text, std::string_view part)
+{
+    text += std::to_string(part.size());
+    text += ':';
+    text += part;
+}
+
+}
+
+std::string claimName(const core::WorkspaceId &workspace, const core::RouteId &route, std::string_view key)
+{
+    std::string name = workspace.value();
+    name += Separator;
+    name += route.value();
+    name += Separator;
+    name += key;
+    return name;
+}
+
+std::string_view keyOf(std::string_view claimName) noexcept
+{
+    const auto first = claimName.find(Separator);
+    if (first == std::string_view::npos) {
+        return claimName;
+    }
+    const auto second = claimName.find(Separator, first + 1);
+    return second == std::string_view::npos ? claimName : claimName.substr(second + 1);
+}
+
+std::string oneTimeKey(const core::DataCentreId &dataCentre, const core::RandomSource &random)
+{
+    return dataCentre.value() + Separator + "once-" + std::to_string(random()) + "-" + std::to_string(random());
+}
+
+core::Digest requestDigest(const wire::CallRequest &call)
+{
+    // Lengths keep different divisions of the same bytes apart.
+    std::string text;
+    text.reserve(call->method.size() + call->target.size() + call->workspace.value().size() + call->body.size() + 64);
+    appendWithLength(text, call->method);
+    appendWithLength(text, call->target);
+    appendWithLength(text, call->workspace.value());
+    appendWithLength(text, call->body);
+    return core::sha256(text);
+}
+
+}
--- /dev/null
+++ b/src/idempotency/entry_run.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "berylspring/idempotency/settings.h"
+#include "berylspring/wire/messages.h"
+#include "idempotency/state.h"
+
+#include <boost/asio/awaitable.hpp>
+
+namespace berylspring::idempotency::detail {
+
+/** @brief Sends a named request to its home until there is a response or no time is left. */
+[[nodiscard]] boost::asio::awaitable<wire::CallResponse>
+enter(StatePtr state, wire::CallRequest call, NameOrigin origin);
+
+}
--- /dev/null
+++ b/src/idempotency/execution.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "berylspring/core/time.h"
+#include "berylspring/wire/messages.h"
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <vector>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/experimental/concurrent_channel.hpp>
+
+namespace berylspring::idempotency::detail {
+
+using SleepHook = std::function<boost::asio::awaitable<void>(core::Duration)>;
+
+/** @brief Wakes one waiting coroutine; may be signalled from any thread and more than once. */
+using Wake = boost::asio::experimental::concurrent_channel<void(boost::system::error_code)>;
+
+/** @brief A request that runs at this home, with the sends that wait for its result. */
+class Execution
+{
+public:
+    /** @brief Stores the result and wakes all waiting sends. */
+    void finish(wire::Message result);
+
+    /**
+     * @param wake Signalled when there is a result; kept until then.
+     * @return The result if it is there already.
+     */
+    [[nodiscard]] std::optional<wire::Message> resultOr(const std::shared_ptr<Wake> &wake);
+
+private:
+    std::mutex m_mutex;
+    std::optional<wire::Message> m_result;
+    std::vector<std::shared_ptr<Wake>> m_waiting;
+};
+
+/** @brief Signals a Wake after a time, unless it is destroyed before. */
+class Alarm
+{
+public:
+    Alarm(const boost::asio::any_io_executor &executor,
+          const SleepHook &sleep,
+          core::Duration after,
+          std::shared_ptr<Wake> wake);
+    ~Alarm();
+    Alarm(const Alarm &) = delete;
+    Alarm &operator=(const Alarm &) = delete;
+
+private:
+    struct Timer;
+    std::shared_ptr<Timer> m_timer;
+};
+
+/** @brief Waits by the hook, or by a timer if there is none. Takes a copy of the hook, so that it outlives the wait. */
+[[nodiscard]] boost::asio::awaitable<void> sleepFor(SleepHook sleep, core::Duration duration);
+
+/** @return The result, or nothing after the time. */
+[[nodiscard]] boost::asio::awaitable<std::optional<wire::Message>>
+waitFor(boost::asio::any_io_executor executor,
+        SleepHook sleep,
+        std::shared_ptr<Execution> execution,
+        core::Duration atMost);
+
+}
--- /dev/null
+++ b/src/idempotency/handover.cpp
@@ -0,0 +1,108 @@
+#include "idempotency/handover.h"
+
+#include "berylspring/core/rendezvous.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <utility>
+#include <vector>
+
+namespace berylspring::idempotency::detail {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/** A batch stays far below the frame limit of 4 MiB; one stored answer may exceed it alone. */
+constexpr std::size_t BatchBytes = 1U << 20U;
+constexpr std::size_t RecordBytes = 256; ///< Estimate of a record without its answer.
+constexpr std::uint32_t HandoverAttempts = 5;
+constexpr core::Duration HandoverTimeout = std::chrono::seconds(2);
+constexpr core::Duration DrainCheck = std::chrono::milliseconds(10);
+
+using Batch = std::vector<wire::ClaimRecord>;
+
+std::size_t bytesOf(const wire::ClaimRecord &record)
+{
+    return RecordBytes + record->name.size() + (record->response ? (*record->response)->body.size() : 0);
+}
+
+/** @brief Takes a batch from the end of the records. */
+Batch takeBatch(std::vector<wire::ClaimRecord> &records)
+{
+    Batch batch;
+    std::size_t bytes = 0;
+    while (!records.empty() && (batch.empty() || bytes + bytesOf(records.back()) <= BatchBytes)) {
+        bytes += bytesOf(records.back());
+        batch.push_back(std::move(records.back()));
+        records.pop_back();
+    }
+    return batch;
+}
+
+/** @brief The two hosts that are responsible for the name once this one is gone. */
+std::vector<core::HostId> successors(const StatePtr &state, const std::string &name)
+{
+    auto live = state->hooks.liveHosts(state->selection.dataCentreOf(name));
+    live.erase(std::remove(live.begin(), live.end(), state->settings.self), live.end());
+    auto order = core::rendezvousOrder(name, std::move(live));
+    order.resize(std::min(order.size(), HomeOrder::Holders));
+    return order;
+}
+
+asio::awaitable<bool> sendBatch(StatePtr state, core::HostId host, Batch batch)
+{
+    const wire::ClaimHandover handover{wire::ClaimHandoverFields{std::move(batch)}};
+    for (std::uint32_t attempt = 0; attempt < HandoverAttempts; ++attempt) {
+        const auto reply = co_await state->hooks.call(host, wire::Message(handover), HandoverTimeout);
+        if (reply && std::holds_alternative<wire::Ack>(*reply)) {
+            co_return true;
+        }
+        const auto pause = Pauses.pause(attempt, HandoverTimeout, state->hooks.random());
+        co_await sleepFor(state->hooks.sleep, pause.value_or(DrainCheck));
+    }
+    co_return false;
+}
+
+asio::awaitable<void> drain(StatePtr state)
+{
+    state->isStopping = true;
+    while (state->executions.size() > 0 || state->publishing.load() > 0) {
+        co_await sleepFor(state->hooks.sleep, DrainCheck);
+    }
+}
+
+}
+
+asio::awaitable<void> handOverAll(StatePtr state)
+{
+    auto draining = drain(state);
+    co_await std::move(draining);
+    state->isHandingOver = true;
+    std::set<std::string> handedOver;
+    std::map<core::HostId, std::vector<wire::ClaimRecord>> byHost;
+    const auto records = state->table.records(state->hooks.now());
+    for (const wire::ClaimRecord &record : records) {
+        for (const core::HostId &host : successors(state, record->name)) {
+            byHost[host].push_back(record);
+        }
+    }
+    for (auto &[host, hostRecords] : byHost) {
+        while (!hostRecords.empty()) {
+            Batch batch = takeBatch(hostRecords);
+            std::vector<std::string> names;
+            for (const wire::ClaimRecord &record : batch) {
+                names.push_back(record->name);
+            }
+            auto sending = sendBatch(state, host, std::move(batch));
+            if (co_await std::move(sending)) {
+                handedOver.insert(names.begin(), names.end());
+            }
+        }
+    }
+    state->counts.recordsHandedOver.fetch_add(handedOver.size());
+    state->counts.recordsNotHandedOver.fetch_add(records.size() - handedOver.size());
+}
+
+}
--- /dev/null
+++ b/src/idempotency/replication.cpp
@@ -0,0 +1,233 @@
+#include "idempotency/replication.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/experimental/concurrent_channel.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace berylspring::idempotency::detail {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/** Attempts to bring a result to a standby. The record there stays Dispatched if all fail, which is safe. */
+constexpr std::uint32_t PublishAttempts = 5;
+
+/** @brief A standby's reply, or nothing if it did not answer. */
+struct Answer
+{
+    core::HostId host;
+    std::optional<wire::ClaimReply> reply;
+};
+
+using Answers = asio::experimental::concurrent_channel<void(boost::system::error_code, Answer)>;
+
+asio::awaitable<std::optional<wire::ClaimReply>>
+sendTo(StatePtr state, core::HostId host, wire::ClaimRequest request, core::Duration timeout)
+{
+    const auto result = co_await state->hooks.call(host, wire::Message(std::move(request)), timeout);
+    if (!result || !std::holds_alternative<wire::ClaimReply>(*result)) {
+        co_return std::nullopt;
+    }
+    const auto &reply = std::get<wire::ClaimReply>(*result);
+    state->keepsSince.insertOrAssign(host, state->hooks.now() - reply->memory);
+    co_return reply;
+}
+
+asio::awaitable<void> askOne(StatePtr state,
+                             core::HostId host,
+                             wire::ClaimRequest request,
+                             core::Duration timeout,
+                             std::shared_ptr<Answers> answers)
+{
+    Answer answer{host, std::nullopt};
+    try {
+        answer.reply = co_await sendTo(state, host, std::move(request), timeout);
+    } catch (const std::exception &) {
+        // Counts as no answer: the claim may have arrived.
+        answer.reply.reset();
+    }
+    answers->try_send(boost::system::error_code(), std::move(answer));
+}
+
+asio::awaitable<std::vector<Answer>>
+askAll(StatePtr state, std::vector<core::HostId> hosts, wire::ClaimRequest request, core::Duration timeout)
+{
+    std::vector<Answer> received;
+    if (hosts.size() == 1) {
+        auto reply = co_await sendTo(state, hosts.front(), std::move(request), timeout);
+        received.push_back({hosts.front(), std::move(reply)});
+        co_return received;
+    }
+    const auto answers = std::make_shared<Answers>(state->executor, hosts.size());
+    for (const core::HostId &host : hosts) {
+        asio::co_spawn(state->executor, askOne(state, host, request, timeout, answers), asio::detached);
+    }
+    while (received.size() < hosts.size()) {
+        auto answer = co_await answers->async_receive(asio::use_awaitable);
+        received.push_back(std::move(answer));
+    }
+    co_return received;
+}
+
+/** @brief The steps of one replication; the coroutine that drives it is replicate(). */
+class Replication
+{
+public:
+    Replication(const State &state, const Claim &claim)
+        : m_state(state)
+        , m_claim(claim)
+    {
+        const bool isOld = state.memory() >= state.settings.retention;
+        m_accepted.emplace(state.settings.self, isOld ? Memory::CoversRetention : Memory::Shorter);
+    }
+
+    /** @return The hosts to ask next, or nothing when the replication is decided. */
+    [[nodiscard]] std::vector<core::HostId> nextHosts(const HomeOrder &order, core::TimePoint now)
+    {
+        if (order.home() != m_state.settings.self) {
+            m_result.kind = Replicated::Kind::NotHome;
+            return {};
+        }
+        const auto isPresumedOld = [&](const core::HostId &host) {
+            const auto since = m_state.keepsSince.find(host);
+            return since && now - *since >= m_state.settings.retention;
+        };
+        const ClaimStep step = order.next(m_accepted, isPresumedOld);
+        m_result.kind = step.kind == ClaimStep::Kind::Proceed ? Replicated::Kind::Held : Replicated::Kind::PastUnknown;
+        return step.kind == ClaimStep::Kind::Ask ? step.hosts : std::vector<core::HostId>();
+    }
+
+    void note(const Answer &answer, core::TimePoint now)
+    {
+        if (std::find(m_result.holders.begin(), m_result.holders.end(), answer.host) == m_result.holders.end()) {
+            m_result.holders.push_back(answer.host);
+        }
+        if (!answer.reply) {
+            return;
+        }
+        const wire::ClaimReply &reply = *answer.reply;
+        if (!reply->isAccepted) {
+            noteExisting(reply->existing, now);
+            return;
+        }
+        if (reply->existing) {
+            m_result.notRunSince = std::max(m_result.notRunSince, std::optional(now - (*reply->existing)->age));
+        }
+        const bool isOld = reply->memory >= m_state.settings.retention;
+        m_accepted.insert_or_assign(answer.host, isOld ? Memory::CoversRetention : Memory::Shorter);
+    }
+
+    [[nodiscard]] bool isBlocked() const
+    {
+        return m_result.existing.has_value();
+    }
+
+    [[nodiscard]] Replicated take(Replicated::Kind kind)
+    {
+        m_result.kind = kind;
+        return std::move(m_result);
+    }
+    [[nodiscard]] Replicated take()
+    {
+        return std::move(m_result);
+    }
+
+private:
+    /** Without a record in the reply the refusal can't be explained and counts as a claim of another home. */
+    void noteExisting(const std::optional<wire::ClaimRecord> &existing, core::TimePoint now)
+    {
+        const wire::ClaimRecord record = existing.value_or(m_claim.toRecord(std::string(), now));
+        const bool isBetter = !m_result.existing
+            || Claim::fromRecord(record, now).isAheadOf(Claim::fromRecord(*m_result.existing, now));
+        if (isBetter) {
+            m_result.existing = record;
+        }
+    }
+
+    const State &m_state;
+    const Claim &m_claim;
+    std::map<core::HostId, Memory> m_accepted;
+    Replicated m_result;
+};
+
+}
+
+asio::awaitable<Replicated> replicate(StatePtr state, std::string name, Claim claim, core::TimePoint deadline)
+{
+    Replication replication(*state, claim);
+    for (std::uint32_t round = 0;; ++round) {
+        const core::TimePoint now = state->hooks.now();
+        const core::Duration remaining = deadline - now;
+        if (remaining <= core::Duration::zero()) {
+            co_return replication.take(Replicated::Kind::OutOfTime);
+        }
+        const HomeOrder order = state->orderOf(name);
+        const auto hosts = replication.nextHosts(order, now);
+        if (hosts.empty()) {
+            co_return replication.take();
+        }
+        wire::ClaimRequestFields fields;
+        fields.record = claim.withState(wire::ClaimState::Dispatched).toRecord(name, now);
+        wire::ClaimRequest request(std::move(fields));
+        const auto answers = co_await askAll(state, hosts, std::move(request), std::min(remaining, ClaimTimeout));
+        bool isAnswered = true;
+        for (const Answer &answer : answers) {
+            replication.note(answer, state->hooks.now());
+            isAnswered = isAnswered && answer.reply.has_value();
+        }
+        if (replication.isBlocked()) {
+            co_return replication.take(Replicated::Kind::Existing);
+        }
+        const auto pause = Pauses.pause(round, deadline - state->hooks.now(), state->hooks.random());
+        if (!isAnswered && pause) {
+            co_await sleepFor(state->hooks.sleep, *pause);
+        }
+    }
+}
+
+asio::awaitable<void> sendOnce(StatePtr state, std::vector<core::HostId> hosts, wire::ClaimRequest request)
+{
+    if (!hosts.empty()) {
+        co_await askAll(state, std::move(hosts), std::move(request), ClaimTimeout);
+    }
+}
+
+namespace {
+
+asio::awaitable<void> publishTo(StatePtr state, core::HostId host, wire::ClaimRequest request)
+{
+    const std::string name = request->record->name;
+    for (std::uint32_t attempt = 0; attempt < PublishAttempts; ++attempt) {
+        const auto reply = co_await sendTo(state, host, request, ClaimTimeout);
+        if (reply) {
+            co_return;
+        }
+        const auto pause = Pauses.pause(attempt, LongestRun, state->hooks.random());
+        co_await sleepFor(state->hooks.sleep, pause.value_or(ClaimTimeout));
+        const auto standbys = state->orderOf(name).standbys();
+        if (std::find(standbys.begin(), standbys.end(), host) == standbys.end()) {
+            co_return;
+        }
+    }
+}
+
+}
+
+void publish(const StatePtr &state, const std::vector<core::HostId> &hosts, const wire::ClaimRequest &request)
+{
+    for (const core::HostId &host : hosts) {
+        state->publishing.fetch_add(1);
+        asio::co_spawn(state->executor, publishTo(state, host, request), [state](const std::exception_ptr &) {
+            state->publishing.fetch_sub(1);
+        });
+    }
+}
+
+}
--- /dev/null
+++ b/src/idempotency/state.cpp
@@ -0,0 +1,40 @@
+#include "idempotency/state.h"
+
+#include <utility>
+
+namespace berylspring::idempotency::detail {
+
+State::State(boost::asio::any_io_executor usedExecutor, IdempotencySettings usedSettings, IdempotencyHooks usedHooks)
+    : executor(std::move(usedExecutor))
+    , settings(std::move(usedSettings))
+    , hooks(std::move(usedHooks))
+    , selection(settings.declared)
+    , started(hooks.now())
+    , table(settings.self, hooks.random(), {settings.retention, settings.storedBytes, settings.records})
+{
+}
+
+HomeOrder State::orderOf(const std::string &name) const
+{
+    const auto dataCentre = selection.dataCentreOf(name);
+    return {name, hooks.liveHosts(dataCentre), hooks.recentHosts(dataCentre)};
+}
+
+bool State::isOwnDataCentre(const std::string &name) const
+{
+    return selection.dataCentreOf(name) == settings.dataCentre;
+}
+
+core::Duration State::memory() const
+{
+    return hooks.now() - started;
+}
+
+wire::CallResponse refusalOf(core::RefusalReason reason, core::Outcome outcome, std::string detail)
+{
+    wire::CallResponseFields fields;
+    fields.refusal = core::Refusal(reason, outcome, std::move(detail));
+    return wire::CallResponse(std::move(fields));
+}
+
+}
--- a/src/retry/budget.cpp
+++ b/src/retry/budget.cpp
@@ -16,9 +16,8 @@
 
 void RetryBudgets::onSuccess(const core::ServiceId &service)
 {
-    m_budgets.update(service, [](std::optional<RetryBudget> &budget) {
-        budget = budget.value_or(RetryBudget()).afterSuccess();
-    });
+    m_budgets.update(
+        service, [](std::optional<RetryBudget> &budget) { budget = budget.value_or(RetryBudget()).afterSuccess(); });
 }
 
 bool RetryBudgets::tryTakeRetry(const core::ServiceId &service)
--- a/src/retry/failure.cpp
+++ b/src/retry/failure.cpp
@@ -30,7 +30,7 @@
         return mayDifferElsewhere(refusal.reason());
     }
     return isIdempotent && refusal.outcome() == core::Outcome::Unknown
-        && refusal.reason() == core::RefusalReason::ConnectionLost;
+           && refusal.reason() == core::RefusalReason::ConnectionLost;
 }
 
 }
--- a/tests/retry/a_chain_of_retries.cpp
+++ b/tests/retry/a_chain_of_retries.cpp
@@ -100,9 +100,8 @@
     std::uint64_t m_state;
 };
 
-retry::Failure failed(core::RefusalReason reason,
-                      core::Outcome outcome,
-                      retry::FailureOrigin origin = retry::FailureOrigin::NextHop)
+retry::Failure
+failed(core::RefusalReason reason, core::Outcome outcome, retry::FailureOrigin origin = retry::FailureOrigin::NextHop)
 {
     return {core::Refusal(reason, outcome), origin};
 }
@@ -174,9 +173,8 @@
         CHECK(retry::isRetryable(failed(RefusalReason::Draining, Outcome::NotRun), false));
         CHECK(retry::isRetryable(failed(RefusalReason::ConnectionLost, Outcome::NotRun), false));
     });
-    section("overload is not answered with more load", [] {
-        CHECK_FALSE(retry::isRetryable(failed(RefusalReason::Overloaded, Outcome::NotRun), true));
-    });
+    section("overload is not answered with more load",
+            [] { CHECK_FALSE(retry::isRetryable(failed(RefusalReason::Overloaded, Outcome::NotRun), true)); });
     section("a lost connection is retried only if running twice does no harm", [] {
         CHECK(retry::isRetryable(failed(RefusalReason::ConnectionLost, Outcome::Unknown), true));
         CHECK_FALSE(retry::isRetryable(failed(RefusalReason::ConnectionLost, Outcome::Unknown), false));
