--- /dev/null
+++ b/include/berylspring/admission/admission_queue.h
@@ -0,0 +1,119 @@
+#pragma once
+
+#include "berylspring/core/immutable.h"
+#include "berylspring/core/name.h"
+#include "berylspring/core/time.h"
+#include "berylspring/core/types.h"
+
+#include <array>
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+namespace berylspring::admission {
+
+/** @brief A waiting request. */
+struct QueueEntryFields
+{
+    std::uint64_t id = 0; ///< Unique within a queue.
+    core::WorkspaceId workspace;
+    double weight = 1; ///< Share of its workspace relative to the others; positive.
+    core::PriorityLevel priority = 0;
+    bool isNested = false; ///< Goes before new work of the same level.
+    core::TimePoint arrivedAt;
+    core::TimePoint deadline;
+    [[nodiscard]] bool operator==(const QueueEntryFields &) const = default;
+};
+using QueueEntry = core::Immutable<QueueEntryFields>;
+
+/** @brief What became of an offered entry. */
+struct OfferResult
+{
+    bool isAccepted = false;
+    std::optional<std::uint64_t> displaced; ///< Entry that gave way to the accepted one.
+    [[nodiscard]] bool operator==(const OfferResult &) const = default;
+};
+
+/** @brief The entry to start next, and the entries that were found to be too late for a start. */
+struct TakeResult
+{
+    std::optional<QueueEntry> next;
+    std::vector<std::uint64_t> tooLate;
+    [[nodiscard]] bool operator==(const TakeResult &) const = default;
+};
+
+/**
+ * @brief Waiting requests of one endpoint. Not thread-safe: guarded by the lock of its shard.
+ *
+ * Order: priority, nested before new, then fair between workspaces by weight (start-time fair queueing), then
+ * deadline within a workspace.
+ */
+class AdmissionQueue
+{
+public:
+    /**
+     * @brief Adds an entry.
+     *
+     * When the queue is full, the entry displaces one of a lower priority, or one of the same priority whose
+     * workspace holds more of the queue in relation to its weight.
+     * @param maxLength Length from which the queue is full.
+     */
+    OfferResult offer(const QueueEntry &entry, std::size_t maxLength);
+    /**
+     * @brief Removes the next entry to start.
+     * @param minServiceTime Entries with less time left are dropped, as they cannot finish in time.
+     */
+    [[nodiscard]] TakeResult take(core::TimePoint now, core::Duration minServiceTime);
+    /** @return The removed entry, or nothing if it does not wait. */
+    std::optional<QueueEntry> remove(std::uint64_t id);
+    /** @return Ids of all entries, which are removed. */
+    std::vector<std::uint64_t> clear();
+
+    [[nodiscard]] std::size_t size() const noexcept
+    {
+        return m_entries.size();
+    }
+    [[nodiscard]] bool isEmpty() const noexcept
+    {
+        return m_entries.empty();
+    }
+    /** @return Priority of the lowest waiting entry; nothing in an empty queue. */
+    [[nodiscard]] std::optional<core::PriorityLevel> lowestPriority() const noexcept;
+
+private:
+    using ByDeadline = std::set<std::pair<core::TimePoint, std::uint64_t>>;
+
+    /** Entries of one workspace in one lane. */
+    struct Backlog
+    {
+        ByDeadline entries;
+        double weight = 1;
+        double virtualStart = 0; ///< Virtual time at which the next entry may start.
+        [[nodiscard]] double excess(std::size_t added) const noexcept;
+    };
+    /** Entries of one priority, either nested or new. */
+    struct Lane
+    {
+        std::map<core::WorkspaceId, Backlog> backlogs;
+        double virtualTime = 0;
+        std::size_t size = 0;
+    };
+    static constexpr std::size_t LaneCount = 2 * (std::size_t{core::MaxPriority} + 1);
+
+    [[nodiscard]] static std::size_t laneOf(const QueueEntry &entry) noexcept;
+    [[nodiscard]] std::optional<std::size_t> lowestLane() const noexcept;
+    [[nodiscard]] std::optional<std::uint64_t> displaceFor(const QueueEntry &entry);
+    void insert(const QueueEntry &entry);
+    [[nodiscard]] std::uint64_t takeFrom(Lane &lane);
+    static void forgetPast(Lane &lane);
+
+    std::array<Lane, LaneCount> m_lanes; ///< By ascending precedence.
+    std::unordered_map<std::uint64_t, QueueEntry> m_entries;
+};
+
+}
--- /dev/null
+++ b/include/berylspring/admission/admission_state.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "berylspring/core/immutable.h"
+#include "berylspring/core/types.h"
+
+#include <cstddef>
+#include <cstdint>
+
+namespace berylspring::admission {
+
+/** @brief Counts since the start of the process. */
+struct AdmissionCounters
+{
+    std::uint64_t started = 0;
+    std::uint64_t answered = 0;
+    std::uint64_t overloaded = 0; ///< Refused or displaced for lack of room, or waited too long.
+    std::uint64_t tooLate = 0; ///< Dropped before the start: could not finish in time.
+    std::uint64_t quarantined = 0;
+    std::uint64_t keyWithdrawn = 0; ///< Key withdrawn while waiting.
+    std::uint64_t cancelled = 0; ///< Cancelled before the start.
+    std::uint64_t connectionsLost = 0;
+    [[nodiscard]] bool operator==(const AdmissionCounters &) const = default;
+};
+
+/** @brief State of the admission at one endpoint, for load reports and metrics. */
+struct AdmissionStateFields
+{
+    std::uint32_t running = 0;
+    std::size_t queued = 0;
+    std::uint32_t limit = 0;
+    std::uint32_t slots = 0;
+    core::PriorityLevel admittedLevel = 0;
+    bool isDraining = false;
+    AdmissionCounters counters;
+    [[nodiscard]] bool operator==(const AdmissionStateFields &) const = default;
+};
+using AdmissionState = core::Immutable<AdmissionStateFields>;
+
+}
--- /dev/null
+++ b/include/berylspring/admission/endpoint_gate.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include "berylspring/admission/admission_queue.h"
+#include "berylspring/admission/admission_state.h"
+#include "berylspring/admission/admitted_level.h"
+#include "berylspring/admission/concurrency_limit.h"
+#include "berylspring/admission/service_times.h"
+#include "berylspring/admission/settings.h"
+#include "berylspring/core/outcome.h"
+#include "berylspring/core/time.h"
+
+#include <compare>
+#include <cstdint>
+#include <deque>
+#include <mutex>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace berylspring::admission {
+
+/** @brief What was decided about a request. */
+struct Verdict
+{
+    enum class Kind {
+        Wait,
+        Start,
+        StartAlone, ///< Nothing else runs until it has finished.
+        Refuse,
+    };
+    Kind kind = Kind::Wait;
+    core::RefusalReason reason = core::RefusalReason::Overloaded; ///< With Refuse.
+    core::Duration maxWait{}; ///< With Wait: time after which the request asks again by leave().
+    [[nodiscard]] bool operator==(const Verdict &) const = default;
+    [[nodiscard]] bool isStart() const noexcept
+    {
+        return kind == Kind::Start || kind == Kind::StartAlone;
+    }
+};
+
+/** @brief Verdict about one request, and the waiting requests that were decided at the same time. */
+struct GateResult
+{
+    Verdict verdict;
+    std::vector<std::uint64_t> decided; ///< Waiting requests to wake; each then calls leave().
+};
+
+/** @brief What finish() learns from a run. */
+struct RunReport
+{
+    bool ranAlone = false;
+    bool isSample = false; ///< Whether the endpoint answered, so that its latency counts.
+    bool isOverloadError = false;
+    core::Duration latency{};
+};
+
+/**
+ * @brief Decides which requests run on one endpoint. One shard: its own lock guards all of it.
+ *
+ * A request calls arrive(); one that waits calls leave() when it is woken, cancelled or out of time; one that
+ * started calls finish().
+ */
+class EndpointGate
+{
+public:
+    EndpointGate(const AdmissionSettings &settings, core::TimePoint now);
+
+    /** @param isSuspect Whether the request ran during a crash and must run alone. */
+    [[nodiscard]] GateResult arrive(const QueueEntry &entry, bool isSuspect, core::TimePoint now);
+    /** @return The verdict on a waiting request. Without one it stops waiting and is refused. */
+    [[nodiscard]] GateResult leave(std::uint64_t id, core::TimePoint now);
+    [[nodiscard]] std::vector<std::uint64_t> finish(const RunReport &report, core::TimePoint now);
+    [[nodiscard]] std::vector<std::uint64_t> setSlots(std::uint32_t slots, core::TimePoint now);
+    void startDrain();
+    [[nodiscard]] bool isIdle() const;
+    [[nodiscard]] AdmissionStateFields state(core::TimePoint now) const;
+
+private:
+    struct Suspect
+    {
+        std::uint64_t id = 0;
+        core::TimePoint deadline;
+    };
+    using Wakes = std::vector<std::uint64_t>;
+
+    [[nodiscard]] std::optional<core::RefusalReason> obstacle(const QueueEntry &entry, core::TimePoint now) const;
+    [[nodiscard]] Verdict enqueue(const QueueEntry &entry, core::TimePoint now, Wakes &wakes);
+    [[nodiscard]] Verdict enqueueSuspect(const QueueEntry &entry, core::TimePoint now);
+    [[nodiscard]] std::size_t maxQueueLength(core::TimePoint now) const;
+    void notePressure(core::TimePoint now);
+    void pump(core::TimePoint now, Wakes &wakes);
+    [[nodiscard]] bool pumpSuspects(core::TimePoint now, Wakes &wakes);
+    void decide(std::uint64_t id, Verdict verdict, Wakes &wakes);
+    [[nodiscard]] std::optional<Verdict> withdraw(std::uint64_t id, core::TimePoint now);
+
+    const AdmissionSettings m_settings;
+    mutable std::mutex m_mutex;
+    ConcurrencyLimit m_limit;
+    ServiceTimes m_serviceTimes;
+    AdmittedLevel m_level;
+    AdmissionQueue m_queue;
+    std::deque<Suspect> m_suspects;
+    std::unordered_map<std::uint64_t, Verdict> m_verdicts; ///< Decided and not yet fetched by leave().
+    std::uint32_t m_running = 0;
+    bool m_isAloneRunning = false;
+    std::optional<core::TimePoint> m_drainingForSuspectSince;
+    core::TimePoint m_nextAloneAt;
+    bool m_isDraining = false;
+};
+
+}
--- /dev/null
+++ b/include/berylspring/admission/entry_shedding.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "berylspring/core/name.h"
+#include "berylspring/core/sharded_map.h"
+#include "berylspring/core/time.h"
+#include "berylspring/core/types.h"
+
+#include <chrono>
+#include <compare>
+#include <cstddef>
+#include <functional>
+
+namespace berylspring::admission {
+
+/** @brief An endpoint as seen by an entry node. */
+struct EndpointKey
+{
+    core::HostId host;
+    core::ServiceId service;
+    [[nodiscard]] auto operator<=>(const EndpointKey &) const = default;
+};
+
+}
+
+template<>
+struct std::hash<berylspring::admission::EndpointKey>
+{
+    [[nodiscard]] std::size_t operator()(const berylspring::admission::EndpointKey &key) const noexcept;
+};
+
+namespace berylspring::admission {
+
+/** @brief Admitted levels that an entry node knows, so that it can shed work without sending it. */
+class EntryShedding
+{
+public:
+    /** Age up to which a level counts in full; after it, the level falls by one per AdmittedLevel::CalmPerLevel. */
+    static constexpr core::Duration FullAge = std::chrono::seconds(1);
+    /** One of this many requests below the level is sent all the same, to learn that the level has fallen. */
+    static constexpr std::uint64_t ProbeInterval = 100;
+
+    explicit EntryShedding(core::RandomSource random);
+
+    /** @brief Notes the level that a response of the endpoint carried. */
+    void learn(const EndpointKey &endpoint, core::PriorityLevel level, core::TimePoint now);
+    /** @return Level that the endpoint admits as far as is known; 0 when nothing recent is known. */
+    [[nodiscard]] core::PriorityLevel level(const EndpointKey &endpoint, core::TimePoint now) const;
+    /** @return Whether to send a request of this priority; true for the probe share below the level. */
+    [[nodiscard]] bool admits(const EndpointKey &endpoint, core::PriorityLevel priority, core::TimePoint now) const;
+    /** @brief Forgets levels that have aged to 0. */
+    void expire(core::TimePoint now);
+
+private:
+    struct Known
+    {
+        core::PriorityLevel level = 0;
+        core::TimePoint heardAt;
+        [[nodiscard]] core::PriorityLevel levelAt(core::TimePoint now) const noexcept;
+    };
+
+    core::RandomSource m_random;
+    core::ShardedMap<EndpointKey, Known> m_known;
+};
+
+}
--- /dev/null
+++ b/include/berylspring/admission/request_digest.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "berylspring/core/digest.h"
+#include "berylspring/core/name.h"
+
+#include <string_view>
+
+namespace berylspring::admission {
+
+/**
+ * @brief Identifies a request by what it asks for, for quarantine and for claims.
+ *
+ * Each part is preceded by its length, so that no two different requests have the same input.
+ * @param method HTTP method.
+ * @param target Path and query as the caller sent them.
+ * @param body Whole body.
+ * @param workspace Workspace of the caller's key; empty on an open route.
+ */
+[[nodiscard]] core::Digest requestDigest(std::string_view method,
+                                         std::string_view target,
+                                         std::string_view body,
+                                         const core::WorkspaceId &workspace);
+
+}
--- /dev/null
+++ b/include/berylspring/routing/eligibility.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "berylspring/core/time.h"
+#include "berylspring/routing/candidate.h"
+#include "berylspring/routing/routing_request.h"
+
+#include <span>
+#include <vector>
+
+namespace berylspring::routing {
+
+/** @brief The endpoints that may take a request, and the reason for each other one. */
+struct EligibilityResult
+{
+    std::vector<Candidate> eligible;
+    std::vector<Exclusion> exclusions;
+};
+
+/**
+ * @brief First step of routing: hard requirements. It knows nothing of scores.
+ *
+ * At most half of the endpoints that fulfil everything else are left out for their ejection; beyond that, those
+ * whose ejection ends first stay in use.
+ */
+[[nodiscard]] EligibilityResult
+checkEligibility(const RoutingRequest &request, std::span<const Candidate> candidates, core::TimePoint now);
+
+}
--- /dev/null
+++ b/include/berylspring/routing/fwd.h
@@ -0,0 +1,16 @@
+#pragma once
+
+namespace berylspring::routing {
+
+class Ejection;
+class EndpointTraffic;
+class Router;
+enum class ExclusionReason;
+enum class RoutingResult;
+struct Exclusion;
+struct RouterHooks;
+struct RouterSettings;
+struct RoutingDecision;
+struct RoutingRequest;
+
+}
--- /dev/null
+++ b/src/admission/admission_service.cpp
@@ -0,0 +1,56 @@
+#include "berylspring/admission/admission_service.h"
+
+#include "admission/service_core.h"
+
+#include <utility>
+
+namespace berylspring::admission {
+
+AdmissionService::AdmissionService(boost::asio::any_io_executor executor,
+                                   AdmissionSettings settings,
+                                   AdmissionHooks hooks)
+    : m_core(std::make_shared<Core>(std::move(executor), settings, std::move(hooks)))
+{
+}
+
+AdmissionService::~AdmissionService()
+{
+    m_core->abandonWaiting();
+}
+
+boost::asio::awaitable<wire::CallResponse> AdmissionService::run(wire::CallRequest request)
+{
+    return Core::run(m_core, std::move(request));
+}
+
+void AdmissionService::setSlots(std::uint32_t slots)
+{
+    m_core->setSlots(slots);
+}
+
+void AdmissionService::startDrain()
+{
+    m_core->startDrain();
+}
+
+boost::asio::awaitable<void> AdmissionService::idle()
+{
+    return Core::idle(m_core);
+}
+
+void AdmissionService::addQuarantine(const wire::QuarantineNotice &notice)
+{
+    m_core->addQuarantine(notice);
+}
+
+void AdmissionService::addSuspect(const core::Digest &requestDigest)
+{
+    m_core->addSuspect(requestDigest);
+}
+
+AdmissionState AdmissionService::state() const
+{
+    return m_core->state();
+}
+
+}
--- /dev/null
+++ b/src/admission/concurrency_limit.cpp
@@ -0,0 +1,248 @@
+#include "berylspring/admission/concurrency_limit.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+
+namespace berylspring::admission {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/** A window ends with enough samples for a steady mean, or after MaxWindow with at least FewestSamples. */
+constexpr core::Duration MinWindow = 50ms;
+constexpr core::Duration MaxWindow = 500ms;
+constexpr std::uint32_t MinSamples = 50;
+constexpr std::uint32_t FewestSamples = 10;
+/** With 400 samples the ratio of two means has a deviation of about 7%, half of what a trial has to tell apart. */
+constexpr std::uint32_t MinTrialSamples = 400;
+constexpr core::Duration MaxTrialWindow = 1500ms;
+
+constexpr double SaturatedShare = 0.8;
+constexpr double ErrorShare = 0.1;
+constexpr double ErrorCut = 0.9;
+/** Latency over the baseline from which a rule suspects queueing inside the endpoint. */
+constexpr double LatencyTolerance = 1.5;
+constexpr double GrowthFactor = 1.1;
+constexpr double TrialCut = 0.7;
+/** A baseline that was learned under contention would hide it, so a trial is made now and then without suspicion. */
+constexpr core::Duration TrialInterval = 30s;
+constexpr double BaselineSmoothing = 0.1;
+constexpr double GradientSmoothing = 0.2;
+constexpr double MinGradient = 0.5;
+constexpr double AimdCut = 0.9;
+
+double secondsOf(core::Duration duration) noexcept
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+core::Duration durationOf(double seconds) noexcept
+{
+    return std::chrono::duration_cast<core::Duration>(std::chrono::duration<double>(seconds));
+}
+
+}
+
+double ConcurrencyLimit::Window::meanLatency() const noexcept
+{
+    return samples > errors ? latencySum / (samples - errors) : 0;
+}
+
+ConcurrencyLimit::ConcurrencyLimit(LimitRule rule, std::uint32_t slots, core::TimePoint now)
+    : m_rule(rule)
+    , m_slots(slots)
+    , m_limit(slots)
+    , m_lastTrial(now)
+{
+    openWindow(now, core::Duration::zero());
+}
+
+std::uint32_t ConcurrencyLimit::limit() const noexcept
+{
+    return static_cast<std::uint32_t>(m_limit);
+}
+
+ConcurrencyLimit ConcurrencyLimit::withSlots(std::uint32_t slots, core::TimePoint now) const
+{
+    if (m_slots == 0 || slots == 0) {
+        return ConcurrencyLimit(m_rule, slots, now);
+    }
+    ConcurrencyLimit next = *this;
+    if (slots != m_slots) {
+        next.m_slots = slots;
+        next.m_errorLimit.reset();
+        next.m_trial.reset();
+        next.setLimit(m_limit * slots / m_slots);
+        next.openWindow(now, core::Duration::zero());
+    }
+    return next;
+}
+
+ConcurrencyLimit ConcurrencyLimit::withSample(const LimitSample &sample, core::TimePoint now) const
+{
+    ConcurrencyLimit next = *this;
+    if (m_slots == 0 || m_rule == LimitRule::Fixed || next.isSettling(sample, now)) {
+        return next;
+    }
+    Window &window = next.m_window;
+    ++window.samples;
+    window.inFlightSum += sample.inFlight;
+    if (sample.isOverloadError) {
+        ++window.errors;
+    } else {
+        window.latencySum += secondsOf(sample.latency);
+    }
+    if (next.isWindowComplete(now)) {
+        next.applyRule(now);
+    }
+    return next;
+}
+
+bool ConcurrencyLimit::isSettling(const LimitSample &sample, core::TimePoint now) noexcept
+{
+    if (now >= m_window.countsFrom) {
+        return false;
+    }
+    if (now - sample.latency >= m_window.openedAt && ++m_window.startedInside >= limit()) {
+        // As many requests as fit have come and gone under the new limit: latency has fallen since the last window.
+        m_window.countsFrom = now;
+    }
+    return true;
+}
+
+bool ConcurrencyLimit::isWindowComplete(core::TimePoint now) const noexcept
+{
+    const core::Duration length = now - m_window.countsFrom;
+    const auto wanted = std::max(m_trial ? MinTrialSamples : MinSamples, 2 * limit());
+    return (length >= MinWindow && m_window.samples >= wanted)
+           || (length >= (m_trial ? MaxTrialWindow : MaxWindow) && m_window.samples >= FewestSamples);
+}
+
+bool ConcurrencyLimit::isSaturated() const noexcept
+{
+    return m_window.inFlightSum >= SaturatedShare * limit() * m_window.samples;
+}
+
+bool ConcurrencyLimit::hasErrors() const noexcept
+{
+    return m_window.errors > ErrorShare * m_window.samples;
+}
+
+void ConcurrencyLimit::applyRule(core::TimePoint now)
+{
+    const double before = m_limit;
+    switch (m_rule) {
+    case LimitRule::Elasticity:
+        applyElasticity(now);
+        break;
+    case LimitRule::Gradient:
+        applyGradient();
+        break;
+    case LimitRule::Aimd:
+        applyAimd();
+        break;
+    case LimitRule::Fixed:
+        break;
+    }
+    const bool wasCut = m_limit < before;
+    openWindow(now, wasCut ? durationOf(m_window.meanLatency()) : core::Duration::zero());
+}
+
+void ConcurrencyLimit::cutAfterErrors()
+{
+    m_errorLimit = m_limit;
+    m_trial.reset();
+    setLimit(m_limit * ErrorCut);
+}
+
+void ConcurrencyLimit::applyElasticity(core::TimePoint now)
+{
+    const double latency = m_window.meanLatency();
+    if (hasErrors()) {
+        cutAfterErrors();
+    } else if (m_trial) {
+        judgeTrial(now);
+    } else if (!isSaturated()) {
+        m_baseline = std::min(m_baseline.value_or(latency), latency);
+    } else if (!m_baseline || latency > LatencyTolerance * *m_baseline || now - m_lastTrial >= TrialInterval) {
+        beginTrial(now);
+    } else {
+        *m_baseline += BaselineSmoothing * (latency - *m_baseline);
+        grow();
+    }
+}
+
+void ConcurrencyLimit::beginTrial(core::TimePoint now)
+{
+    m_trial = Trial{m_limit, m_window.meanLatency()};
+    m_lastTrial = now;
+    setLimit(m_limit * TrialCut);
+    if (limit() == static_cast<std::uint32_t>(m_trial->limitBefore)) {
+        // Nothing left to cut.
+        m_baseline = m_trial->latencyBefore;
+        m_trial.reset();
+    }
+}
+
+void ConcurrencyLimit::judgeTrial(core::TimePoint now)
+{
+    const double latency = m_window.meanLatency();
+    const double share = limit() / std::floor(m_trial->limitBefore);
+    // Where requests wait for each other inside the endpoint, latency falls like the limit and the cut costs no
+    // throughput. Where something else is slow, latency stays and the cut costs throughput in proportion.
+    if (isSaturated() && latency <= (1 + share) / 2 * m_trial->latencyBefore) {
+        beginTrial(now);
+        return;
+    }
+    setLimit(m_trial->limitBefore);
+    m_baseline = latency;
+    m_trial.reset();
+}
+
+void ConcurrencyLimit::applyGradient()
+{
+    const double latency = m_window.meanLatency();
+    if (latency <= 0) {
+        return;
+    }
+    m_baseline = m_baseline.value_or(latency);
+    *m_baseline += BaselineSmoothing * (latency - *m_baseline);
+    if (hasErrors()) {
+        setLimit(m_limit * ErrorCut);
+    } else if (isSaturated()) {
+        const double gradient = std::clamp(LatencyTolerance * *m_baseline / latency, MinGradient, 1.0);
+        const double target = m_limit * gradient + std::sqrt(m_limit);
+        setLimit(m_limit + GradientSmoothing * (target - m_limit));
+    }
+}
+
+void ConcurrencyLimit::applyAimd()
+{
+    const double latency = m_window.meanLatency();
+    m_baseline = std::min(m_baseline.value_or(latency), latency);
+    if (hasErrors() || latency > LatencyTolerance * *m_baseline) {
+        setLimit(m_limit * AimdCut);
+    } else if (isSaturated()) {
+        setLimit(m_limit + 1);
+    }
+}
+
+void ConcurrencyLimit::grow()
+{
+    const bool isNearErrors = m_errorLimit && m_limit >= ErrorCut * *m_errorLimit;
+    setLimit(isNearErrors ? m_limit + 1 : std::max(m_limit * GrowthFactor, m_limit + 1));
+}
+
+void ConcurrencyLimit::setLimit(double limit) noexcept
+{
+    m_limit = std::clamp(limit, 1.0, static_cast<double>(m_slots));
+}
+
+void ConcurrencyLimit::openWindow(core::TimePoint now, core::Duration settling)
+{
+    m_window = Window{.openedAt = now, .countsFrom = now + settling};
+}
+
+}
--- /dev/null
+++ b/src/admission/endpoint_gate.cpp
@@ -0,0 +1,254 @@
+#include "berylspring/admission/endpoint_gate.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace berylspring::admission {
+
+namespace {
+
+/** Suspects that wait at most; each stops all other work while it runs. */
+constexpr std::size_t MaxSuspects = 64;
+/** Other work gets this multiple of the time that a suspect took, so that suspects use at most a quarter of it. */
+constexpr int RestAfterAlone = 3;
+
+}
+
+EndpointGate::EndpointGate(const AdmissionSettings &settings, core::TimePoint now)
+    : m_settings(settings)
+    , m_limit(settings.limitRule, 0, now)
+    , m_nextAloneAt(now)
+{
+}
+
+GateResult EndpointGate::arrive(const QueueEntry &entry, bool isSuspect, core::TimePoint now)
+{
+    const std::scoped_lock lock(m_mutex);
+    GateResult result;
+    if (const auto reason = obstacle(entry, now)) {
+        result.verdict = Verdict{.kind = Verdict::Kind::Refuse, .reason = *reason};
+        return result;
+    }
+    if (!m_settings.areControlsOn) {
+        ++m_running;
+        result.verdict.kind = Verdict::Kind::Start;
+        return result;
+    }
+    result.verdict = isSuspect ? enqueueSuspect(entry, now) : enqueue(entry, now, result.decided);
+    pump(now, result.decided);
+    if (const auto decided = m_verdicts.find(entry->id); decided != m_verdicts.end()) {
+        result.verdict = decided->second;
+        m_verdicts.erase(decided);
+        std::erase(result.decided, entry->id);
+    }
+    return result;
+}
+
+std::optional<core::RefusalReason> EndpointGate::obstacle(const QueueEntry &entry, core::TimePoint now) const
+{
+    if (m_isDraining) {
+        return core::RefusalReason::Draining;
+    }
+    if (m_limit.slots() == 0) {
+        return core::RefusalReason::NoEndpoint;
+    }
+    if (!m_settings.areControlsOn) {
+        return std::nullopt;
+    }
+    // A single request always starts, so that an estimate that has become too high is corrected.
+    const bool isIdle = m_running == 0 && m_queue.isEmpty();
+    const core::Duration needed = isIdle ? core::Duration::zero() : m_serviceTimes.lowQuantile(now);
+    return entry->deadline - now <= needed ? std::optional(core::RefusalReason::DeadlineExceeded) : std::nullopt;
+}
+
+Verdict EndpointGate::enqueue(const QueueEntry &entry, core::TimePoint now, Wakes &wakes)
+{
+    const std::uint32_t limit = m_limit.limit();
+    const bool canStart = m_queue.isEmpty() && m_running < limit;
+    const OfferResult offer = m_queue.offer(entry, std::max<std::size_t>(maxQueueLength(now), canStart ? 1 : 0));
+    if (!offer.isAccepted) {
+        notePressure(now);
+        return Verdict{.kind = Verdict::Kind::Refuse, .reason = core::RefusalReason::Overloaded};
+    }
+    if (offer.displaced) {
+        notePressure(now);
+        decide(
+            *offer.displaced, Verdict{.kind = Verdict::Kind::Refuse, .reason = core::RefusalReason::Overloaded}, wakes);
+    }
+    const core::Duration untilTooLate = entry->deadline - now - m_serviceTimes.lowQuantile(now);
+    const auto longest = std::max(core::Duration::zero(), std::min(untilTooLate, m_settings.targetWait));
+    return Verdict{.kind = Verdict::Kind::Wait, .maxWait = longest};
+}
+
+Verdict EndpointGate::enqueueSuspect(const QueueEntry &entry, core::TimePoint now)
+{
+    if (m_suspects.size() >= MaxSuspects) {
+        return Verdict{.kind = Verdict::Kind::Refuse, .reason = core::RefusalReason::Overloaded};
+    }
+    m_suspects.push_back(Suspect{entry->id, entry->deadline});
+    return Verdict{.kind = Verdict::Kind::Wait, .maxWait = std::max(core::Duration::zero(), entry->deadline - now)};
+}
+
+std::size_t EndpointGate::maxQueueLength(core::TimePoint now) const
+{
+    const core::Duration mean = m_serviceTimes.mean(now);
+    if (mean <= core::Duration::zero()) {
+        return m_settings.maxQueueLength;
+    }
+    const double startsInTargetWait =
+        m_limit.limit() * static_cast<double>(m_settings.targetWait.count()) / static_cast<double>(mean.count());
+    return static_cast<std::size_t>(
+        std::clamp(startsInTargetWait, 1.0, static_cast<double>(m_settings.maxQueueLength)));
+}
+
+void EndpointGate::notePressure(core::TimePoint now)
+{
+    // Only levels below everything that waits get no room at all; within the lowest waiting level some are served.
+    if (const auto lowest = m_queue.lowestPriority()) {
+        m_level = m_level.withPressure(*lowest, now);
+    }
+}
+
+void EndpointGate::pump(core::TimePoint now, Wakes &wakes)
+{
+    if (m_isAloneRunning || pumpSuspects(now, wakes)) {
+        return;
+    }
+    while (m_running < m_limit.limit()) {
+        const core::Duration needed = m_running == 0 ? core::Duration::zero() : m_serviceTimes.lowQuantile(now);
+        const TakeResult taken = m_queue.take(now, needed);
+        for (const std::uint64_t id : taken.tooLate) {
+            decide(id, Verdict{.kind = Verdict::Kind::Refuse, .reason = core::RefusalReason::DeadlineExceeded}, wakes);
+        }
+        if (!taken.next) {
+            return;
+        }
+        ++m_running;
+        decide((*taken.next)->id, Verdict{.kind = Verdict::Kind::Start}, wakes);
+    }
+}
+
+/** @return Whether other work must wait for a suspect. */
+bool EndpointGate::pumpSuspects(core::TimePoint now, Wakes &wakes)
+{
+    const bool isIdle = m_running == 0 && m_queue.isEmpty();
+    if (m_suspects.empty() || m_limit.slots() == 0 || (now < m_nextAloneAt && !isIdle)) {
+        m_drainingForSuspectSince.reset();
+        return false;
+    }
+    if (!m_drainingForSuspectSince) {
+        m_drainingForSuspectSince = now;
+    }
+    if (m_running == 0) {
+        const Suspect next = m_suspects.front();
+        m_suspects.pop_front();
+        m_running = 1;
+        m_isAloneRunning = true;
+        decide(next.id, Verdict{.kind = Verdict::Kind::StartAlone}, wakes);
+    }
+    return true;
+}
+
+void EndpointGate::decide(std::uint64_t id, Verdict verdict, Wakes &wakes)
+{
+    m_verdicts.insert_or_assign(id, verdict);
+    wakes.push_back(id);
+}
+
+std::optional<Verdict> EndpointGate::withdraw(std::uint64_t id, core::TimePoint now)
+{
+    if (const auto decided = m_verdicts.find(id); decided != m_verdicts.end()) {
+        const Verdict verdict = decided->second;
+        m_verdicts.erase(decided);
+        return verdict;
+    }
+    core::TimePoint deadline;
+    if (const auto entry = m_queue.remove(id)) {
+        deadline = (*entry)->deadline;
+    } else {
+        const auto suspect = std::find_if(
+            m_suspects.begin(), m_suspects.end(), [&](const Suspect &candidate) { return candidate.id == id; });
+        if (suspect == m_suspects.end()) {
+            return std::nullopt;
+        }
+        deadline = suspect->deadline;
+        m_suspects.erase(suspect);
+    }
+    const bool isTooLate = deadline - now <= m_serviceTimes.lowQuantile(now);
+    return Verdict{.kind = Verdict::Kind::Refuse,
+                   .reason = isTooLate ? core::RefusalReason::DeadlineExceeded : core::RefusalReason::Overloaded};
+}
+
+GateResult EndpointGate::leave(std::uint64_t id, core::TimePoint now)
+{
+    const std::scoped_lock lock(m_mutex);
+    GateResult result;
+    result.verdict = withdraw(id, now).value_or(Verdict{.kind = Verdict::Kind::Refuse});
+    pump(now, result.decided);
+    return result;
+}
+
+std::vector<std::uint64_t> EndpointGate::finish(const RunReport &report, core::TimePoint now)
+{
+    const std::scoped_lock lock(m_mutex);
+    if (report.isSample) {
+        const LimitSample sample{report.latency, m_running, report.isOverloadError};
+        m_limit = m_limit.withSample(sample, now);
+        if (!report.isOverloadError) {
+            m_serviceTimes = m_serviceTimes.withSample(report.latency, now);
+        }
+    }
+    --m_running;
+    if (report.ranAlone) {
+        m_isAloneRunning = false;
+        m_nextAloneAt = now + RestAfterAlone * (now - m_drainingForSuspectSince.value_or(now));
+        m_drainingForSuspectSince.reset();
+    }
+    Wakes wakes;
+    pump(now, wakes);
+    return wakes;
+}
+
+std::vector<std::uint64_t> EndpointGate::setSlots(std::uint32_t slots, core::TimePoint now)
+{
+    const std::scoped_lock lock(m_mutex);
+    Wakes wakes;
+    m_limit = m_limit.withSlots(slots, now);
+    if (slots == 0) {
+        const Verdict refused{.kind = Verdict::Kind::Refuse, .reason = core::RefusalReason::NoEndpoint};
+        for (const std::uint64_t id : m_queue.clear()) {
+            decide(id, refused, wakes);
+        }
+        for (const Suspect &suspect : std::exchange(m_suspects, {})) {
+            decide(suspect.id, refused, wakes);
+        }
+    }
+    pump(now, wakes);
+    return wakes;
+}
+
+void EndpointGate::startDrain()
+{
+    const std::scoped_lock lock(m_mutex);
+    m_isDraining = true;
+}
+
+bool EndpointGate::isIdle() const
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_running == 0 && m_queue.isEmpty() && m_suspects.empty() && m_verdicts.empty();
+}
+
+AdmissionStateFields EndpointGate::state(core::TimePoint now) const
+{
+    const std::scoped_lock lock(m_mutex);
+    return AdmissionStateFields{.running = m_running,
+                                .queued = m_queue.size() + m_suspects.size(),
+                                .limit = m_limit.limit(),
+                                .slots = m_limit.slots(),
+                                .admittedLevel = m_level.level(now),
+                                .isDraining = m_isDraining,
+                                .counters = {}};
+}
+
+}
--- /dev/null
+++ b/src/admission/service_core.cpp
@@ -0,0 +1,384 @@
+#include "admission/service_core.h"
+
+#include "berylspring/admission/request_digest.h"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+#include <boost/asio/cancellation_state.hpp>
+#include <boost/asio/error.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/system/system_error.hpp>
+
+// g++ 12 reports the allocation of Asio's coroutine frames, whose operator new and delete do match.
+#pragma GCC diagnostic ignored "-Wmismatched-new-delete"
+
+namespace berylspring::admission {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::uint16_t TooManyRequests = 429;
+constexpr std::uint16_t ServiceUnavailable = 503;
+constexpr std::uint16_t FirstServerError = 500;
+
+bool isOverloadStatus(std::uint16_t status) noexcept
+{
+    return status == TooManyRequests || status == ServiceUnavailable;
+}
+
+/** Failures of the endpoint's own are often fast and say nothing about its capacity. */
+bool isLatencySample(const EndpointResult &result) noexcept
+{
+    const wire::CallResponse &response = result.response;
+    if (response->refusal) {
+        // The endpoint needed at least this long.
+        return result.maybeSent && response->refusal->reason() == core::RefusalReason::DeadlineExceeded;
+    }
+    return !result.connectionLost && (response->status < FirstServerError || isOverloadStatus(response->status));
+}
+
+}
+
+/** @brief Gives the place on the endpoint back, also when the coroutine is destroyed while it runs. */
+class AdmissionService::Core::RunGuard
+{
+public:
+    RunGuard(Core &core, bool ranAlone) noexcept
+        : m_core(core)
+    {
+        m_report.ranAlone = ranAlone;
+    }
+    ~RunGuard()
+    {
+        m_core.release(m_report);
+    }
+    RunGuard(const RunGuard &) = delete;
+    RunGuard &operator=(const RunGuard &) = delete;
+
+    void ended(const EndpointResult &result, core::Duration latency) noexcept
+    {
+        m_report.isSample = isLatencySample(result);
+        m_report.isOverloadError = isOverloadStatus(result.response->status);
+        m_report.latency = latency;
+    }
+
+private:
+    Core &m_core;
+    RunReport m_report;
+};
+
+AdmissionService::Core::Core(asio::any_io_executor executor, AdmissionSettings settings, AdmissionHooks hooks)
+    : m_executor(std::move(executor))
+    , m_settings(settings)
+    , m_hooks(std::move(hooks))
+    , m_gate(settings, m_hooks.now())
+    , m_quarantine(settings.quarantineDuration, settings.suspicionDuration)
+{
+}
+
+asio::awaitable<wire::CallResponse> AdmissionService::Core::run(std::shared_ptr<Core> self, wire::CallRequest request)
+{
+    const Passage arrived = self->passageOf(request);
+    if (self->isWithdrawn(request)) {
+        co_return self->refuse(core::RefusalReason::KeyInvalid, core::Outcome::NotRun, arrived);
+    }
+    auto known = QuarantineState::Clear;
+    if (self->m_settings.areControlsOn) {
+        known = self->m_quarantine.state(arrived.digest, arrived.arrivedAt);
+    }
+    if (known == QuarantineState::Quarantined) {
+        co_return self->refuse(core::RefusalReason::Quarantined, core::Outcome::NotRun, arrived);
+    }
+    const auto verdict = co_await waitForStart(self, arrived, request, known == QuarantineState::Suspect);
+    if (!verdict.isStart()) {
+        co_return self->refuse(verdict.reason, core::Outcome::NotRun, arrived);
+    }
+
+    const bool ranAlone = verdict.kind == Verdict::Kind::StartAlone;
+    RunGuard guard(*self, ranAlone);
+    const auto cancellation = co_await asio::this_coro::cancellation_state;
+    if (cancellation.cancelled() != asio::cancellation_type::none) {
+        co_return self->refuse(core::RefusalReason::Cancelled, core::Outcome::NotRun, arrived);
+    }
+    if (self->isWithdrawn(request)) {
+        co_return self->refuse(core::RefusalReason::KeyInvalid, core::Outcome::NotRun, arrived);
+    }
+    Passage passage = arrived;
+    const core::TimePoint startedAt = self->m_hooks.now();
+    passage.startedAt = startedAt;
+    ++self->m_counters.started;
+    wire::CallRequest forwarded = request.with(&wire::CallRequestFields::remaining, passage.deadline - startedAt);
+    EndpointResult result = co_await callEndpoint(self, std::move(forwarded));
+    guard.ended(result, self->m_hooks.now() - startedAt);
+    co_return self->judge(passage, ranAlone, result);
+}
+
+asio::awaitable<Verdict> AdmissionService::Core::waitForStart(std::shared_ptr<Core> self,
+                                                              Passage passage,
+                                                              wire::CallRequest request,
+                                                              bool isSuspect)
+{
+    const QueueEntry entry = self->entryOf(passage, request);
+    const auto wakeUp = std::make_shared<detail::WakeUp>(self->m_executor);
+    self->m_waiting.insertOrAssign(passage.id, wakeUp);
+    const auto arrival = self->m_gate.arrive(entry, isSuspect, passage.arrivedAt);
+    self->wake(arrival.decided);
+    if (arrival.verdict.kind != Verdict::Kind::Wait) {
+        self->m_waiting.erase(passage.id);
+        co_return arrival.verdict;
+    }
+    try {
+        co_await wakeUp->wait(arrival.verdict.maxWait);
+    } catch (const boost::system::system_error &) {
+        // Cancelled before the wait began; leave() settles it below.
+    }
+    self->m_waiting.erase(passage.id);
+    const auto left = self->m_gate.leave(passage.id, self->m_hooks.now());
+    self->wake(left.decided);
+    self->wakeIdleWaiters();
+    const auto cancellation = co_await asio::this_coro::cancellation_state;
+    auto verdict = left.verdict;
+    if (!verdict.isStart() && cancellation.cancelled() != asio::cancellation_type::none) {
+        verdict.reason = core::RefusalReason::Cancelled;
+    }
+    co_return verdict;
+}
+
+asio::awaitable<EndpointResult> AdmissionService::Core::callEndpoint(std::shared_ptr<Core> self,
+                                                                     wire::CallRequest request)
+{
+    try {
+        co_return co_await self->m_hooks.endpointCall(std::move(request));
+    } catch (const boost::system::system_error &error) {
+        const bool isCancelled = error.code() == asio::error::operation_aborted;
+        const auto reason = isCancelled ? core::RefusalReason::Cancelled : core::RefusalReason::ConnectionLost;
+        wire::CallResponseFields fields;
+        fields.refusal = core::Refusal(reason, core::Outcome::Unknown, error.what());
+        EndpointResult result;
+        result.response = wire::CallResponse(std::move(fields));
+        co_return result;
+    }
+}
+
+wire::CallResponse AdmissionService::Core::judge(const Passage &passage, bool ranAlone, const EndpointResult &result)
+{
+    const auto outcome = result.maybeSent ? core::Outcome::Unknown : core::Outcome::NotRun;
+    if (result.connectionLost) {
+        ++m_counters.connectionsLost;
+        if (result.maybeSent && m_settings.areControlsOn) {
+            noteCrash(passage.digest, ranAlone);
+        }
+        return refuse(core::RefusalReason::ConnectionLost, outcome, passage);
+    }
+    if (result.response->refusal) {
+        auto refusal = result.response->refusal;
+        if (result.maybeSent && refusal->outcome() == core::Outcome::NotRun) {
+            refusal = refusal->withOutcome(core::Outcome::Unknown);
+        }
+        return withFeedback(result.response.with(&wire::CallResponseFields::refusal, refusal), passage);
+    }
+    ++m_counters.answered;
+    if (m_settings.areControlsOn) {
+        m_quarantine.answered(passage.digest, m_hooks.now());
+    }
+    return withFeedback(result.response, passage);
+}
+
+void AdmissionService::Core::noteCrash(const core::Digest &digest, bool ranAlone)
+{
+    const auto state = m_quarantine.crashed(digest, ranAlone, m_hooks.now());
+    if (state == QuarantineState::Quarantined) {
+        wire::QuarantineNoticeFields notice;
+        notice.requestDigest = digest;
+        notice.remaining = m_quarantine.remaining(digest, m_hooks.now());
+        m_hooks.quarantined(wire::QuarantineNotice(notice));
+    } else if (state == QuarantineState::Suspect && m_hooks.suspected) {
+        m_hooks.suspected(digest);
+    }
+}
+
+asio::awaitable<void> AdmissionService::Core::idle(std::shared_ptr<Core> self)
+{
+    while (!self->m_gate.isIdle()) {
+        const auto wakeUp = std::make_shared<detail::WakeUp>(self->m_executor);
+        {
+            const std::scoped_lock lock(self->m_idleMutex);
+            self->m_idleWaiters.push_back(wakeUp);
+        }
+        // Checked again: the last run may have ended before the waiter was in the list.
+        self->wakeIdleWaiters();
+        co_await wakeUp->wait(std::nullopt);
+    }
+}
+
+void AdmissionService::Core::wakeIdleWaiters()
+{
+    if (!m_gate.isIdle()) {
+        return;
+    }
+    std::vector<std::shared_ptr<detail::WakeUp>> waiters;
+    {
+        const std::scoped_lock lock(m_idleMutex);
+        waiters.swap(m_idleWaiters);
+    }
+    for (const auto &waiter : waiters) {
+        waiter->raise();
+    }
+}
+
+void AdmissionService::Core::abandonWaiting()
+{
+    std::vector<std::shared_ptr<detail::WakeUp>> waiters;
+    m_waiting.forEach([&](std::uint64_t, const auto &waiter) { waiters.push_back(waiter); });
+    {
+        const std::scoped_lock lock(m_idleMutex);
+        waiters.insert(waiters.end(), m_idleWaiters.begin(), m_idleWaiters.end());
+        m_idleWaiters.clear();
+    }
+    for (const auto &waiter : waiters) {
+        waiter->abandon();
+    }
+}
+
+AdmissionService::Core::Passage AdmissionService::Core::passageOf(const wire::CallRequest &request)
+{
+    const core::TimePoint now = m_hooks.now();
+    Passage passage;
+    passage.id = m_nextId++;
+    if (m_settings.areControlsOn) {
+        passage.digest = requestDigest(request->method, request->target, request->body, request->workspace);
+    }
+    passage.arrivedAt = now;
+    passage.deadline = now + request->remaining;
+    return passage;
+}
+
+QueueEntry AdmissionService::Core::entryOf(const Passage &passage, const wire::CallRequest &request) const
+{
+    QueueEntryFields fields;
+    fields.id = passage.id;
+    fields.workspace = request->workspace;
+    fields.weight = m_hooks.weightOf(request->workspace);
+    fields.priority = request->priority;
+    fields.isNested = request->isNested;
+    fields.arrivedAt = passage.arrivedAt;
+    fields.deadline = passage.deadline;
+    return QueueEntry(std::move(fields));
+}
+
+bool AdmissionService::Core::isWithdrawn(const wire::CallRequest &request) const
+{
+    return request->keyDigest && m_hooks.isKeyWithdrawn(*request->keyDigest);
+}
+
+void AdmissionService::Core::release(const RunReport &report)
+{
+    wake(m_gate.finish(report, m_hooks.now()));
+    wakeIdleWaiters();
+}
+
+void AdmissionService::Core::wake(const std::vector<std::uint64_t> &ids)
+{
+    for (const std::uint64_t id : ids) {
+        if (const auto waiter = m_waiting.find(id)) {
+            (*waiter)->raise();
+        }
+    }
+}
+
+void AdmissionService::Core::setSlots(std::uint32_t slots)
+{
+    wake(m_gate.setSlots(slots, m_hooks.now()));
+}
+
+void AdmissionService::Core::startDrain()
+{
+    m_gate.startDrain();
+}
+
+void AdmissionService::Core::addQuarantine(const wire::QuarantineNotice &notice)
+{
+    m_quarantine.quarantine(notice->requestDigest, notice->remaining, m_hooks.now());
+}
+
+void AdmissionService::Core::addSuspect(const core::Digest &requestDigest)
+{
+    m_quarantine.suspect(requestDigest, m_hooks.now());
+}
+
+AdmissionState AdmissionService::Core::state() const
+{
+    AdmissionStateFields fields = m_gate.state(m_hooks.now());
+    fields.counters = AdmissionCounters{.started = m_counters.started,
+                                        .answered = m_counters.answered,
+                                        .overloaded = m_counters.overloaded,
+                                        .tooLate = m_counters.tooLate,
+                                        .quarantined = m_counters.quarantined,
+                                        .keyWithdrawn = m_counters.keyWithdrawn,
+                                        .cancelled = m_counters.cancelled,
+                                        .connectionsLost = m_counters.connectionsLost};
+    return AdmissionState(fields);
+}
+
+void AdmissionService::Core::count(core::RefusalReason reason)
+{
+    switch (reason) {
+    case core::RefusalReason::Overloaded:
+        ++m_counters.overloaded;
+        break;
+    case core::RefusalReason::DeadlineExceeded:
+        ++m_counters.tooLate;
+        break;
+    case core::RefusalReason::Quarantined:
+        ++m_counters.quarantined;
+        break;
+    case core::RefusalReason::KeyInvalid:
+        ++m_counters.keyWithdrawn;
+        break;
+    case core::RefusalReason::Cancelled:
+        ++m_counters.cancelled;
+        break;
+    default:
+        break;
+    }
+}
+
+core::Duration AdmissionService::Core::spreadRetryAfter() const
+{
+    // Between once and twice the setting, so that callers refused together do not come back together.
+    const auto base = static_cast<std::uint64_t>(std::max<core::Duration::rep>(m_settings.retryAfter.count(), 1));
+    return core::Duration(static_cast<core::Duration::rep>(base + m_hooks.random() % base));
+}
+
+wire::CallResponse
+AdmissionService::Core::refuse(core::RefusalReason reason, core::Outcome outcome, const Passage &passage)
+{
+    count(reason);
+    core::Refusal refusal(reason, outcome);
+    if (reason == core::RefusalReason::Overloaded) {
+        refusal = refusal.withRetryAfter(spreadRetryAfter());
+    } else if (reason == core::RefusalReason::Quarantined) {
+        refusal = refusal.withRetryAfter(m_quarantine.remaining(passage.digest, passage.arrivedAt));
+    }
+    wire::CallResponseFields fields;
+    fields.refusal = std::move(refusal);
+    return withFeedback(wire::CallResponse(std::move(fields)), passage);
+}
+
+wire::CallResponse AdmissionService::Core::withFeedback(const wire::CallResponse &response,
+                                                        const Passage &passage) const
+{
+    const core::TimePoint now = m_hooks.now();
+    const auto state = m_gate.state(now);
+    wire::CallResponseFields fields = *response;
+    fields.admittedLevel = state.admittedLevel;
+    fields.inFlight = state.running;
+    fields.queueTime = passage.startedAt.value_or(now) - passage.arrivedAt;
+    fields.serviceTime = now - passage.startedAt.value_or(now);
+    return wire::CallResponse(std::move(fields));
+}
+
+}
--- /dev/null
+++ b/src/admission/service_core.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "admission/wake_up.h"
+#include "berylspring/admission/admission_service.h"
+#include "berylspring/admission/endpoint_gate.h"
+#include "berylspring/admission/quarantine.h"
+#include "berylspring/core/sharded_map.h"
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <vector>
+
+namespace berylspring::admission {
+
+/** @brief Shared state of the service, kept alive by the coroutines that use it. */
+class AdmissionService::Core
+{
+public:
+    Core(boost::asio::any_io_executor executor, AdmissionSettings settings, AdmissionHooks hooks);
+
+    static boost::asio::awaitable<wire::CallResponse> run(std::shared_ptr<Core> self, wire::CallRequest request);
+    static boost::asio::awaitable<void> idle(std::shared_ptr<Core> self);
+
+    void setSlots(std::uint32_t slots);
+    void startDrain();
+    void addQuarantine(const wire::QuarantineNotice &notice);
+    void addSuspect(const core::Digest &requestDigest);
+    [[nodiscard]] AdmissionState state() const;
+    /** @brief Destroys the waiting coroutines, whose frames keep this object alive. */
+    void abandonWaiting();
+
+private:
+    /** What one run carries from its arrival to its end. */
+    struct Passage
+    {
+        std::uint64_t id = 0;
+        core::Digest digest;
+        core::TimePoint arrivedAt;
+        core::TimePoint deadline;
+        std::optional<core::TimePoint> startedAt;
+    };
+    class RunGuard;
+
+    static boost::asio::awaitable<Verdict>
+    waitForStart(std::shared_ptr<Core> self, Passage passage, wire::CallRequest request, bool isSuspect);
+    static boost::asio::awaitable<EndpointResult> callEndpoint(std::shared_ptr<Core> self, wire::CallRequest request);
+
+    [[nodiscard]] Passage passageOf(const wire::CallRequest &request);
+    [[nodiscard]] QueueEntry entryOf(const Passage &passage, const wire::CallRequest &request) const;
+    [[nodiscard]] bool isWithdrawn(const wire::CallRequest &request) const;
+    [[nodiscard]] wire::CallResponse judge(const Passage &passage, bool ranAlone, const EndpointResult &result);
+    void noteCrash(const core::Digest &digest, bool ranAlone);
+    void release(const RunReport &report);
+    void wake(const std::vector<std::uint64_t> &ids);
+    void wakeIdleWaiters();
+    [[nodiscard]] core::Duration spreadRetryAfter() const;
+    void count(core::RefusalReason reason);
+    [[nodiscard]] wire::CallResponse refuse(core::RefusalReason reason, core::Outcome outcome, const Passage &passage);
+    [[nodiscard]] wire::CallResponse withFeedback(const wire::CallResponse &response, const Passage &passage) const;
+
+    boost::asio::any_io_executor m_executor;
+    AdmissionSettings m_settings;
+    AdmissionHooks m_hooks;
+    EndpointGate m_gate;
+    Quarantine m_quarantine;
+    core::ShardedMap<std::uint64_t, std::shared_ptr<detail::WakeUp>> m_waiting;
+    std::mutex m_idleMutex;
+    std::vector<std::shared_ptr<detail::WakeUp>> m_idleWaiters;
+    std::atomic<std::uint64_t> m_nextId{1};
+
+    struct Counters
+    {
+        std::atomic<std::uint64_t> started{0};
+        std::atomic<std::uint64_t> answered{0};
+        std::atomic<std::uint64_t> overloaded{0};
+        std::atomic<std::uint64_t> tooLate{0};
+        std::atomic<std::uint64_t> quarantined{0};
+        std::atomic<std::uint64_t> keyWithdrawn{0};
+        std::atomic<std::uint64_t> cancelled{0};
+        std::atomic<std::uint64_t> connectionsLost{0};
+    } m_counters;
+};
+
+}
--- /dev/null
+++ b/src/routing/ranking.cpp
@@ -0,0 +1,94 @@
+#include "berylspring/routing/ranking.h"
+
+#include <algorithm>
+#include <cmath>
+#include <vector>
+
+namespace berylspring::routing {
+
+namespace {
+
+/** Weight of an endpoint that has just appeared: it must get some requests to warm up. */
+constexpr double FirstWeight = 0.1;
+
+double discountedLoad(const Candidate &candidate, const RouterSettings &settings, core::TimePoint now)
+{
+    const EndpointView &view = *candidate.view;
+    double load = view->reportedLoad;
+    core::TimePoint at = view->heardAt;
+    if (candidate.traffic != nullptr && candidate.traffic->reportedAt() > at) {
+        load = candidate.traffic->reportedLoad();
+        at = candidate.traffic->reportedAt();
+    }
+    if (load <= 0 || settings.reportHalfLife <= core::Duration::zero()) {
+        return 0;
+    }
+    const auto age = static_cast<double>(std::max(core::Duration::zero(), now - at).count());
+    return load * std::exp2(-age / static_cast<double>(settings.reportHalfLife.count()));
+}
+
+double inFlightOf(const Candidate &candidate, const RouterSettings &settings, core::TimePoint now)
+{
+    const double own = candidate.traffic != nullptr ? candidate.traffic->inFlight() : 0;
+    return own + discountedLoad(candidate, settings, now);
+}
+
+double slowStartWeight(const Candidate &candidate, const RouterSettings &settings, core::TimePoint now)
+{
+    core::TimePoint since = (*candidate.view)->firstSeen;
+    if (candidate.traffic != nullptr) {
+        since = std::max(since, candidate.traffic->ejection().until());
+    }
+    if (now - since >= settings.slowStart) {
+        return 1;
+    }
+    const auto age = static_cast<double>((now - since).count());
+    return std::max(FirstWeight, age / static_cast<double>(settings.slowStart.count()));
+}
+
+}
+
+double loadShare(const Candidate &candidate, const RouterSettings &settings, core::TimePoint now)
+{
+    return inFlightOf(candidate, settings, now) / std::max(1U, (*candidate.view)->slots);
+}
+
+double score(const Candidate &candidate, const RouterSettings &settings, core::TimePoint now)
+{
+    const double withOneMore = inFlightOf(candidate, settings, now) + 1;
+    return withOneMore / std::max(1U, (*candidate.view)->slots) / slowStartWeight(candidate, settings, now);
+}
+
+const Candidate *rank(std::span<const Candidate> eligible,
+                      const core::DataCentreId &ownDataCentre,
+                      const RandomPair &random,
+                      const RouterSettings &settings,
+                      core::TimePoint now)
+{
+    std::vector<const Candidate *> pool;
+    pool.reserve(eligible.size());
+    bool areAllShort = true;
+    for (const Candidate &candidate : eligible) {
+        if ((*candidate.view)->dataCentre == ownDataCentre) {
+            pool.push_back(&candidate);
+            areAllShort = areAllShort && loadShare(candidate, settings, now) > 1;
+        }
+    }
+    if (areAllShort) {
+        pool.clear();
+        for (const Candidate &candidate : eligible) {
+            pool.push_back(&candidate);
+        }
+    }
+    if (pool.empty()) {
+        return nullptr;
+    }
+    const std::size_t first = random.first % pool.size();
+    if (pool.size() == 1) {
+        return pool[first];
+    }
+    const std::size_t second = (first + 1 + random.second % (pool.size() - 1)) % pool.size();
+    return score(*pool[second], settings, now) < score(*pool[first], settings, now) ? pool[second] : pool[first];
+}
+
+}
--- /dev/null
+++ b/tests/admission/a_call_through_the_service.cpp
@@ -0,0 +1,180 @@
+#include "admission/harness.h"
+#include "support/section.h"
+
+#include <chrono>
+#include <vector>
+
+#include <boost/asio/post.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace berylspring;
+using namespace std::chrono_literals;
+using test::callNamed;
+using test::Harness;
+using test::section;
+using Names = std::vector<std::string>;
+
+namespace {
+
+void checkRefused(const std::shared_ptr<test::SentCall> &sent, core::RefusalReason reason, core::Outcome outcome)
+{
+    CHECK(sent->response.has_value());
+    CHECK((*sent->response)->refusal.has_value());
+    CHECK((*sent->response)->refusal->reason() == reason);
+    CHECK((*sent->response)->refusal->outcome() == outcome);
+}
+
+}
+
+TEST_GROUP(ACallThroughTheService){};
+
+// A request that loses its place, or a place that is not given back, would stall the endpoint.
+TEST(ACallThroughTheService, runsWaitsAndTellsTheTimes)
+{
+    Harness harness;
+    harness.service().setSlots(1);
+    const auto first = harness.send(callNamed("first"));
+    const auto second = harness.send(callNamed("second"));
+    section("the second waits for the only slot", [&] {
+        CHECK(harness.running() == Names{"first"});
+        LONGS_EQUAL(1, harness.service().state()->queued);
+    });
+    harness.advance(30ms);
+    harness.finish("first");
+    section("the first is answered and the second starts", [&] {
+        LONGS_EQUAL(200, (*first->response)->status);
+        CHECK((*first->response)->serviceTime == 30ms);
+        CHECK(harness.running() == Names{"second"});
+    });
+    harness.advance(10ms);
+    harness.finish("second");
+    section("the second reports how long it waited", [&] {
+        CHECK((*second->response)->queueTime == 30ms);
+        CHECK((*second->response)->serviceTime == 10ms);
+        LONGS_EQUAL(0, harness.service().state()->running);
+        LONGS_EQUAL(2, harness.service().state()->counters.answered);
+    });
+}
+
+// G8: not-run must be true, and a cancelled request must not take a slot.
+TEST(ACallThroughTheService, neverStartsWhatWasCancelledWhileItWaited)
+{
+    Harness harness;
+    harness.service().setSlots(1);
+    const auto first = harness.send(callNamed("first"));
+    const auto second = harness.send(callNamed("second"));
+    const auto third = harness.send(callNamed("third"));
+    section("cancelled while it waits", [&] {
+        harness.cancel(second);
+        checkRefused(second, core::RefusalReason::Cancelled, core::Outcome::NotRun);
+        harness.finish("first");
+        CHECK(harness.running() == Names{"third"});
+    });
+    section("cancelled while it runs", [&] {
+        harness.cancel(third);
+        CHECK(harness.running().empty());
+        checkRefused(third, core::RefusalReason::Cancelled, core::Outcome::Unknown);
+        LONGS_EQUAL(0, harness.service().state()->running);
+    });
+    section("cancelled between its start and its first step", [&] {
+        const auto running = harness.send(callNamed("running"));
+        const auto granted = harness.send(callNamed("granted"));
+        // The place is granted in the same turn of the event loop in which the cancellation arrives.
+        boost::asio::post(harness.io(), [&] {
+            harness.service().setSlots(2);
+            granted->cancellation.emit(boost::asio::cancellation_type::terminal);
+        });
+        harness.poll();
+        checkRefused(granted, core::RefusalReason::Cancelled, core::Outcome::NotRun);
+        CHECK(harness.running() == Names{"running"});
+        LONGS_EQUAL(1, harness.service().state()->running);
+    });
+}
+
+// G5: a key that is withdrawn while its request waits must not reach the endpoint.
+TEST(ACallThroughTheService, refusesWaitingWorkOfAWithdrawnKey)
+{
+    Harness harness;
+    harness.service().setSlots(1);
+    const auto key = core::sha256("key");
+    const auto request = callNamed("second").with(&wire::CallRequestFields::keyDigest, std::optional(key));
+    harness.send(callNamed("first"));
+    const auto second = harness.send(request);
+    const auto third = harness.send(callNamed("third"));
+    harness.withdrawnKeys.insert(key);
+    harness.finish("first");
+    checkRefused(second, core::RefusalReason::KeyInvalid, core::Outcome::NotRun);
+    CHECK(harness.running() == Names{"third"});
+    checkRefused(harness.send(request), core::RefusalReason::KeyInvalid, core::Outcome::NotRun);
+}
+
+// G10, G11: a planned stop finishes what was accepted and nothing else.
+TEST(ACallThroughTheService, drainsAndBecomesIdle)
+{
+    Harness harness;
+    checkRefused(harness.send(callNamed("early")), core::RefusalReason::NoEndpoint, core::Outcome::NotRun);
+    harness.service().setSlots(1);
+    const auto first = harness.send(callNamed("first"));
+    const auto second = harness.send(callNamed("second"));
+    harness.service().startDrain();
+    bool isIdle = false;
+    boost::asio::co_spawn(harness.io(), harness.service().idle(), [&](const std::exception_ptr &) { isIdle = true; });
+    checkRefused(harness.send(callNamed("late")), core::RefusalReason::Draining, core::Outcome::NotRun);
+    harness.finish("first");
+    CHECK_FALSE(isIdle);
+    harness.finish("second");
+    CHECK(first->response && second->response);
+    LONGS_EQUAL(200, (*second->response)->status);
+    CHECK(isIdle);
+}
+
+TEST(ACallThroughTheService, refusesWhatWaitsWhenTheEndpointIsGone)
+{
+    Harness harness;
+    harness.service().setSlots(1);
+    harness.send(callNamed("first"));
+    const auto second = harness.send(callNamed("second"));
+    harness.service().setSlots(0);
+    harness.poll();
+    checkRefused(second, core::RefusalReason::NoEndpoint, core::Outcome::NotRun);
+}
+
+// G8: only what was never sent may be called not-run.
+TEST(ACallThroughTheService, tellsNotRunOnlyWhenNothingWasSent)
+{
+    Harness harness;
+    harness.service().setSlots(2);
+    section("a connection that failed before the first byte", [&] {
+        const auto sent = harness.send(callNamed("a"));
+        harness.finish("a", Harness::lost(false));
+        checkRefused(sent, core::RefusalReason::ConnectionLost, core::Outcome::NotRun);
+    });
+    section("a connection lost later", [&] {
+        const auto sent = harness.send(callNamed("b"));
+        harness.finish("b", Harness::lost(true));
+        checkRefused(sent, core::RefusalReason::ConnectionLost, core::Outcome::Unknown);
+    });
+    section("a refusal by the hook that contradicts what was sent", [&] {
+        const auto sent = harness.send(callNamed("c"));
+        auto result = Harness::answered();
+        result.response = result.response.with(
+            &wire::CallResponseFields::refusal,
+            std::optional(core::Refusal(core::RefusalReason::DeadlineExceeded, core::Outcome::NotRun)));
+        harness.finish("c", result);
+        checkRefused(sent, core::RefusalReason::DeadlineExceeded, core::Outcome::Unknown);
+    });
+}
+
+// The comparison runs need the plain system: any hidden limit would spoil them.
+TEST(ACallThroughTheService, passesEverythingOnWithTheControlsOff)
+{
+    auto settings = test::settingsWithoutRealTimers();
+    settings.areControlsOn = false;
+    Harness harness(settings);
+    harness.service().setSlots(1);
+    for (const char *name : {"a", "b", "c"}) {
+        harness.send(callNamed(name));
+    }
+    CHECK((harness.running() == Names{"a", "b", "c"}));
+}
--- /dev/null
+++ b/tests/routing/a_request_finds_its_endpoint.cpp
@@ -0,0 +1,215 @@
+#include "berylspring/routing/eligibility.h"
+#include "berylspring/routing/router.h"
+#include "support/section.h"
+
+#include <algorithm>
+#include <chrono>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace berylspring;
+using namespace std::chrono_literals;
+using routing::EndpointView;
+using routing::ExclusionReason;
+using routing::Router;
+using routing::RoutingResult;
+using test::checkProperty;
+using test::section;
+
+namespace {
+
+const core::TimePoint startTime{1000h};
+const core::ServiceId visits("visits");
+const core::DataCentreId north("north");
+const core::DataCentreId south("south");
+
+EndpointView endpoint(const std::string &host, const core::DataCentreId &dataCentre = north)
+{
+    routing::EndpointViewFields fields;
+    fields.host = core::HostId(host);
+    fields.dataCentre = dataCentre;
+    fields.service = visits;
+    fields.slots = 10;
+    fields.heardAt = startTime;
+    fields.firstSeen = startTime - 1h;
+    return EndpointView(std::move(fields));
+}
+
+routing::RoutingRequest request(core::PriorityLevel priority = 0)
+{
+    return routing::RoutingRequest{visits, north, priority, {}};
+}
+
+Router seededRouter()
+{
+    auto generator = std::make_shared<std::mt19937_64>(7);
+    return Router(routing::RouterHooks{[generator] { return (*generator)(); }});
+}
+
+void fail(Router &router, const std::string &host, int times, core::TimePoint now)
+{
+    for (int i = 0; i < times; ++i) {
+        router.started(visits, core::HostId(host), now);
+        router.finished(visits, core::HostId(host), RoutingResult::Failed, 5ms, 0, now);
+    }
+}
+
+std::map<std::string, int>
+choices(Router &router, const std::vector<EndpointView> &views, int times, core::TimePoint now)
+{
+    std::map<std::string, int> counts;
+    for (int i = 0; i < times; ++i) {
+        const auto decision = router.choose(request(), views, now);
+        ++counts[decision.host ? decision.host->value() : ""];
+    }
+    return counts;
+}
+
+}
+
+TEST_GROUP(ARequestFindsItsEndpoint){};
+
+// Without the recorded reason a refused request could not be explained.
+TEST(ARequestFindsItsEndpoint, isToldWhyEachOtherOneWasExcluded)
+{
+    Router router = seededRouter();
+    fail(router, "ejected", 5, startTime);
+    auto asked = request(2);
+    asked.excludedHosts.emplace_back("tried");
+    const std::vector<EndpointView> views{
+        endpoint("tried"),
+        endpoint("dead").with(&routing::EndpointViewFields::isAlive, false),
+        endpoint("leaving").with(&routing::EndpointViewFields::isDraining, true),
+        endpoint("empty").with(&routing::EndpointViewFields::slots, 0U),
+        endpoint("shedding").with(&routing::EndpointViewFields::admittedLevel, core::PriorityLevel{3}),
+        endpoint("ejected"),
+        endpoint("elsewhere").with(&routing::EndpointViewFields::service, core::ServiceId("payments")),
+        endpoint("good")};
+    const auto decision = router.choose(asked, views, startTime);
+    CHECK(decision.host == core::HostId("good"));
+    const std::vector<routing::Exclusion> expected{{core::HostId("tried"), ExclusionReason::Excluded},
+                                                   {core::HostId("dead"), ExclusionReason::NotAlive},
+                                                   {core::HostId("leaving"), ExclusionReason::Draining},
+                                                   {core::HostId("empty"), ExclusionReason::NoSlots},
+                                                   {core::HostId("shedding"), ExclusionReason::LevelNotAdmitted},
+                                                   {core::HostId("ejected"), ExclusionReason::Ejected}};
+    CHECK(decision.exclusions == expected);
+}
+
+TEST(ARequestFindsItsEndpoint, prefersItsDataCentreUntilThatIsShort)
+{
+    Router router = seededRouter();
+    const std::vector<EndpointView> views{endpoint("near"), endpoint("far", south)};
+    section("a local endpoint with room takes everything",
+            [&] { LONGS_EQUAL(100, choices(router, views, 100, startTime)["near"]); });
+    for (int i = 0; i < 11; ++i) {
+        router.started(visits, core::HostId("near"), startTime);
+    }
+    section("over its slots the other data centre helps",
+            [&] { LONGS_EQUAL(100, choices(router, views, 100, startTime)["far"]); });
+    section("no local one left", [&] {
+        const std::vector<EndpointView> far{endpoint("far", south)};
+        LONGS_EQUAL(100, choices(router, far, 100, startTime)["far"]);
+    });
+}
+
+TEST(ARequestFindsItsEndpoint, discountsAnOldReport)
+{
+    const auto busy = endpoint("busy").with(&routing::EndpointViewFields::reportedLoad, 8.0);
+    const routing::Candidate candidate{&busy, nullptr};
+    DOUBLES_EQUAL(0.8, routing::loadShare(candidate, {}, startTime), 1e-9);
+    DOUBLES_EQUAL(0.4, routing::loadShare(candidate, {}, startTime + 250ms), 1e-9);
+    CHECK(routing::loadShare(candidate, {}, startTime + 10s) < 1e-6);
+}
+
+// A cold endpoint that gets a full share at once fails its first callers.
+TEST(ARequestFindsItsEndpoint, warmsUpANewEndpoint)
+{
+    Router router = seededRouter();
+    const std::vector<EndpointView> views{endpoint("old"),
+                                          endpoint("new").with(&routing::EndpointViewFields::firstSeen, startTime)};
+    for (int i = 0; i < 4; ++i) {
+        router.started(visits, core::HostId("old"), startTime);
+    }
+    // Old scores (4 + 1) / 10; new scores 1 / 10 / weight.
+    LONGS_EQUAL(100, choices(router, views, 100, startTime + 900ms)["old"]);
+    LONGS_EQUAL(100, choices(router, views, 100, startTime + 1100ms)["new"]);
+}
+
+TEST(ARequestFindsItsEndpoint, leavesABadEndpointForLongerEachTime)
+{
+    Router router = seededRouter();
+    const std::vector<EndpointView> views{endpoint("bad"), endpoint("good")};
+    core::TimePoint now = startTime;
+    for (const auto ejection : {1s, 2s, 4s, 8s, 16s, 30s, 30s}) {
+        fail(router, "bad", 5, now);
+        LONGS_EQUAL(100, choices(router, views, 100, now + ejection - 1ms)["good"]);
+        now += ejection;
+        CHECK(choices(router, views, 100, now + 10s)["bad"] > 0);
+    }
+    section("refusals are not its fault", [&] {
+        for (int i = 0; i < 50; ++i) {
+            router.started(visits, core::HostId("good"), now);
+            router.finished(visits, core::HostId("good"), RoutingResult::Refused, 1ms, 0, now);
+        }
+        CHECK_FALSE(router.traffic(visits, core::HostId("good")).ejection().isEjected(now));
+    });
+    section("eleven failures among twenty results, never five in a row", [&] {
+        const std::string pattern = "ffffoffffoffooooooof";
+        LONGS_EQUAL(20, pattern.size());
+        for (const char result : pattern) {
+            CHECK_FALSE(router.traffic(visits, core::HostId("mixed")).ejection().isEjected(now));
+            router.started(visits, core::HostId("mixed"), now);
+            const auto outcome = result == 'f' ? RoutingResult::Failed : RoutingResult::Ok;
+            router.finished(visits, core::HostId("mixed"), outcome, 1ms, 0, now);
+        }
+        CHECK(router.traffic(visits, core::HostId("mixed")).ejection().isEjected(now));
+    });
+}
+
+// When a dependency fails, every endpoint looks bad; ejecting all of them would make an outage of it.
+TEST(ARequestFindsItsEndpoint, ejectsAtMostHalfOfTheEndpoints)
+{
+    checkProperty("ejected share is capped", [](const std::vector<bool> &bad) {
+        RC_PRE(!bad.empty());
+        Router router = seededRouter();
+        std::vector<EndpointView> views;
+        for (std::size_t i = 0; i < bad.size(); ++i) {
+            const auto host = "h" + std::to_string(i);
+            views.push_back(endpoint(host));
+            fail(router, host, bad[i] ? 5 : 0, startTime);
+        }
+        const auto decision = router.choose(request(), views, startTime);
+        const auto failing = static_cast<std::size_t>(std::count(bad.begin(), bad.end(), true));
+        RC_ASSERT(decision.exclusions.size() == std::min(failing, bad.size() / 2));
+        RC_ASSERT(decision.host.has_value());
+        const auto isChosen = [&](const auto &exclusion) { return exclusion.host == *decision.host; };
+        RC_ASSERT(std::none_of(decision.exclusions.begin(), decision.exclusions.end(), isChosen));
+    });
+}
+
+TEST(ARequestFindsItsEndpoint, choosesOnlyEligibleOnes)
+{
+    checkProperty("the chosen one has no exclusion and exists unless all are excluded",
+                  [](const std::vector<std::pair<bool, bool>> &states, core::PriorityLevel level) {
+                      Router router = seededRouter();
+                      std::vector<EndpointView> views;
+                      std::size_t usable = 0;
+                      for (std::size_t i = 0; i < states.size(); ++i) {
+                          const bool admits = i % 2 == 0 || level % 8 <= 3;
+                          usable += states[i].first && !states[i].second && admits ? 1U : 0U;
+                          views.push_back(endpoint("h" + std::to_string(i))
+                                              .with(&routing::EndpointViewFields::isAlive, states[i].first)
+                                              .with(&routing::EndpointViewFields::isDraining, states[i].second)
+                                              .with(&routing::EndpointViewFields::admittedLevel,
+                                                    static_cast<core::PriorityLevel>(i % 2 == 0 ? 0 : level % 8)));
+                      }
+                      const auto decision = router.choose(request(3), views, startTime);
+                      RC_ASSERT(decision.host.has_value() == (usable > 0));
+                      RC_ASSERT(decision.exclusions.size() == states.size() - usable);
+                  });
+}
