--- /dev/null
+++ b/include/berylspring/node/dispatcher.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "berylspring/admission/entry_shedding.h"
+#include "berylspring/core/time.h"
+#include "berylspring/node/endpoint_views.h"
+#include "berylspring/retry/backoff.h"
+#include "berylspring/retry/budget.h"
+#include "berylspring/routing/router.h"
+#include "berylspring/wire/peer_call.h"
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+#include <boost/asio/awaitable.hpp>
+
+namespace berylspring::node {
+
+/** @brief What the dispatcher needs from its surroundings. */
+struct DispatcherHooks
+{
+    wire::PeerCall call;
+    std::function<boost::asio::awaitable<wire::CallResponse>(wire::CallRequest)> runLocally; ///< On the own endpoint.
+    std::function<std::shared_ptr<const EndpointViews>(const core::ServiceId &)> endpoints;
+    std::function<core::TimePoint()> now;
+    core::RandomSource random;
+    std::function<void()> retried; ///< Counts a retry.
+};
+
+/** @brief Sends requests to endpoints' nodes and retries where that is safe. Thread-safe. */
+class Dispatcher
+{
+public:
+    Dispatcher(core::HostId self, core::DataCentreId dataCentre, bool areControlsOn, DispatcherHooks hooks);
+
+    /**
+     * @brief Routes a request, sends it, and retries within its allowance and the service's budget.
+     * @return The endpoint's answer, or a refusal whose outcome NotRun means that no endpoint received any byte.
+     */
+    [[nodiscard]] boost::asio::awaitable<wire::CallResponse> dispatch(wire::CallRequest call);
+
+private:
+    struct Attempts;
+
+    [[nodiscard]] routing::RoutingDecision
+    chooseEndpoint(const wire::CallRequest &call, const Attempts &attempts, core::TimePoint now);
+    [[nodiscard]] boost::asio::awaitable<wire::CallResponse> attempt(wire::CallRequest call, core::HostId host);
+    [[nodiscard]] boost::asio::awaitable<wire::CallResponse> send(wire::CallRequest call, core::HostId host);
+    [[nodiscard]] bool mayRetry(const wire::CallRequest &call, const core::Refusal &refusal, const Attempts &attempts);
+    [[nodiscard]] boost::asio::awaitable<void> pauseBeforeRetry(const Attempts &attempts);
+
+    core::HostId m_self;
+    core::DataCentreId m_dataCentre;
+    bool m_areControlsOn;
+    DispatcherHooks m_hooks;
+    routing::Router m_router;
+    retry::RetryBudgets m_budgets;
+    retry::BackoffPolicy m_backoff;
+    admission::EntryShedding m_shedding;
+};
+
+}
--- /dev/null
+++ b/include/berylspring/node/entry.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "berylspring/config/catalogue.h"
+#include "berylspring/core/time.h"
+#include "berylspring/http/caller_request.h"
+#include "berylspring/node/call_plan.h"
+#include "berylspring/node/in_flight_table.h"
+#include "berylspring/telemetry/metrics.h"
+#include "berylspring/telemetry/span.h"
+#include "berylspring/wire/messages.h"
+
+#include <functional>
+#include <memory>
+
+#include <boost/asio/awaitable.hpp>
+#include <tl/expected.hpp>
+
+namespace berylspring::node {
+
+/** @brief What the entry needs from other parts of the node. */
+struct EntryHooks
+{
+    std::function<std::shared_ptr<const config::Catalogue>()> catalogue; ///< Null while the node is not ready.
+    std::function<bool(const core::Digest &)> isKeyWithdrawn;
+    std::function<core::Duration()> sinceOutsideContact;
+    std::function<boost::asio::awaitable<tl::expected<void, core::Refusal>>(core::WorkspaceId)> admit; ///< Rate limit.
+    std::function<boost::asio::awaitable<wire::CallResponse>(wire::CallRequest)> dispatch;
+    std::function<boost::asio::awaitable<wire::CallResponse>(wire::CallRequest)> runOnce; ///< By the home of its name.
+    std::function<core::TimePoint()> now;
+    core::RandomSource random;
+    telemetry::SpanSink spans;
+};
+
+/** @brief Path of a caller's request at the node that it enters. Thread-safe. */
+class Entry
+{
+public:
+    Entry(InFlightTable &inFlight, telemetry::Metrics &metrics, double sampleRatio, EntryHooks hooks);
+
+    /** @return The endpoint's answer or a refusal. */
+    [[nodiscard]] boost::asio::awaitable<wire::CallResponse> call(http::CallerRequest request);
+
+private:
+    [[nodiscard]] boost::asio::awaitable<wire::CallResponse>
+    run(http::CallerRequest request, telemetry::TraceContext trace, core::PriorityLevel &priority);
+    [[nodiscard]] boost::asio::awaitable<wire::CallResponse>
+    forward(wire::CallRequest call, http::CallerRequest request, CallPlan plan);
+    [[nodiscard]] tl::expected<CallPlan, core::Refusal> plan(const http::CallerRequest &request,
+                                                             core::TimePoint now) const;
+    [[nodiscard]] telemetry::TraceContext traceOf(const http::CallerRequest &request) const;
+    void finish(const wire::CallResponse &response, core::PriorityLevel priority, core::Duration time);
+
+    InFlightTable &m_inFlight;
+    telemetry::Metrics &m_metrics;
+    double m_sampleRatio;
+    EntryHooks m_hooks;
+};
+
+}
--- /dev/null
+++ b/src/node/call_plan.cpp
@@ -0,0 +1,137 @@
+#include "berylspring/node/call_plan.h"
+
+#include <algorithm>
+
+namespace berylspring::node {
+
+namespace {
+
+using core::Outcome;
+using core::Refusal;
+using core::RefusalReason;
+using tl::unexpected;
+
+/** @brief Whom the request runs for. */
+struct Identity
+{
+    core::WorkspaceId workspace;
+    std::optional<core::Digest> keyDigest;
+};
+
+Refusal notRun(RefusalReason reason, std::string detail)
+{
+    return {reason, Outcome::NotRun, std::move(detail)};
+}
+
+tl::expected<Identity, Refusal> identityOfKey(const std::string &key, const PlanContext &context)
+{
+    const core::Digest digest = core::sha256(key);
+    const config::Key *known = context.catalogue.findKey(digest);
+    if (known == nullptr || context.isKeyWithdrawn(digest)) {
+        return unexpected(notRun(RefusalReason::KeyInvalid, "the key is not known or was withdrawn"));
+    }
+    return Identity{(*known)->workspace, digest};
+}
+
+tl::expected<Identity, Refusal> identityOfParent(const PlanContext &context)
+{
+    if (!context.parent) {
+        return unexpected(notRun(RefusalReason::KeyInvalid, "Berylspring-Context names no request that runs here"));
+    }
+    const InFlight &parent = *context.parent;
+    if (parent->keyDigest && context.isKeyWithdrawn(*parent->keyDigest)) {
+        return unexpected(notRun(RefusalReason::KeyInvalid, "the key of the root request was withdrawn"));
+    }
+    return Identity{parent->workspace, parent->keyDigest};
+}
+
+tl::expected<Identity, Refusal>
+identityOf(const http::CallerRequest &request, const config::Route &route, const PlanContext &context)
+{
+    if (request->contextToken) {
+        return identityOfParent(context);
+    }
+    if (request->key) {
+        return identityOfKey(*request->key, context);
+    }
+    if (route->isOpen) {
+        return Identity{};
+    }
+    return unexpected(notRun(RefusalReason::KeyMissing, "the route needs a key"));
+}
+
+std::optional<Refusal>
+checkWorkspace(const core::WorkspaceId &name, const config::Route &route, const PlanContext &context)
+{
+    if (name.isEmpty()) {
+        // Only a nested call of a request without a workspace can get here on a route that is not open.
+        return route->isOpen ? std::nullopt
+                             : std::optional<Refusal>(notRun(RefusalReason::KeyMissing, "the route needs a key"));
+    }
+    const config::Workspace *workspace = context.catalogue.findWorkspace(name);
+    if (workspace == nullptr) {
+        return notRun(RefusalReason::WorkspaceRefused, "the workspace does not exist");
+    }
+    const bool isStale = context.sinceOutsideContact > (*workspace)->stalenessLimit;
+    if ((*workspace)->staleness == config::Staleness::Refuse && isStale) {
+        return notRun(RefusalReason::WorkspaceRefused, "the configuration is older than the workspace allows");
+    }
+    return std::nullopt;
+}
+
+core::Duration timeoutOf(const http::CallerRequest &request,
+                         const config::Route &route,
+                         const PlanContext &context,
+                         core::TimePoint now)
+{
+    core::Duration timeout = route->timeout;
+    if (request->timeout) {
+        timeout = std::min(timeout, *request->timeout);
+    }
+    if (context.parent) {
+        timeout = std::min<core::Duration>(timeout, (*context.parent)->deadline - now);
+    }
+    return timeout;
+}
+
+core::PriorityLevel priorityOf(const config::Route &route, const PlanContext &context)
+{
+    if (context.parent) {
+        return (*context.parent)->priority;
+    }
+    const config::Priority *priority = context.catalogue.findPriority(route->priority);
+    return priority == nullptr ? core::PriorityLevel{0} : (*priority)->level;
+}
+
+}
+
+tl::expected<CallPlan, Refusal>
+planCall(const http::CallerRequest &request, const PlanContext &context, core::TimePoint now)
+{
+    const config::Route *route = context.catalogue.findRoute(http::pathOf(request->target));
+    if (route == nullptr) {
+        return unexpected(notRun(RefusalReason::RouteUnknown, "no route has a prefix of the path"));
+    }
+    const auto identity = identityOf(request, *route, context);
+    if (!identity) {
+        return unexpected(identity.error());
+    }
+    if (const auto refusal = checkWorkspace(identity->workspace, *route, context)) {
+        return unexpected(*refusal);
+    }
+    const core::Duration timeout = timeoutOf(request, *route, context, now);
+    if (timeout <= core::Duration::zero()) {
+        return unexpected(notRun(RefusalReason::DeadlineExceeded, "no time is left for the request"));
+    }
+    return CallPlan({.route = (*route)->name,
+                     .service = (*route)->service,
+                     .workspace = identity->workspace,
+                     .keyDigest = identity->keyDigest,
+                     .priority = priorityOf(*route, context),
+                     .timeout = timeout,
+                     .retries = (*route)->retries,
+                     .isNested = request->contextToken.has_value(),
+                     .isIdempotent = config::isIdempotent(*route, request->method)});
+}
+
+}
--- /dev/null
+++ b/src/node/dispatcher.cpp
@@ -0,0 +1,218 @@
+#include "berylspring/node/dispatcher.h"
+
+#include "berylspring/retry/failure.h"
+
+#include <algorithm>
+#include <vector>
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace berylspring::node {
+
+namespace {
+
+namespace asio = boost::asio;
+using core::Outcome;
+using core::Refusal;
+using core::RefusalReason;
+
+constexpr core::Duration FirstPause = std::chrono::milliseconds(2);
+constexpr core::Duration LongestPause = std::chrono::milliseconds(100);
+constexpr core::Duration OverloadRetryAfter = std::chrono::seconds(1);
+/** The endpoint's node answers at the deadline itself; its answer needs time to arrive. */
+constexpr core::Duration AnswerMargin = std::chrono::milliseconds(50);
+
+wire::CallResponse refused(const Refusal &refusal)
+{
+    return wire::CallResponse({.refusal = refusal});
+}
+
+bool hasReason(const routing::RoutingDecision &decision, routing::ExclusionReason reason)
+{
+    return std::any_of(decision.exclusions.begin(),
+                       decision.exclusions.end(),
+                       [&](const routing::Exclusion &exclusion) { return exclusion.reason == reason; });
+}
+
+/** @return Why no endpoint was chosen. */
+Refusal refusalOf(const routing::RoutingDecision &decision)
+{
+    if (hasReason(decision, routing::ExclusionReason::LevelNotAdmitted)) {
+        return Refusal(RefusalReason::Overloaded, Outcome::NotRun, "endpoints admit only higher priorities")
+            .withRetryAfter(OverloadRetryAfter);
+    }
+    std::string detail = "no endpoint can take the request";
+    for (const routing::Exclusion &exclusion : decision.exclusions) {
+        detail += ", " + exclusion.host.value() + ": " + std::string(routing::toString(exclusion.reason));
+    }
+    return Refusal(RefusalReason::NoEndpoint, Outcome::NotRun, detail).withRetryAfter(OverloadRetryAfter);
+}
+
+routing::RoutingResult resultOf(const wire::CallResponse &response)
+{
+    if (!response->refusal) {
+        // 502 to 504 pass on trouble of a deeper service, or shed load, and say nothing about this endpoint's health.
+        constexpr std::uint16_t InternalError = 500;
+        return response->status == InternalError ? routing::RoutingResult::Failed : routing::RoutingResult::Ok;
+    }
+    switch (response->refusal->reason()) {
+    case RefusalReason::ConnectionLost:
+    case RefusalReason::NoEndpoint:
+        return routing::RoutingResult::Failed;
+    case RefusalReason::DeadlineExceeded:
+        return response->refusal->outcome() == Outcome::Unknown ? routing::RoutingResult::Failed
+                                                                : routing::RoutingResult::Refused;
+    default:
+        return routing::RoutingResult::Refused;
+    }
+}
+
+Refusal refusalOf(const wire::Error &error)
+{
+    const Outcome outcome = error.maybeSent() ? Outcome::Unknown : Outcome::NotRun;
+    const RefusalReason reason =
+        error.code() == wire::ErrorCode::Timeout ? RefusalReason::DeadlineExceeded : RefusalReason::ConnectionLost;
+    return {reason, outcome, error.detail()};
+}
+
+}
+
+struct Dispatcher::Attempts
+{
+    core::TimePoint deadline;
+    std::vector<core::HostId> hosts; ///< Tried so far.
+    std::uint32_t retries = 0; ///< Spent here and by nested calls.
+    bool mayHaveRun = false;
+};
+
+Dispatcher::Dispatcher(core::HostId self, core::DataCentreId dataCentre, bool areControlsOn, DispatcherHooks hooks)
+    : m_self(std::move(self))
+    , m_dataCentre(std::move(dataCentre))
+    , m_areControlsOn(areControlsOn)
+    , m_hooks(std::move(hooks))
+    , m_router({.random = m_hooks.random})
+    , m_backoff(FirstPause, LongestPause)
+    , m_shedding(m_hooks.random)
+{
+}
+
+asio::awaitable<wire::CallResponse> Dispatcher::dispatch(wire::CallRequest call)
+{
+    Attempts attempts{.deadline = m_hooks.now() + call->remaining};
+    while (true) {
+        const core::TimePoint now = m_hooks.now();
+        const core::Duration remaining = attempts.deadline - now;
+        const routing::RoutingDecision decision = chooseEndpoint(call, attempts, now);
+        Refusal refusal(RefusalReason::DeadlineExceeded, Outcome::NotRun, "no time is left for the request");
+        if (remaining > core::Duration::zero() && !decision.host) {
+            refusal = refusalOf(decision);
+        } else if (remaining > core::Duration::zero()) {
+            attempts.hosts.push_back(*decision.host);
+            const wire::CallRequest sent =
+                call.with(&wire::CallRequestFields::remaining, remaining)
+                    .with(&wire::CallRequestFields::retryAllowance,
+                          call->retryAllowance - std::min(call->retryAllowance, attempts.retries));
+            const wire::CallResponse response = co_await attempt(sent, *decision.host);
+            attempts.retries += response->retriesSpent;
+            if (!response->refusal) {
+                m_budgets.onSuccess(call->service);
+                co_return response.with(&wire::CallResponseFields::retriesSpent, attempts.retries);
+            }
+            refusal = *response->refusal;
+            attempts.mayHaveRun = attempts.mayHaveRun || refusal.outcome() == Outcome::Unknown;
+            if (mayRetry(call, refusal, attempts)) {
+                ++attempts.retries;
+                m_hooks.retried();
+                co_await pauseBeforeRetry(attempts);
+                continue;
+            }
+        }
+        const Outcome outcome = attempts.mayHaveRun ? Outcome::Unknown : refusal.outcome();
+        co_return refused(refusal.withOutcome(outcome)).with(&wire::CallResponseFields::retriesSpent, attempts.retries);
+    }
+}
+
+routing::RoutingDecision
+Dispatcher::chooseEndpoint(const wire::CallRequest &call, const Attempts &attempts, core::TimePoint now)
+{
+    const std::shared_ptr<const EndpointViews> endpoints = m_hooks.endpoints(call->service);
+    routing::RoutingRequest request{call->service, m_dataCentre, call->priority, attempts.hosts};
+    if (m_areControlsOn) {
+        for (const routing::EndpointView &endpoint : *endpoints) {
+            if (!m_shedding.admits({endpoint->host, call->service}, call->priority, now)) {
+                request.excludedHosts.push_back(endpoint->host);
+            }
+        }
+    }
+    return m_router.choose(request, *endpoints, now);
+}
+
+asio::awaitable<wire::CallResponse> Dispatcher::attempt(wire::CallRequest call, core::HostId host)
+{
+    /** Ends the attempt also when the caller leaves and the coroutine is destroyed. */
+    struct Traffic
+    {
+        Dispatcher &dispatcher;
+        const core::ServiceId &service;
+        const core::HostId &host;
+        core::TimePoint startedAt;
+        routing::RoutingResult result = routing::RoutingResult::Refused;
+        std::uint32_t inFlight = 0;
+
+        ~Traffic()
+        {
+            const core::TimePoint now = dispatcher.m_hooks.now();
+            dispatcher.m_router.finished(service, host, result, now - startedAt, inFlight, now);
+        }
+    };
+    const core::TimePoint startedAt = m_hooks.now();
+    m_router.started(call->service, host, startedAt);
+    Traffic traffic{*this, call->service, host, startedAt};
+    wire::CallResponse response = co_await send(call, host);
+    traffic.result = resultOf(response);
+    traffic.inFlight = response->inFlight;
+    m_shedding.learn({host, call->service}, response->admittedLevel, m_hooks.now());
+    co_return response;
+}
+
+asio::awaitable<wire::CallResponse> Dispatcher::send(wire::CallRequest call, core::HostId host)
+{
+    if (host == m_self) {
+        co_return co_await m_hooks.runLocally(std::move(call));
+    }
+    const core::Duration timeout = call->remaining + AnswerMargin;
+    wire::Message message(std::move(call));
+    const wire::Result<wire::Message> answer = co_await m_hooks.call(std::move(host), std::move(message), timeout);
+    if (!answer) {
+        co_return refused(refusalOf(answer.error()));
+    }
+    if (const auto *response = std::get_if<wire::CallResponse>(&*answer)) {
+        co_return *response;
+    }
+    co_return refused(
+        Refusal(RefusalReason::ConnectionLost, Outcome::Unknown, "unexpected answer of the endpoint's node"));
+}
+
+bool Dispatcher::mayRetry(const wire::CallRequest &call, const Refusal &refusal, const Attempts &attempts)
+{
+    const retry::Failure failure(refusal, retry::FailureOrigin::NextHop);
+    const bool isAllowed = attempts.retries < call->retryAllowance && retry::isRetryable(failure, call->isIdempotent);
+    if (!isAllowed || !m_areControlsOn) {
+        return isAllowed;
+    }
+    return m_budgets.tryTakeRetry(call->service);
+}
+
+asio::awaitable<void> Dispatcher::pauseBeforeRetry(const Attempts &attempts)
+{
+    const core::Duration remaining = attempts.deadline - m_hooks.now();
+    const auto pause = m_backoff.pause(attempts.retries - 1, remaining, m_hooks.random());
+    if (pause) {
+        asio::steady_timer timer(co_await asio::this_coro::executor, *pause);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+}
+
+}
--- /dev/null
+++ b/src/node/entry.cpp
@@ -0,0 +1,161 @@
+#include "berylspring/node/entry.h"
+
+#include "berylspring/idempotency/claim_name.h"
+
+namespace berylspring::node {
+
+namespace {
+
+namespace asio = boost::asio;
+using core::Outcome;
+using core::Refusal;
+using core::RefusalReason;
+
+wire::CallResponse refused(const Refusal &refusal)
+{
+    return wire::CallResponse({.refusal = refusal});
+}
+
+/** @brief Lends a nested call a part of its parent's retry allowance. */
+class LentAllowance
+{
+public:
+    LentAllowance(InFlightTable &table, const http::CallerRequest &request, std::uint32_t ownAllowance)
+        : m_table(table)
+        , m_token(request->contextToken)
+        , m_amount(m_token ? table.takeRetryAllowance(*m_token) : ownAllowance)
+    {
+    }
+    ~LentAllowance()
+    {
+        if (m_token) {
+            m_table.settleRetryAllowance(*m_token, m_amount, m_spent);
+        }
+    }
+    LentAllowance(const LentAllowance &) = delete;
+    LentAllowance &operator=(const LentAllowance &) = delete;
+
+    [[nodiscard]] std::uint32_t amount() const noexcept
+    {
+        return m_amount;
+    }
+    void setSpent(std::uint32_t spent) noexcept
+    {
+        m_spent = spent;
+    }
+
+private:
+    InFlightTable &m_table;
+    std::optional<std::string> m_token;
+    std::uint32_t m_amount;
+    std::uint32_t m_spent = m_amount; ///< A cancelled call may have spent all of it.
+};
+
+}
+
+Entry::Entry(InFlightTable &inFlight, telemetry::Metrics &metrics, double sampleRatio, EntryHooks hooks)
+    : m_inFlight(inFlight)
+    , m_metrics(metrics)
+    , m_sampleRatio(sampleRatio)
+    , m_hooks(std::move(hooks))
+{
+}
+
+asio::awaitable<wire::CallResponse> Entry::call(http::CallerRequest request)
+{
+    const core::TimePoint startedAt = m_hooks.now();
+    const core::WallTime start = std::chrono::system_clock::now();
+    const telemetry::TraceContext trace = traceOf(request);
+    core::PriorityLevel priority = 0;
+    const wire::CallResponse response = co_await run(request, trace, priority);
+    finish(response, priority, m_hooks.now() - startedAt);
+    if (trace.isSampled()) {
+        const auto parent = telemetry::TraceContext::fromTraceParent(request->traceParent);
+        m_hooks.spans(telemetry::Span({.context = trace,
+                                       .parentSpanId = parent ? parent->spanId() : 0,
+                                       .name = "entry",
+                                       .start = start,
+                                       .end = std::chrono::system_clock::now(),
+                                       .isError = response->refusal.has_value(),
+                                       .attributes = {{"method", request->method}}}));
+    }
+    co_return response;
+}
+
+asio::awaitable<wire::CallResponse>
+Entry::run(http::CallerRequest request, telemetry::TraceContext trace, core::PriorityLevel &priority)
+{
+    const core::TimePoint startedAt = m_hooks.now();
+    const auto plan = this->plan(request, startedAt);
+    if (!plan) {
+        co_return refused(plan.error());
+    }
+    priority = (*plan)->priority;
+    if (!(*plan)->isNested && !(*plan)->workspace.isEmpty()) {
+        const auto admitted = co_await m_hooks.admit((*plan)->workspace);
+        if (!admitted) {
+            co_return refused(admitted.error());
+        }
+    }
+    LentAllowance allowance(m_inFlight, request, (*plan)->retries);
+    const core::Duration remaining = (*plan)->timeout - (m_hooks.now() - startedAt);
+    const wire::CallRequest call({.service = (*plan)->service,
+                                  .route = (*plan)->route,
+                                  .method = request->method,
+                                  .target = request->target,
+                                  .headers = request->headers,
+                                  .body = request->body,
+                                  .workspace = (*plan)->workspace,
+                                  .keyDigest = (*plan)->keyDigest,
+                                  .priority = (*plan)->priority,
+                                  .isNested = (*plan)->isNested,
+                                  .isIdempotent = (*plan)->isIdempotent,
+                                  .remaining = remaining,
+                                  .retryAllowance = allowance.amount(),
+                                  .traceParent = trace.traceParent()});
+    const wire::CallResponse response = co_await forward(call, request, *plan);
+    allowance.setSpent(response->retriesSpent);
+    co_return response;
+}
+
+asio::awaitable<wire::CallResponse> Entry::forward(wire::CallRequest call, http::CallerRequest request, CallPlan plan)
+{
+    // Without a name no other send of the request can exist, so it needs no home: it is dispatched at most once here.
+    if (plan->isIdempotent || !request->idempotencyKey) {
+        co_return co_await m_hooks.dispatch(std::move(call));
+    }
+    const std::string name = idempotency::claimName(plan->workspace, plan->route, *request->idempotencyKey);
+    const wire::CallRequest named = call.with(&wire::CallRequestFields::claimName, name);
+    co_return co_await m_hooks.runOnce(named);
+}
+
+tl::expected<CallPlan, Refusal> Entry::plan(const http::CallerRequest &request, core::TimePoint now) const
+{
+    const std::shared_ptr<const config::Catalogue> catalogue = m_hooks.catalogue();
+    if (!catalogue) {
+        return tl::unexpected(Refusal(RefusalReason::NotReady, Outcome::NotRun, "the node has no configuration yet"));
+    }
+    const PlanContext context{.catalogue = *catalogue,
+                              .parent = request->contextToken ? m_inFlight.find(*request->contextToken) : std::nullopt,
+                              .isKeyWithdrawn = m_hooks.isKeyWithdrawn,
+                              .sinceOutsideContact = m_hooks.sinceOutsideContact()};
+    return planCall(request, context, now);
+}
+
+telemetry::TraceContext Entry::traceOf(const http::CallerRequest &request) const
+{
+    const auto parent = telemetry::TraceContext::fromTraceParent(request->traceParent);
+    return parent ? parent->child(m_hooks.random) : telemetry::TraceContext::root(m_hooks.random, m_sampleRatio);
+}
+
+void Entry::finish(const wire::CallResponse &response, core::PriorityLevel priority, core::Duration time)
+{
+    m_metrics.observe(telemetry::Hop::Entry, time);
+    if (response->refusal) {
+        m_metrics.countRequest(response->refusal->outcome(), response->refusal->reason(), priority);
+    } else {
+        m_metrics.countRequest(Outcome::Answered, std::nullopt, priority);
+    }
+}
+
+}
