--- /dev/null
+++ b/include/berylspring/config/config_settings.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "berylspring/core/time.h"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+namespace berylspring::config {
+
+/** @brief Times and sizes of the ConfigService. */
+struct ConfigSettings
+{
+    std::string configStream = "config";
+    std::string snapshotStream = "snapshot";
+    core::Duration longPoll = std::chrono::seconds(10); ///< Time that a reader's poll waits for records.
+    core::Duration slowPoll = std::chrono::minutes(2); ///< Between polls of a node that is no reader.
+    core::Duration roleCheck = std::chrono::seconds(1); ///< Between looks at whether the node became a reader.
+    core::Duration retryDelay = std::chrono::milliseconds(250); ///< After the first failure; doubles up to 16 times it.
+    core::Duration writeTimeout = std::chrono::seconds(5); ///< Until a write is given up as unavailable.
+    core::Duration settleTime = std::chrono::milliseconds(500); ///< Until an append without an answer is repeated.
+    core::Duration withdrawalWait = std::chrono::seconds(1); ///< Until a withdrawal counts as announced only.
+    core::Duration withdrawalRetry = std::chrono::seconds(1); ///< Between attempts to record pending withdrawals.
+    core::Duration withdrawalRescue = std::chrono::seconds(10); ///< Until readers record a withdrawal of another node.
+    core::Duration peerTimeout = std::chrono::seconds(1); ///< Of one call to a peer.
+    core::Duration snapshotInterval = std::chrono::hours(6); ///< A quarter of the log's retention period.
+    std::uint32_t pageRecords = 500; ///< Records of one read or pull.
+    std::size_t historyRecords = 10'000; ///< Records that are kept in memory for peers.
+    [[nodiscard]] bool operator==(const ConfigSettings &) const = default;
+};
+
+}
--- a/src/config/catalogue.cpp
+++ b/src/config/catalogue.cpp
@@ -63,10 +63,15 @@
         return {unchanged, Verdict::Malformed, VoidReason::None};
     }
     if (offset == 0) {
-        return {unchanged, Verdict::Void, VoidReason::FirstOffset};
+        // The writer has to find its operation, to repeat it.
+        auto tables = m_tables->withOperation((*record)->operationId, {offset, VoidReason::FirstOffset});
+        return {Catalogue(1, std::make_shared<const CatalogueTables>(std::move(tables))),
+                Verdict::Void,
+                VoidReason::FirstOffset};
     }
     const OperationResult *known = m_tables->operations.find((*record)->operationId);
-    if (known != nullptr && known->offset + OperationWindow >= offset) {
+    const bool isRepeatable = known == nullptr || known->reason == VoidReason::FirstOffset;
+    if (!isRepeatable && known->offset + OperationWindow >= offset) {
         return {unchanged, Verdict::Void, VoidReason::Duplicate};
     }
     const detail::RecordEffect effect = detail::effectOf(*m_tables, offset, *record);
--- a/src/config/catalogue_json.cpp
+++ b/src/config/catalogue_json.cpp
@@ -117,7 +117,7 @@
 {
     JsonReader reader(objectOrEmpty(value));
     const std::string id = reader.name("id");
-    const core::Offset offset = reader.integer("offset", 1, MaxOffset - 1);
+    const core::Offset offset = reader.integer("offset", 0, MaxOffset - 1);
     const auto reason = static_cast<VoidReason>(reader.integer("reason", 0, VoidReasonCount - 1));
     if (auto error = reader.finish()) {
         return tl::unexpected(std::move(*error));
--- /dev/null
+++ b/src/config/log_follower.cpp
@@ -0,0 +1,132 @@
+#include "config/log_follower.h"
+
+#include <utility>
+
+namespace berylspring::config::detail {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/** A record of a snapshot has up to 256 KiB, so a page has up to 4 MiB. */
+constexpr std::uint32_t SnapshotPageRecords = 16;
+
+}
+
+asio::awaitable<bool> SnapshotReader::refresh(std::shared_ptr<SnapshotReader> self)
+{
+    const ContextPtr context = self->m_context;
+    for (;;) {
+        auto page = co_await context->hooks().log.read(
+            context->settings().snapshotStream, self->m_next, SnapshotPageRecords, core::Duration::zero());
+        if (!page && page.error().code() == platform::ErrorCode::Expired
+            && page.error().first().value_or(0) > self->m_next) {
+            self->m_next = *page.error().first();
+            continue;
+        }
+        if (!page) {
+            co_return false;
+        }
+        for (const platform::LogEntry &entry : (*page)->records) {
+            self->m_assembler.add(entry.data);
+            self->m_next = entry.offset + 1;
+        }
+        if ((*page)->records.size() < SnapshotPageRecords) {
+            co_return true;
+        }
+    }
+}
+
+asio::awaitable<SyncState> LogFollower::sync(std::shared_ptr<LogFollower> self, core::Duration wait)
+{
+    const ContextPtr context = self->m_context;
+    const core::Offset from = context->store().appliedOffset();
+    if (self->m_mustCheckContinuity) {
+        const bool isSound = co_await isContinuous(self, from);
+        if (!isSound) {
+            co_return SyncState::WentBack;
+        }
+        self->m_mustCheckContinuity = false;
+    }
+    const auto page = co_await context->hooks().log.read(
+        context->settings().configStream, from, context->settings().pageRecords, wait);
+    if (page) {
+        context->noteLogContact();
+        co_return self->foldPage(from, *page);
+    }
+    if (page.error().code() == platform::ErrorCode::Expired) {
+        context->noteLogContact();
+        co_return co_await onExpired(self);
+    }
+    self->reportOnce(SyncState::Failed, "the configuration log cannot be read: " + page.error().detail());
+    co_return SyncState::Failed;
+}
+
+SyncState LogFollower::foldPage(core::Offset from, const platform::LogPage &page)
+{
+    if (page->records.empty() && page->next < from) {
+        m_mustCheckContinuity = true;
+        reportOnce(SyncState::WentBack,
+                   "the configuration log ends at offset " + std::to_string(page->next) + ", below the applied offset "
+                       + std::to_string(from) + "; its records are ignored");
+        return SyncState::WentBack;
+    }
+    std::vector<wire::LogEntry> entries;
+    entries.reserve(page->records.size());
+    for (const platform::LogEntry &entry : page->records) {
+        entries.push_back({entry.offset, entry.data});
+    }
+    const bool isLast = entries.size() < m_context->settings().pageRecords;
+    const StoreChange change = m_context->store().fold(from, std::move(entries));
+    if (isLast) {
+        m_context->noteUpToDate();
+    }
+    m_context->announce(change);
+    m_reported = SyncState::UpToDate;
+    return change.hasAdvanced ? SyncState::Advanced : SyncState::UpToDate;
+}
+
+asio::awaitable<SyncState> LogFollower::onExpired(std::shared_ptr<LogFollower> self)
+{
+    const bool isLoaded = co_await loadSnapshot(self);
+    if (isLoaded) {
+        co_return SyncState::Advanced;
+    }
+    self->reportOnce(SyncState::Gap, "records of the configuration log have expired and no snapshot covers them");
+    co_return SyncState::Gap;
+}
+
+asio::awaitable<bool> LogFollower::loadSnapshot(std::shared_ptr<LogFollower> self)
+{
+    const ContextPtr context = self->m_context;
+    const auto reader = std::make_shared<SnapshotReader>(context);
+    const bool isRead = co_await SnapshotReader::refresh(reader);
+    if (!isRead || !reader->newest()) {
+        co_return false;
+    }
+    const StoreChange change = context->store().replace(*reader->newest());
+    context->announce(change);
+    co_return change.hasAdvanced;
+}
+
+asio::awaitable<bool> LogFollower::isContinuous(std::shared_ptr<LogFollower> self, core::Offset from)
+{
+    const ContextPtr context = self->m_context;
+    const auto known = from > 0 ? context->store().recordAt(from - 1) : std::nullopt;
+    if (!known) {
+        co_return false;
+    }
+    const auto page =
+        co_await context->hooks().log.read(context->settings().configStream, from - 1, 1, core::Duration::zero());
+    co_return page && !(*page)->records.empty() && (*page)->records.front().offset == from - 1
+        && (*page)->records.front().data == *known;
+}
+
+void LogFollower::reportOnce(SyncState state, const std::string &text)
+{
+    if (m_reported.exchange(state) != state) {
+        m_context->report(text);
+    }
+}
+
+}
--- /dev/null
+++ b/src/config/log_follower.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "berylspring/config/snapshot.h"
+#include "config/service_context.h"
+
+#include <atomic>
+#include <memory>
+#include <optional>
+
+namespace berylspring::config::detail {
+
+/** @brief What one read of the log came to. */
+enum class SyncState {
+    Advanced, ///< Records were folded, or a snapshot was loaded.
+    UpToDate, ///< There are no new records.
+    Gap, ///< Records have expired and no snapshot covers them.
+    WentBack, ///< The log ends below what was folded from it, or has other records.
+    Failed, ///< The log gave no answer.
+};
+
+/** @brief Reads new snapshot records; used by one coroutine at a time. */
+class SnapshotReader
+{
+public:
+    explicit SnapshotReader(ContextPtr context)
+        : m_context(std::move(context))
+    {
+    }
+
+    /** @brief Reads to the end of the stream. @return Whether that succeeded. */
+    static boost::asio::awaitable<bool> refresh(std::shared_ptr<SnapshotReader> self);
+
+    [[nodiscard]] const std::optional<Catalogue> &newest() const noexcept
+    {
+        return m_assembler.newest();
+    }
+
+private:
+    ContextPtr m_context;
+    SnapshotAssembler m_assembler;
+    core::Offset m_next = 0;
+};
+
+/** @brief Folds the records of the log into the store. Safe for several coroutines at a time. */
+class LogFollower
+{
+public:
+    explicit LogFollower(ContextPtr context)
+        : m_context(std::move(context))
+    {
+    }
+
+    /** @brief Reads once, waiting up to `wait` for records; loads a snapshot when records have expired. */
+    static boost::asio::awaitable<SyncState> sync(std::shared_ptr<LogFollower> self, core::Duration wait);
+
+    /** @brief Loads the newest complete snapshot. @return Whether it was newer than the store. */
+    static boost::asio::awaitable<bool> loadSnapshot(std::shared_ptr<LogFollower> self);
+
+private:
+    static boost::asio::awaitable<SyncState> onExpired(std::shared_ptr<LogFollower> self);
+    /** Whether the log still has the last record that was folded. */
+    static boost::asio::awaitable<bool> isContinuous(std::shared_ptr<LogFollower> self, core::Offset from);
+    SyncState foldPage(core::Offset from, const platform::LogPage &page);
+    void reportOnce(SyncState state, const std::string &text);
+
+    ContextPtr m_context;
+    std::atomic<bool> m_mustCheckContinuity = false;
+    std::atomic<SyncState> m_reported = SyncState::UpToDate;
+};
+using FollowerPtr = std::shared_ptr<LogFollower>;
+
+}
--- /dev/null
+++ b/src/config/peer_sync.cpp
@@ -0,0 +1,109 @@
+#include "config/peer_sync.h"
+
+#include <limits>
+#include <utility>
+
+namespace berylspring::config::detail {
+
+namespace asio = boost::asio;
+
+bool PeerSync::begin(const Target &target)
+{
+    const std::scoped_lock lock(m_mutex);
+    if (!m_isRunning) {
+        m_isRunning = true;
+        return true;
+    }
+    if (!m_next || target.offset > m_next->offset) {
+        m_next = target;
+    }
+    return false;
+}
+
+std::optional<PeerSync::Target> PeerSync::takeNext()
+{
+    const std::scoped_lock lock(m_mutex);
+    m_isRunning = m_next.has_value();
+    return std::exchange(m_next, std::nullopt);
+}
+
+asio::awaitable<void> PeerSync::pull(std::shared_ptr<PeerSync> self, core::HostId peer, core::Offset offset)
+{
+    std::optional<Target> target = Target{std::move(peer), offset};
+    if (!self->begin(*target)) {
+        co_return;
+    }
+    std::exception_ptr failure;
+    while (target) {
+        try {
+            co_await run(self, *target);
+        } catch (...) {
+            failure = std::current_exception();
+        }
+        target = self->takeNext();
+        if (failure && target) {
+            // A cancelled coroutine cannot run the next pull; it is asked for again with the next offset heard.
+            target = self->takeNext();
+        }
+    }
+    if (failure) {
+        std::rethrow_exception(failure);
+    }
+}
+
+asio::awaitable<void> PeerSync::pullFromAny(std::shared_ptr<PeerSync> self)
+{
+    const auto peers = self->m_context->hooks().peers();
+    if (peers.empty()) {
+        co_return;
+    }
+    const core::HostId peer = peers[self->m_context->hooks().random() % peers.size()];
+    co_await pull(self, peer, std::numeric_limits<core::Offset>::max());
+}
+
+asio::awaitable<void> PeerSync::run(std::shared_ptr<PeerSync> self, Target target)
+{
+    while (self->m_context->store().appliedOffset() < target.offset) {
+        const Pulled pulled = co_await pullOnce(self, target.peer);
+        if (pulled == Pulled::Failed) {
+            co_return;
+        }
+        if (pulled == Pulled::NothingNew) {
+            break;
+        }
+    }
+    self->m_context->noteUpToDate();
+}
+
+asio::awaitable<PeerSync::Pulled> PeerSync::pullOnce(std::shared_ptr<PeerSync> self, core::HostId peer)
+{
+    const ContextPtr context = self->m_context;
+    const core::Offset from = context->store().appliedOffset();
+    const wire::RecordPullFields fields{from, context->settings().pageRecords};
+    wire::Message message = wire::RecordPull(fields);
+    const auto answer = co_await context->hooks().call(peer, std::move(message), context->settings().peerTimeout);
+    if (!answer) {
+        co_return Pulled::Failed;
+    }
+    const auto *batch = std::get_if<wire::RecordBatch>(&*answer);
+    co_return batch == nullptr ? Pulled::Failed : self->take(from, *batch);
+}
+
+PeerSync::Pulled PeerSync::take(core::Offset from, const wire::RecordBatch &batch)
+{
+    StoreChange change;
+    if (batch->snapshot) {
+        auto catalogue = Catalogue::fromJson(*batch->snapshot);
+        if (!catalogue) {
+            m_context->report("a peer's catalogue is malformed: " + catalogue.error().detail());
+            return Pulled::Failed;
+        }
+        change = m_context->store().replace(std::move(*catalogue));
+    } else {
+        change = m_context->store().fold(from, batch->records);
+    }
+    m_context->announce(change);
+    return change.hasAdvanced ? Pulled::Advanced : Pulled::NothingNew;
+}
+
+}
--- /dev/null
+++ b/src/config/peer_sync.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "config/service_context.h"
+
+#include <memory>
+#include <mutex>
+#include <optional>
+
+namespace berylspring::config::detail {
+
+/** @brief Fetches records from peers, one pull at a time. */
+class PeerSync
+{
+public:
+    explicit PeerSync(ContextPtr context)
+        : m_context(std::move(context))
+    {
+    }
+
+    /** @brief Pulls until the offset is applied or the peer has no more; see ConfigService::pullFrom(). */
+    static boost::asio::awaitable<void> pull(std::shared_ptr<PeerSync> self, core::HostId peer, core::Offset offset);
+
+    /** @brief Pulls all that a random peer has. */
+    static boost::asio::awaitable<void> pullFromAny(std::shared_ptr<PeerSync> self);
+
+private:
+    struct Target
+    {
+        core::HostId peer;
+        core::Offset offset = 0;
+    };
+
+    enum class Pulled {
+        Advanced,
+        NothingNew,
+        Failed,
+    };
+
+    /** @return Whether the caller is to run the pull; otherwise it was left to the running one. */
+    bool begin(const Target &target);
+    /** @return The pull that was asked for meanwhile; without one, no pull is running any more. */
+    std::optional<Target> takeNext();
+    static boost::asio::awaitable<void> run(std::shared_ptr<PeerSync> self, Target target);
+    static boost::asio::awaitable<Pulled> pullOnce(std::shared_ptr<PeerSync> self, core::HostId peer);
+    Pulled take(core::Offset from, const wire::RecordBatch &batch);
+
+    ContextPtr m_context;
+    std::mutex m_mutex;
+    bool m_isRunning = false;
+    std::optional<Target> m_next;
+};
+using PeerSyncPtr = std::shared_ptr<PeerSync>;
+
+}
--- /dev/null
+++ b/src/config/service_context.cpp
@@ -0,0 +1,86 @@
+#include "config/service_context.h"
+
+#include <array>
+#include <cstdio>
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace berylspring::config::detail {
+
+namespace asio = boost::asio;
+
+void ServiceContext::noteLogContact()
+{
+    const core::TimePoint time = now();
+    const std::scoped_lock lock(m_timesMutex);
+    m_lastLogContact = time;
+    m_lastNews = time;
+}
+
+std::optional<core::TimePoint> ServiceContext::lastLogContact() const
+{
+    const std::scoped_lock lock(m_timesMutex);
+    return m_lastLogContact;
+}
+
+std::optional<core::TimePoint> ServiceContext::lastNews() const
+{
+    const std::scoped_lock lock(m_timesMutex);
+    return m_lastNews;
+}
+
+void ServiceContext::announce(const StoreChange &change)
+{
+    if (change.malformedCount > 0) {
+        report(std::to_string(change.malformedCount) + " malformed records in the configuration log were ignored");
+    }
+    if (!change.hasAdvanced) {
+        return;
+    }
+    const core::TimePoint time = now();
+    {
+        const std::scoped_lock lock(m_timesMutex);
+        m_lastNews = time;
+    }
+    if (m_hooks.applied) {
+        m_hooks.applied(change.appliedOffset);
+    }
+    if (m_hooks.notify) {
+        m_hooks.notify();
+    }
+}
+
+void ServiceContext::report(std::string text) const
+{
+    if (m_hooks.report) {
+        m_hooks.report(std::move(text));
+    }
+}
+
+std::string ServiceContext::newOperationId() const
+{
+    constexpr std::size_t DigitCount = 32;
+    std::array<char, DigitCount + 1> digits{};
+    const unsigned long long high = m_hooks.random();
+    const unsigned long long low = m_hooks.random();
+    std::snprintf(digits.data(), digits.size(), "%016llx%016llx", high, low);
+    return {digits.data(), DigitCount};
+}
+
+core::Duration ServiceContext::jittered(core::Duration duration) const
+{
+    constexpr std::int64_t Steps = 512;
+    const auto step = static_cast<std::int64_t>(m_hooks.random() % Steps);
+    return duration * 3 / 4 + duration / 2 / Steps * step;
+}
+
+asio::awaitable<void> sleepFor(core::Duration duration)
+{
+    const auto executor = co_await asio::this_coro::executor;
+    asio::steady_timer timer(executor, duration);
+    co_await timer.async_wait(asio::use_awaitable);
+}
+
+}
--- /dev/null
+++ b/src/config/service_context.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include "berylspring/config/config_hooks.h"
+#include "berylspring/config/config_settings.h"
+#include "config/catalogue_store.h"
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+namespace berylspring::config::detail {
+
+/** @brief What the parts of the ConfigService share. */
+class ServiceContext
+{
+public:
+    ServiceContext(boost::asio::any_io_executor executor, ConfigSettings settings, ConfigHooks hooks)
+        : m_executor(std::move(executor))
+        , m_settings(std::move(settings))
+        , m_hooks(std::move(hooks))
+        , m_store(m_settings.historyRecords)
+    {
+    }
+
+    [[nodiscard]] const boost::asio::any_io_executor &executor() const noexcept
+    {
+        return m_executor;
+    }
+    [[nodiscard]] const ConfigSettings &settings() const noexcept
+    {
+        return m_settings;
+    }
+    [[nodiscard]] const ConfigHooks &hooks() const noexcept
+    {
+        return m_hooks;
+    }
+    [[nodiscard]] CatalogueStore &store() noexcept
+    {
+        return m_store;
+    }
+    [[nodiscard]] core::TimePoint now() const
+    {
+        return m_hooks.now();
+    }
+
+    [[nodiscard]] bool isReady() const
+    {
+        return m_isUpToDate && m_store.appliedOffset() > 0;
+    }
+    /** @brief The end of the log or of a peer's records was reached. */
+    void noteUpToDate() noexcept
+    {
+        m_isUpToDate = true;
+    }
+
+    [[nodiscard]] bool isStopped() const noexcept
+    {
+        return m_isStopped;
+    }
+    void noteStopped() noexcept
+    {
+        m_isStopped = true;
+    }
+
+    void noteLogContact();
+    [[nodiscard]] std::optional<core::TimePoint> lastLogContact() const;
+    /** @return When the log answered or a peer's records came. */
+    [[nodiscard]] std::optional<core::TimePoint> lastNews() const;
+
+    /** @brief Tells the hooks of new records and reports malformed ones. */
+    void announce(const StoreChange &change);
+    void report(std::string text) const;
+
+    /** @return A valid name that no other operation has. */
+    [[nodiscard]] std::string newOperationId() const;
+    /** @return The duration times 0.75 to 1.25, so that nodes do not act in step. */
+    [[nodiscard]] core::Duration jittered(core::Duration duration) const;
+
+private:
+    const boost::asio::any_io_executor m_executor;
+    const ConfigSettings m_settings;
+    const ConfigHooks m_hooks;
+    CatalogueStore m_store;
+    std::atomic<bool> m_isUpToDate = false;
+    std::atomic<bool> m_isStopped = false;
+    mutable std::mutex m_timesMutex;
+    std::optional<core::TimePoint> m_lastLogContact;
+    std::optional<core::TimePoint> m_lastNews;
+};
+using ContextPtr = std::shared_ptr<ServiceContext>;
+
+/** @brief Waits on a timer of the running coroutine's executor. */
+[[nodiscard]] boost::asio::awaitable<void> sleepFor(core::Duration duration);
+
+}
--- /dev/null
+++ b/src/config/writer.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "berylspring/config/error.h"
+#include "berylspring/config/log_record.h"
+#include "berylspring/config/write_outcome.h"
+#include "config/log_follower.h"
+
+#include <memory>
+#include <optional>
+
+namespace berylspring::config::detail {
+
+/** @brief Appends changes to the log and reads back what became of them. */
+class Writer
+{
+public:
+    Writer(ContextPtr context, FollowerPtr follower)
+        : m_context(std::move(context))
+        , m_follower(std::move(follower))
+    {
+    }
+
+    /**
+     * @brief Appends a record until its operation is seen in the log or the time is over.
+     *
+     * An append without an answer is repeated with the same operation id: duplicates are void.
+     */
+    static boost::asio::awaitable<Result<WriteOutcome>> submit(std::shared_ptr<Writer> self, LogRecord record);
+
+private:
+    struct Progress
+    {
+        core::TimePoint deadline;
+        bool maybeApplied = false;
+        bool isAppended = false;
+        std::uint32_t failures = 0;
+        std::string detail = "the log did not confirm the change in time";
+    };
+
+    static boost::asio::awaitable<std::optional<OperationResult>>
+    settle(std::shared_ptr<Writer> self, LogRecord record, std::shared_ptr<Progress> progress);
+    static boost::asio::awaitable<void>
+    append(std::shared_ptr<Writer> self, LogRecord record, std::shared_ptr<Progress> progress);
+    static boost::asio::awaitable<std::optional<OperationResult>>
+    readBack(std::shared_ptr<Writer> self, std::string operationId, core::TimePoint until);
+
+    ContextPtr m_context;
+    FollowerPtr m_follower;
+};
+using WriterPtr = std::shared_ptr<Writer>;
+
+}
--- /dev/null
+++ b/tests/config/in_memory_log.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "berylspring/platform/log_hooks.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace berylspring::test {
+
+/** @brief The platform log without sockets, with the faults of the tests; used by one thread. */
+class InMemoryLog
+{
+public:
+    explicit InMemoryLog(boost::asio::any_io_executor executor);
+
+    [[nodiscard]] platform::LogHooks hooks();
+
+    void push(const std::string &stream, std::string data);
+    /** @brief Forgets the records below the offset, as retention does. */
+    void dropBefore(const std::string &stream, core::Offset offset);
+    /** @brief Loses all records, so that offsets start at 0 again. */
+    void empty(const std::string &stream);
+    [[nodiscard]] std::size_t size(const std::string &stream) const;
+    [[nodiscard]] const std::vector<std::string> &records(const std::string &stream);
+
+    bool isDown = false;
+    std::uint32_t answersToLose = 0; ///< Next appends that take effect and then fail.
+    std::uint32_t appendsToLose = 0; ///< Next appends that fail in doubt without effect.
+
+private:
+    struct Stream
+    {
+        core::Offset first = 0;
+        std::vector<std::string> records;
+    };
+
+    boost::asio::awaitable<platform::Result<core::Offset>> append(std::string stream, std::string data);
+    boost::asio::awaitable<platform::Result<platform::LogPage>>
+    read(std::string stream, core::Offset from, std::uint32_t limit, core::Duration wait);
+
+    std::map<std::string, Stream> m_streams;
+    boost::asio::steady_timer m_changed;
+};
+
+}
