Limit rate and burst of workspaces by escrow

Change: package limit with the deciding types (TokenBucket, Ledger, OwnerBucket, EntryTokens, NodeLease, Ownership, ViewHistory) and LimitService. Each data centre owns a share. The owner keeps tokens + granted tokens within its capacity instead of reserving rate x lifetime, so a whole burst can be granted at once. Lent tokens take their room along while they travel; rate loans of one partner replace each other, so a renewal needs no second share and a repeated message changes nothing. An entry node asks another data centre when its own owner is silent.

--- /dev/null
+++ b/src/limit/entry_side.cpp
@@ -0,0 +1,298 @@
+#include "entry_side.h"
+
+#include "berylspring/core/rendezvous.h"
+#include "berylspring/limit/tuning.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace berylspring::limit::detail {
+
+namespace {
+
+namespace asio = boost::asio;
+using namespace std::chrono_literals;
+
+/** Leaves time to ask another data centre within MaxHold when the own owner is silent. */
+constexpr core::Duration GrantTimeout = 12ms;
+/** A failed owner is tried again after this time. */
+constexpr core::Duration TargetsLifetime = 500ms;
+/** All owners are without tokens: no new request for this time. */
+constexpr core::Duration LongestRefusal = 10ms;
+/** Between two requests that failed for other reasons than missing tokens. */
+constexpr core::Duration FailurePause = 1ms;
+/** Hosts of the own data centre that are asked: the owner, and its successor when it stops. */
+constexpr std::size_t LocalTargets = 2;
+constexpr core::Duration SlotMemory = 10s;
+/** The next batch is fetched when this part of the last one is left. */
+constexpr std::uint32_t RefillFraction = 4;
+
+}
+
+EntrySide::EntrySide(std::shared_ptr<LimitContext> context, std::shared_ptr<OwnerSide> owners)
+    : m_context(std::move(context))
+    , m_settings(m_context->settings)
+    , m_hooks(m_context->hooks)
+    , m_owners(std::move(owners))
+    , m_totals(m_context->totals)
+{
+}
+
+EntrySide::Shard &EntrySide::shardOf(const core::WorkspaceId &workspace)
+{
+    return m_shards[std::hash<core::WorkspaceId>{}(workspace) % m_shards.size()];
+}
+
+EntrySide::Admission EntrySide::refuse(core::Duration retryAfter)
+{
+    ++m_totals.refused;
+    return tl::make_unexpected(core::Refusal(core::RefusalReason::LimitExceeded,
+                                             core::Outcome::NotRun,
+                                             "the workspace is over its rate and burst")
+                                   .withRetryAfter(std::max<core::Duration>(retryAfter, 1ms)));
+}
+
+asio::awaitable<EntrySide::Admission> EntrySide::admit(core::WorkspaceId workspace, core::Duration maxHold)
+{
+    const auto limit = m_hooks.limitOf(workspace);
+    if (!limit) {
+        ++m_totals.admitted;
+        co_return Admission();
+    }
+    const core::TimePoint arrival = m_hooks.now();
+    const core::Duration hold = std::clamp<core::Duration>(maxHold, 0ms, MaxHold);
+    const double mostWaiters = limit->burst() + limit->rate() * seconds(hold);
+    Shard &shard = shardOf(workspace);
+    WaiterPointer waiter;
+    bool mustFetch = false;
+    {
+        const std::scoped_lock lock(shard.mutex);
+        Slot &slot = shard.slots[workspace];
+        slot.lastUsed = arrival;
+        slot.demand = slot.demand.with(1, arrival);
+        const auto rest = slot.waiters.empty() ? slot.tokens.taken(arrival) : std::nullopt;
+        if (rest) {
+            slot.tokens = *rest;
+            mustFetch = slot.lifetime > 0ms && slot.tokens.available(arrival) < slot.lastBatch / RefillFraction;
+        } else if (arrival < slot.refuseUntil || static_cast<double>(slot.waiters.size()) >= mostWaiters) {
+            co_return refuse(slot.refuseUntil - arrival);
+        } else {
+            waiter = std::make_shared<Waiter>(m_context->executor, arrival + hold);
+            slot.waiters.push_back(waiter);
+            mustFetch = true;
+        }
+        mustFetch = mustFetch && !slot.isFetching;
+        slot.isFetching = slot.isFetching || mustFetch;
+    }
+    if (mustFetch) {
+        startFetch(workspace);
+    }
+    if (!waiter) {
+        ++m_totals.admitted;
+        co_return Admission();
+    }
+    ++m_totals.held;
+    co_await asio::co_spawn(waiter->strand, wait(waiter, hold), asio::use_awaitable);
+    const core::TimePoint now = m_hooks.now();
+    const std::scoped_lock lock(shard.mutex);
+    std::erase(shard.slots[workspace].waiters, waiter);
+    if (waiter->tokenUntil && now < *waiter->tokenUntil) {
+        ++m_totals.admitted;
+        co_return Admission();
+    }
+    co_return refuse(waiter->retryAfter.value_or(hold));
+}
+
+asio::awaitable<void> EntrySide::wait(WaiterPointer waiter, core::Duration longest)
+{
+    if (!waiter->isWoken) {
+        waiter->timer.expires_after(longest);
+        co_await waiter->timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+}
+
+void EntrySide::wake(const WaiterPointer &waiter)
+{
+    asio::post(waiter->strand, [waiter] {
+        waiter->isWoken = true;
+        waiter->timer.cancel();
+    });
+}
+
+void EntrySide::startFetch(const core::WorkspaceId &workspace)
+{
+    asio::co_spawn(
+        m_context->executor,
+        [](std::shared_ptr<EntrySide> self, core::WorkspaceId name) -> asio::awaitable<void> {
+            co_await self->fetchAll(name);
+        }(shared_from_this(), workspace),
+        asio::detached);
+}
+
+asio::awaitable<void> EntrySide::fetchAll(core::WorkspaceId workspace)
+{
+    asio::steady_timer timer(m_context->executor);
+    while (const auto fetch = nextFetch(workspace)) {
+        const core::TimePoint sentAt = m_hooks.now();
+        const wire::GrantReply reply = co_await request(workspace, *fetch);
+        const core::Duration pause = apply(workspace, *fetch, reply, sentAt);
+        if (pause > 0ms) {
+            timer.expires_after(pause);
+            co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        }
+    }
+}
+
+std::vector<core::HostId> EntrySide::targetsFor(const core::WorkspaceId &workspace) const
+{
+    std::vector<core::HostId> targets =
+        core::rendezvousOrder(workspace.value(), m_hooks.liveHosts(m_settings.dataCentre));
+    targets.resize(std::min(targets.size(), LocalTargets));
+    std::vector<core::HostId> remote;
+    for (const core::DataCentreId &dataCentre : m_settings.dataCentres) {
+        const core::HostId owner = dataCentre == m_settings.dataCentre
+                                       ? core::HostId()
+                                       : core::rendezvousFirst(workspace.value(), m_hooks.liveHosts(dataCentre));
+        if (!owner.isEmpty()) {
+            remote.push_back(owner);
+        }
+    }
+    if (!remote.empty()) {
+        // Each entry node starts with another data centre, so that a failed owner's demand is spread.
+        std::rotate(remote.begin(), remote.begin() + static_cast<long>(m_hooks.random() % remote.size()), remote.end());
+    }
+    targets.insert(targets.end(), remote.begin(), remote.end());
+    return targets;
+}
+
+std::optional<EntrySide::Fetch> EntrySide::nextFetch(const core::WorkspaceId &workspace)
+{
+    const core::TimePoint now = m_hooks.now();
+    std::optional<std::vector<core::HostId>> targets;
+    Shard &shard = shardOf(workspace);
+    for (;;) {
+        {
+            const std::scoped_lock lock(shard.mutex);
+            Slot &slot = shard.slots[workspace];
+            if (targets) {
+                slot.targets = std::move(*targets);
+                slot.target = 0;
+                slot.targetsUntil = now + TargetsLifetime;
+            }
+            if (slot.target < slot.targets.size() && (targets || now < slot.targetsUntil)) {
+                const double expected = slot.demand.rate(now) * seconds(slot.lifetime);
+                const auto prefetch = static_cast<std::size_t>(expected);
+                const std::size_t inHand = slot.tokens.available(now);
+                const std::size_t wanted = slot.waiters.size() + (prefetch > inHand ? prefetch - inHand : 0);
+                slot.isFetching = wanted > 0;
+                if (!slot.isFetching) {
+                    return std::nullopt;
+                }
+                return Fetch{slot.targets[slot.target],
+                             static_cast<std::uint32_t>(wanted),
+                             slot.target + 1 == slot.targets.size()};
+            }
+            if (targets) {
+                slot.isFetching = false;
+                return std::nullopt;
+            }
+        }
+        targets = targetsFor(workspace);
+    }
+}
+
+asio::awaitable<wire::GrantReply> EntrySide::request(core::WorkspaceId workspace, Fetch fetch)
+{
+    wire::GrantRequest grant(wire::GrantRequestFields{workspace, fetch.tokens});
+    if (fetch.host == m_settings.self) {
+        co_return co_await m_owners->grant(m_settings.self, std::move(grant));
+    }
+    ++m_totals.grants;
+    wire::Message message = std::move(grant);
+    const auto reply = co_await m_hooks.call(fetch.host, std::move(message), GrantTimeout);
+    const auto *answer = reply ? std::get_if<wire::GrantReply>(&*reply) : nullptr;
+    co_return answer != nullptr ? *answer : wire::GrantReply();
+}
+
+core::Duration EntrySide::apply(const core::WorkspaceId &workspace,
+                                const Fetch &fetch,
+                                const wire::GrantReply &reply,
+                                core::TimePoint sentAt)
+{
+    const core::TimePoint now = m_hooks.now();
+    Shard &shard = shardOf(workspace);
+    const std::scoped_lock lock(shard.mutex);
+    Slot &slot = shard.slots[workspace];
+    if (reply->status == wire::GrantStatus::Granted) {
+        const bool isPlentiful = reply->tokens >= fetch.tokens && reply->availableIn == 0ms;
+        slot.lifetime = isPlentiful ? reply->lifetime : 0ms;
+        slot.lastBatch = reply->tokens;
+        slot.refuseUntil = {};
+        slot.tokens = slot.tokens.granted(reply->tokens, sentAt + reply->lifetime);
+        handOut(slot, now);
+        return slot.waiters.empty() || isPlentiful ? 0ms : reply->availableIn;
+    }
+    slot.lifetime = 0ms;
+    const bool isLater = reply->status == wire::GrantStatus::Later;
+    if (isLater && reply->availableIn <= MaxHold) {
+        refuseLate(slot, now, reply->availableIn);
+        return reply->availableIn;
+    }
+    // Another data centre may have tokens while the own owner has none or is silent.
+    ++slot.target;
+    if (!fetch.isLastTarget) {
+        return 0ms;
+    }
+    if (isLater) {
+        slot.refuseUntil = now + std::min(LongestRefusal, reply->availableIn);
+        refuseLate(slot, now, reply->availableIn);
+    }
+    return FailurePause;
+}
+
+void EntrySide::handOut(Slot &slot, core::TimePoint now)
+{
+    while (!slot.waiters.empty()) {
+        const auto until = slot.tokens.nextEnd(now);
+        const auto rest = slot.tokens.taken(now);
+        if (!until || !rest) {
+            return;
+        }
+        slot.tokens = *rest;
+        slot.waiters.front()->tokenUntil = until;
+        wake(slot.waiters.front());
+        slot.waiters.pop_front();
+    }
+}
+
+void EntrySide::refuseLate(Slot &slot, core::TimePoint now, core::Duration wait)
+{
+    std::erase_if(slot.waiters, [&](const WaiterPointer &waiter) {
+        if (waiter->deadline >= now + wait) {
+            return false;
+        }
+        waiter->retryAfter = wait;
+        wake(waiter);
+        return true;
+    });
+}
+
+void EntrySide::tick()
+{
+    const core::TimePoint now = m_hooks.now();
+    for (Shard &shard : m_shards) {
+        const std::scoped_lock lock(shard.mutex);
+        std::erase_if(shard.slots, [&](const auto &entry) {
+            const Slot &slot = entry.second;
+            return !slot.isFetching && slot.waiters.empty() && now > slot.lastUsed + SlotMemory;
+        });
+    }
+}
+
+}
--- /dev/null
+++ b/src/limit/entry_side.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "berylspring/limit/demand_estimate.h"
+#include "berylspring/limit/entry_tokens.h"
+#include "berylspring/limit/limit_service.h"
+#include "owner_side.h"
+
+#include <array>
+#include <deque>
+#include <memory>
+#include <mutex>
+#include <unordered_map>
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+
+namespace berylspring::limit::detail {
+
+/** @brief One held request. The timer is used in the strand only, the other members under the shard's mutex. */
+struct Waiter
+{
+    using Strand = boost::asio::strand<boost::asio::any_io_executor>;
+
+    Waiter(const boost::asio::any_io_executor &executor, core::TimePoint end)
+        : strand(executor)
+        , timer(strand)
+        , deadline(end)
+    {
+    }
+
+    Strand strand;
+    boost::asio::steady_timer timer;
+    bool isWoken = false; ///< Strand only.
+    core::TimePoint deadline;
+    std::optional<core::TimePoint> tokenUntil; ///< It was given a token.
+    std::optional<core::Duration> retryAfter; ///< It is refused.
+};
+
+/** @brief Tokens in hand, and requests that wait for some. */
+class EntrySide : public std::enable_shared_from_this<EntrySide>
+{
+public:
+    using Admission = tl::expected<void, core::Refusal>;
+
+    EntrySide(std::shared_ptr<LimitContext> context, std::shared_ptr<OwnerSide> owners);
+
+    [[nodiscard]] boost::asio::awaitable<Admission> admit(core::WorkspaceId workspace, core::Duration maxHold);
+    /** @brief Forgets workspaces without recent requests. */
+    void tick();
+
+private:
+    using WaiterPointer = std::shared_ptr<Waiter>;
+
+    struct Slot
+    {
+        EntryTokens tokens;
+        DemandEstimate demand;
+        std::deque<WaiterPointer> waiters;
+        bool isFetching = false;
+        std::uint32_t lastBatch = 0;
+        core::Duration lifetime{}; ///< Of the last grant; zero unless tokens were plentiful.
+        core::TimePoint refuseUntil{}; ///< All owners were without tokens.
+        std::vector<core::HostId> targets;
+        core::TimePoint targetsUntil{};
+        std::size_t target = 0;
+        core::TimePoint lastUsed{};
+    };
+    struct Shard
+    {
+        std::mutex mutex;
+        std::unordered_map<core::WorkspaceId, Slot> slots;
+    };
+    /** @brief One request for tokens that is to be sent. */
+    struct Fetch
+    {
+        core::HostId host;
+        std::uint32_t tokens = 0;
+        bool isLastTarget = false;
+    };
+
+    [[nodiscard]] Shard &shardOf(const core::WorkspaceId &workspace);
+    [[nodiscard]] Admission refuse(core::Duration retryAfter);
+    void startFetch(const core::WorkspaceId &workspace);
+    [[nodiscard]] boost::asio::awaitable<void> fetchAll(core::WorkspaceId workspace);
+    [[nodiscard]] std::optional<Fetch> nextFetch(const core::WorkspaceId &workspace);
+    [[nodiscard]] std::vector<core::HostId> targetsFor(const core::WorkspaceId &workspace) const;
+    [[nodiscard]] boost::asio::awaitable<wire::GrantReply> request(core::WorkspaceId workspace, Fetch fetch);
+    /** @return How long to wait before the next request. */
+    [[nodiscard]] core::Duration apply(const core::WorkspaceId &workspace,
+                                       const Fetch &fetch,
+                                       const wire::GrantReply &reply,
+                                       core::TimePoint sentAt);
+    void handOut(Slot &slot, core::TimePoint now);
+    void refuseLate(Slot &slot, core::TimePoint now, core::Duration wait);
+    static void wake(const WaiterPointer &waiter);
+    [[nodiscard]] static boost::asio::awaitable<void> wait(WaiterPointer waiter, core::Duration longest);
+
+    std::shared_ptr<LimitContext> m_context;
+    const LimitSettings &m_settings;
+    const LimitHooks &m_hooks;
+    std::shared_ptr<OwnerSide> m_owners;
+    Totals &m_totals;
+    std::array<Shard, 16> m_shards;
+};
+
+}
--- /dev/null
+++ b/src/limit/node_state.cpp
@@ -0,0 +1,71 @@
+#include "node_state.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace berylspring::limit::detail {
+
+namespace {
+
+/** Reading the view of a large data centre on each grant would cost more than the grant. */
+constexpr core::Duration ViewInterval = std::chrono::milliseconds(20);
+/** A host that announced its stop has left the view by then. */
+constexpr core::Duration RetiredMemory = std::chrono::seconds(10);
+
+}
+
+NodeState::NodeState(const LimitSettings &settings, const LimitHooks &hooks)
+    : m_settings(settings)
+    , m_hooks(hooks)
+    , m_lease(hooks.now())
+{
+}
+
+void NodeState::refreshView(core::TimePoint now)
+{
+    {
+        const std::scoped_lock lock(m_mutex);
+        if (!m_view->live().empty() && now - m_viewAt < ViewInterval) {
+            return;
+        }
+    }
+    std::vector<core::HostId> live = m_hooks.liveHosts(m_settings.dataCentre);
+    if (std::find(live.begin(), live.end(), m_settings.self) == live.end()) {
+        live.push_back(m_settings.self);
+    }
+    const std::scoped_lock lock(m_mutex);
+    std::erase_if(m_retired, [&](const auto &entry) { return entry.second <= now; });
+    std::erase_if(live, [&](const core::HostId &host) { return m_retired.contains(host); });
+    m_viewAt = now;
+    ViewHistory next = m_view->observed(std::move(live), now);
+    if (next != *m_view) {
+        m_view = std::make_shared<ViewHistory>(std::move(next));
+    }
+}
+
+NodeSnapshot NodeState::observe()
+{
+    // The acknowledgement is read first: one that arrives later must not count for an earlier moment.
+    const core::TimePoint lastAck = m_hooks.lastPeerAck();
+    const std::uint64_t resumeCount = m_hooks.resumeCount();
+    const core::TimePoint now = m_hooks.now();
+    refreshView(now);
+    const std::scoped_lock lock(m_mutex);
+    m_lease = m_lease.observed(now, lastAck, m_view->live().size() > 1, resumeCount);
+    NodeSnapshot snapshot{now, m_lease, m_view, {}};
+    for (const auto &[host, until] : m_retired) {
+        snapshot.retired.push_back(host);
+    }
+    return snapshot;
+}
+
+void NodeState::retire(const core::HostId &host)
+{
+    const core::TimePoint now = m_hooks.now();
+    const std::scoped_lock lock(m_mutex);
+    if (m_retired.insert_or_assign(host, now + RetiredMemory).second) {
+        m_view = std::make_shared<ViewHistory>(m_view->without(host, now));
+    }
+}
+
+}
--- /dev/null
+++ b/src/limit/owner_bucket.cpp
@@ -0,0 +1,288 @@
+#include "berylspring/limit/owner_bucket.h"
+
+#include "berylspring/limit/tuning.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace berylspring::limit {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/** Absorbs the rounding of sums of binary fractions, so that three thirds make a whole token. */
+constexpr double RoundingTolerance = 1e-6;
+/** Below this part of its capacity a bucket counts as scarce. */
+constexpr double ScarceFraction = 0.5;
+/** Below this part of its capacity an active bucket borrows ahead of need. */
+constexpr double BorrowFraction = 0.75;
+/** Tokens in long-lived grants, in seconds of the rate. After a full burst as much refill may be lost. */
+constexpr double PlentifulGrantSeconds = 0.015;
+/** Rate beyond the observed demand that a borrower asks for. A larger value makes full borrowers overflow. */
+constexpr double BorrowHeadroom = 1.05;
+/** Rate beyond the observed demand that a lender keeps. */
+constexpr double LendHeadroom = 1.1;
+/** Demand for which a lender keeps tokens, in seconds. It stays below the longest hold. */
+constexpr double ReserveSeconds = 0.010;
+/** A borrower's bucket should be full after this time. */
+constexpr double FillSeconds = 1.0;
+constexpr core::Duration RateAskInterval = 100ms;
+constexpr core::Duration TokenAskInterval = 250ms;
+/** A lender that gave too little is not asked for missing tokens for this time. */
+constexpr core::Duration DryInterval = 12ms;
+constexpr core::Duration FailureInterval = 200ms;
+/** Shortest and usual waits in the answer of an owner without tokens. */
+constexpr core::Duration LoanPollInterval = 3ms;
+constexpr core::Duration DryPollInterval = 8ms;
+/** A loan is renewed when it ends before this time. */
+constexpr core::Duration RenewAhead = 500ms;
+/** Unmet demand older than this was held too long to matter. */
+constexpr core::Duration UnmetMemory = 20ms;
+
+core::Duration withDrift(core::Duration duration)
+{
+    return durationOf(seconds(duration) * DriftFactor);
+}
+
+}
+
+OwnerBucket::OwnerBucket(Share share,
+                         std::vector<core::DataCentreId> lenders,
+                         HandoverState state,
+                         core::TimePoint start)
+    : m_share(share)
+    , m_bucket(0, share.capacity() + state.tokens, state.tokens, start)
+{
+    for (auto &lender : lenders) {
+        m_lenders.emplace(std::move(lender), Lender{});
+    }
+    for (auto &hold : state.holds) {
+        m_ledger.add(std::move(hold));
+    }
+}
+
+double OwnerBucket::rateAt(core::TimePoint at) const
+{
+    return std::max(0.0, m_share.rate() - m_ledger.total(HoldKind::RateLent, at))
+           + m_ledger.total(HoldKind::RateBorrowed, at);
+}
+
+double OwnerBucket::capacityAt(core::TimePoint at) const
+{
+    const double capacity = std::max(0.0, m_share.capacity() - m_ledger.total(HoldKind::CapacityLent, at))
+                            + m_ledger.total(HoldKind::CapacityBorrowed, at);
+    return std::max(0.0, capacity - m_ledger.total(HoldKind::Granted, at));
+}
+
+double OwnerBucket::ownRoomAt(core::TimePoint at) const
+{
+    return std::min(capacityAt(at), std::max(0.0, m_share.capacity() - m_ledger.total(HoldKind::CapacityLent, at)));
+}
+
+void OwnerBucket::advance(core::TimePoint now)
+{
+    while (m_bucket.updatedAt() < now) {
+        const core::TimePoint from = m_bucket.updatedAt();
+        const core::TimePoint to = std::min(now, m_ledger.nextEnd(from).value_or(now));
+        // Borrowed capacity holds borrowed tokens only: refill would be lost when the loan ends.
+        const double limit = std::max(ownRoomAt(from), std::min(m_bucket.tokens(), capacityAt(from)));
+        m_bucket = TokenBucket(rateAt(from), limit, m_bucket.tokens(), from).refilled(to);
+    }
+    m_ledger.prune(now);
+    m_bucket = m_bucket.withCapacity(capacityAt(m_bucket.updatedAt()));
+}
+
+void OwnerBucket::changeShare(Share share, core::TimePoint now)
+{
+    if (share != m_share) {
+        advance(now);
+        m_share = share;
+        m_bucket = m_bucket.withCapacity(capacityAt(now));
+    }
+}
+
+double OwnerBucket::tokens(core::TimePoint now)
+{
+    advance(now);
+    return m_bucket.tokens();
+}
+
+bool OwnerBucket::isScarce(core::TimePoint now) const
+{
+    return m_bucket.tokens() < ScarceFraction * m_share.capacity()
+           || m_ledger.total(HoldKind::CapacityBorrowed, now) > 0;
+}
+
+core::Duration OwnerBucket::lifetime(double granted, core::TimePoint now) const
+{
+    const double base = std::clamp(
+        m_share.capacity() / (4 * std::max(m_share.rate(), 1e-9)), seconds(MinLifetime), seconds(MaxScarceLifetime));
+    const double longLived = PlentifulGrantSeconds * m_share.rate();
+    if (isScarce(now) || granted + m_ledger.total(HoldKind::Granted, now) > longLived) {
+        return durationOf(base);
+    }
+    const double demand = std::max(m_demand.rate(now), 1e-9);
+    return durationOf(std::clamp(longLived / demand, base, seconds(MaxLifetime)));
+}
+
+GrantDecision OwnerBucket::grant(std::uint32_t wanted, core::TimePoint now)
+{
+    advance(now);
+    GrantDecision decision;
+    const double whole = std::floor(m_bucket.tokens() + RoundingTolerance);
+    decision.tokens = static_cast<std::uint32_t>(std::min<double>(wanted, whole));
+    if (decision.tokens < wanted) {
+        m_unmet += wanted - decision.tokens;
+        m_unmetAt = now;
+    }
+    if (decision.tokens == 0) {
+        const bool mayBorrow = std::any_of(
+            m_lenders.begin(), m_lenders.end(), [&](const auto &entry) { return entry.second.dryUntil <= now; });
+        const double missing = std::max(0.0, 1 - m_bucket.tokens());
+        const double rate = rateAt(now);
+        const core::Duration refill = rate > 0 ? durationOf(missing / rate) : core::Duration(LoanWait);
+        decision.availableIn = mayBorrow ? LoanPollInterval : std::max<core::Duration>(refill, DryPollInterval);
+        return decision;
+    }
+    decision.availableIn = isScarce(now) ? LoanPollInterval : core::Duration{};
+    decision.lifetime = lifetime(decision.tokens, now);
+    m_bucket = m_bucket.taken(decision.tokens, now);
+    m_demand = m_demand.with(decision.tokens, now);
+    m_ledger.add(Hold(HoldKind::Granted, {}, decision.tokens, now + withDrift(decision.lifetime)));
+    return decision;
+}
+
+double OwnerBucket::lendableRate(const core::DataCentreId &borrower, core::TimePoint now) const
+{
+    const double own = m_share.rate() - m_ledger.total(HoldKind::RateLent, now, borrower);
+    return std::max(0.0, own - m_demand.rate(now) * LendHeadroom);
+}
+
+double OwnerBucket::lendableTokens(core::TimePoint now) const
+{
+    // Only own capacity is lent: a borrowed one may end before the loan.
+    const double own =
+        m_share.capacity() - m_ledger.total(HoldKind::CapacityLent, now) - m_ledger.total(HoldKind::Granted, now);
+    return std::max(0.0, std::min(own, m_bucket.tokens() - m_demand.rate(now) * ReserveSeconds));
+}
+
+LoanDecision OwnerBucket::lend(const core::DataCentreId &borrower, double rate, double tokens, core::TimePoint now)
+{
+    advance(now);
+    LoanDecision loan;
+    if (tokens > 0) {
+        loan.tokens = std::min(tokens, lendableTokens(now));
+        loan.duration = TokenLoanDuration;
+        m_bucket = m_bucket.taken(loan.tokens, now);
+        m_ledger.add(Hold(HoldKind::CapacityLent, borrower, loan.tokens, now + withDrift(TokenLoanDuration)));
+    } else {
+        loan.rate = std::min(std::max(0.0, rate), lendableRate(borrower, now));
+        loan.duration = RateLoanDuration;
+        m_ledger.add(Hold(HoldKind::RateLent, borrower, loan.rate, now + withDrift(RateLoanDuration)));
+    }
+    return loan;
+}
+
+void OwnerBucket::addRateNeeds(std::vector<LoanNeed> &result, core::TimePoint now)
+{
+    const bool isLow = m_bucket.tokens() < BorrowFraction * m_share.capacity();
+    if (!isLow && m_ledger.total(HoldKind::RateBorrowed, now) == 0) {
+        return;
+    }
+    const double unmet = now - m_unmetAt < UnmetMemory ? m_unmet / DemandEstimate::TimeConstantSeconds : 0;
+    const double fill = isLow ? std::max(0.0, ownRoomAt(now) - m_bucket.tokens()) / FillSeconds : 0;
+    const double need = (m_demand.rate(now) + unmet) * BorrowHeadroom + fill - m_share.rate();
+    const double ask = std::min(need / static_cast<double>(m_lenders.size()), m_share.rate());
+    if (ask <= 0) {
+        return;
+    }
+    for (auto &[name, lender] : m_lenders) {
+        const double held = m_ledger.rateWith(HoldKind::RateBorrowed, name, now + RenewAhead);
+        if (!lender.isAskedForRate && lender.nextRateAsk <= now && held < 0.9 * ask) {
+            lender.isAskedForRate = true;
+            result.push_back(LoanNeed{name, ask, 0});
+        }
+    }
+}
+
+void OwnerBucket::addTokenNeeds(std::vector<LoanNeed> &result, core::TimePoint now)
+{
+    const bool isUrgent = m_unmet > 0 && now - m_unmetAt < UnmetMemory;
+    const double want = isUrgent ? m_unmet - m_bucket.tokens() : ownRoomAt(now) - m_bucket.tokens();
+    if (want <= RoundingTolerance || (!isUrgent && m_bucket.tokens() >= BorrowFraction * m_share.capacity())) {
+        return;
+    }
+    std::vector<core::DataCentreId> askable;
+    for (const auto &[name, lender] : m_lenders) {
+        if (!lender.isAskedForTokens && lender.dryUntil <= now && (isUrgent || lender.nextTokenAsk <= now)) {
+            askable.push_back(name);
+        }
+    }
+    for (const auto &name : askable) {
+        m_lenders[name].isAskedForTokens = true;
+        result.push_back(LoanNeed{name, 0, want / static_cast<double>(askable.size())});
+    }
+    if (!askable.empty()) {
+        m_unmet = 0;
+    }
+}
+
+std::vector<LoanNeed> OwnerBucket::needs(core::TimePoint now)
+{
+    std::vector<LoanNeed> result;
+    if (!m_lenders.empty()) {
+        advance(now);
+        addRateNeeds(result, now);
+        addTokenNeeds(result, now);
+    }
+    return result;
+}
+
+void OwnerBucket::borrowed(const LoanNeed &need, const LoanDecision &loan, core::TimePoint sentAt, core::TimePoint now)
+{
+    advance(now);
+    Lender &lender = m_lenders[need.lender];
+    if (need.tokens > 0) {
+        lender.isAskedForTokens = false;
+        const bool isDry = loan.tokens < 0.9 * need.tokens;
+        lender.dryUntil = isDry ? now + DryInterval : now;
+        lender.nextTokenAsk = now + TokenAskInterval * (isDry ? 4 : 1);
+        if (now < sentAt + TokenLoanTimeout) {
+            m_ledger.add(Hold(HoldKind::CapacityBorrowed, need.lender, loan.tokens, sentAt + TokenLoanTimeout));
+            m_bucket = m_bucket.withCapacity(capacityAt(now)).taken(-loan.tokens, now);
+        }
+        return;
+    }
+    lender.isAskedForRate = false;
+    lender.nextRateAsk = now + RateAskInterval;
+    m_ledger.add(Hold(HoldKind::RateBorrowed, need.lender, loan.rate, sentAt + loan.duration));
+}
+
+void OwnerBucket::notBorrowed(const LoanNeed &need, core::TimePoint now)
+{
+    Lender &lender = m_lenders[need.lender];
+    if (need.tokens > 0) {
+        lender.isAskedForTokens = false;
+        lender.dryUntil = now + FailureInterval;
+        lender.nextTokenAsk = now + FailureInterval;
+    } else {
+        lender.isAskedForRate = false;
+        lender.nextRateAsk = now + FailureInterval;
+    }
+}
+
+HandoverState OwnerBucket::handOver(core::TimePoint now)
+{
+    advance(now);
+    return {m_bucket.tokens(), m_ledger.holds()};
+}
+
+bool OwnerBucket::isIdle(core::TimePoint now, core::Duration refillTime)
+{
+    advance(now);
+    return m_share.capacity() <= m_share.rate() * seconds(refillTime) && m_ledger.holds().empty()
+           && m_bucket.tokens() >= m_share.capacity() * (1 - RoundingTolerance);
+}
+
+}
--- /dev/null
+++ b/src/limit/owner_side.cpp
@@ -0,0 +1,430 @@
+#include "owner_side.h"
+
+#include "berylspring/core/rendezvous.h"
+#include "berylspring/limit/tuning.h"
+
+#include <algorithm>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace berylspring::limit::detail {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr core::Duration HandoverTimeout = 300ms;
+/** Between two attempts to start when the earlier owner did not answer. */
+constexpr core::Duration StartRetryInterval = 50ms;
+constexpr core::Duration RateLoanTimeout = 200ms;
+/** While another request starts the bucket, which takes one round trip. */
+constexpr core::Duration StartPollInterval = 2ms;
+
+wire::GrantReply grantReply(wire::GrantStatus status, const GrantDecision &decision)
+{
+    return wire::GrantReply(wire::GrantReplyFields{status, decision.tokens, decision.lifetime, decision.availableIn});
+}
+
+}
+
+OwnerSide::OwnerSide(std::shared_ptr<LimitContext> context)
+    : m_context(std::move(context))
+    , m_settings(m_context->settings)
+    , m_hooks(m_context->hooks)
+    , m_totals(m_context->totals)
+    , m_nodeState(m_settings, m_hooks)
+{
+}
+
+OwnerSide::Shard &OwnerSide::shardOf(const core::WorkspaceId &workspace)
+{
+    return m_shards[std::hash<core::WorkspaceId>{}(workspace) % m_shards.size()];
+}
+
+OwnerBucket OwnerSide::makeBucket(const WorkspaceLimit &limit, HandoverState state, core::TimePoint start) const
+{
+    std::vector<core::DataCentreId> lenders = m_settings.dataCentres;
+    std::erase(lenders, m_settings.dataCentre);
+    return {limit.share(m_settings.dataCentres.size()), std::move(lenders), std::move(state), start};
+}
+
+bool OwnerSide::isFirst(Slot &slot, const core::WorkspaceId &workspace, const NodeSnapshot &node) const
+{
+    if (slot.orderView != node.view) {
+        slot.orderView = node.view;
+        slot.isFirst = core::rendezvousFirst(workspace.value(), node.view->live()) == m_settings.self;
+    }
+    return slot.isFirst;
+}
+
+OwnerSide::Readiness OwnerSide::readiness(Slot &slot,
+                                          const core::WorkspaceId &workspace,
+                                          const NodeSnapshot &node,
+                                          const WorkspaceLimit &limit)
+{
+    using wire::GrantStatus;
+    slot.ownership = slot.ownership.under(node.lease);
+    if (slot.ownership.phase() != OwnershipPhase::Active) {
+        slot.bucket.reset();
+    } else if (node.isLeaseValid()) {
+        // An owner that is no longer first goes on until the new one asks for the bucket.
+        slot.bucket->changeShare(limit.share(m_settings.dataCentres.size()), node.now);
+        return {GrantStatus::Granted, {}, false};
+    }
+    if (m_isStopping || !isFirst(slot, workspace, node)) {
+        return {GrantStatus::NotOwner, {}, false};
+    }
+    if (!node.isLeaseValid()) {
+        return {GrantStatus::Later, LeaseWait, false};
+    }
+    if (slot.ownership.phase() == OwnershipPhase::Waiting) {
+        if (node.now < slot.ownership.until()) {
+            return {GrantStatus::Later, slot.ownership.until() - node.now, false};
+        }
+        slot.bucket = makeBucket(limit, {}, slot.ownership.until());
+        slot.ownership = Ownership::active(node.lease.epoch());
+        ++slot.generation;
+        return {GrantStatus::Granted, {}, false};
+    }
+    if (slot.isStarting) {
+        return {GrantStatus::Later, StartPollInterval, false};
+    }
+    if (node.now < slot.retryAt) {
+        return {GrantStatus::Later, std::max<core::Duration>(slot.retryAt - node.now, StartRetryInterval), false};
+    }
+    slot.isStarting = true;
+    return {GrantStatus::Later, StartPollInterval, true};
+}
+
+boost::asio::awaitable<OwnerSide::Readiness> OwnerSide::makeReady(core::WorkspaceId workspace, WorkspaceLimit limit)
+{
+    Readiness ready;
+    for (int attempt = 0; attempt < 2; ++attempt) {
+        const NodeSnapshot node = m_nodeState.observe();
+        {
+            Shard &shard = shardOf(workspace);
+            const std::scoped_lock lock(shard.mutex);
+            ready = readiness(shard.slots[workspace], workspace, node, limit);
+        }
+        if (!ready.mayStart) {
+            break;
+        }
+        co_await startOwning(workspace, limit);
+    }
+    co_return ready;
+}
+
+void OwnerSide::storeStart(const core::WorkspaceId &workspace,
+                           const NodeSnapshot &began,
+                           Ownership ownership,
+                           std::optional<OwnerBucket> bucket)
+{
+    Shard &shard = shardOf(workspace);
+    const std::scoped_lock lock(shard.mutex);
+    Slot &slot = shard.slots[workspace];
+    slot.isStarting = false;
+    slot.ownership = ownership;
+    slot.bucket = std::move(bucket);
+    if (slot.bucket) {
+        ++slot.generation;
+        slot.lastActive = began.now;
+    }
+    if (ownership.phase() == OwnershipPhase::Idle) {
+        slot.retryAt = began.now + StartRetryInterval;
+    } else {
+        slot.yieldedTo.reset();
+    }
+}
+
+boost::asio::awaitable<void> OwnerSide::startOwning(core::WorkspaceId workspace, WorkspaceLimit limit)
+{
+    const NodeSnapshot began = m_nodeState.observe();
+    const StartPlan plan = planFor(workspace, began);
+    if (plan.predecessor) {
+        const auto answer = co_await askPredecessor(*plan.predecessor, workspace);
+        finishStart(workspace, limit, began, plan, answer);
+    } else {
+        const Ownership next = Ownership::waiting(plan.readyAt, began.lease.epoch());
+        storeStart(workspace, began, next, std::nullopt);
+    }
+}
+
+boost::asio::awaitable<std::optional<wire::HandoverReply>> OwnerSide::askPredecessor(core::HostId predecessor,
+                                                                                     core::WorkspaceId workspace)
+{
+    wire::Message request = wire::HandoverRequest(wire::HandoverRequestFields{workspace});
+    const auto reply = co_await m_hooks.call(predecessor, std::move(request), HandoverTimeout);
+    const auto *answer = reply ? std::get_if<wire::HandoverReply>(&*reply) : nullptr;
+    co_return answer != nullptr ? std::optional(*answer) : std::nullopt;
+}
+
+void OwnerSide::finishStart(const core::WorkspaceId &workspace,
+                            const WorkspaceLimit &limit,
+                            const NodeSnapshot &began,
+                            const StartPlan &plan,
+                            const std::optional<wire::HandoverReply> &answer)
+{
+    const core::TimePoint now = m_hooks.now();
+    const std::uint64_t epoch = began.lease.epoch();
+    if (!answer) {
+        storeStart(workspace, began, withoutPredecessor(plan, began), std::nullopt);
+    } else if (!(*answer)->wasOwner) {
+        storeStart(workspace, began, Ownership::waiting(std::max(plan.readyAt, now), epoch), std::nullopt);
+    } else {
+        ++m_totals.handovers;
+        OwnerBucket bucket = makeBucket(limit, stateFrom(*answer, began.now, now), now);
+        storeStart(workspace, began, Ownership::active(epoch), std::move(bucket));
+    }
+}
+
+StartPlan OwnerSide::planFor(const core::WorkspaceId &workspace, const NodeSnapshot &node)
+{
+    std::optional<core::HostId> askFirst;
+    core::TimePoint lastActive;
+    {
+        Shard &shard = shardOf(workspace);
+        const std::scoped_lock lock(shard.mutex);
+        askFirst = shard.slots[workspace].yieldedTo;
+        lastActive = shard.slots[workspace].lastActive;
+    }
+    for (const core::HostId &host : node.retired) {
+        if (!askFirst && core::rendezvousFirst(workspace.value(), {host, m_settings.self}) == host) {
+            askFirst = host;
+        }
+    }
+    StartPlan plan = planStart(workspace.value(), m_settings.self, *node.view, node.lease, node.now, askFirst);
+    plan.readyAt = std::max(plan.readyAt, lastActive + LoanWait);
+    return plan;
+}
+
+Ownership OwnerSide::withoutPredecessor(const StartPlan &plan, const NodeSnapshot &node) const
+{
+    const auto &live = node.view->live();
+    if (std::find(live.begin(), live.end(), *plan.predecessor) != live.end()) {
+        return {}; // It may still grant, so it is asked again until it answers or leaves the view.
+    }
+    const auto departed = node.view->departed().find(*plan.predecessor);
+    const core::TimePoint goneAt = departed == node.view->departed().end() ? node.now : departed->second;
+    return Ownership::waiting(std::max(plan.readyAt, goneAt + LeaseWait + LoanWait), node.lease.epoch());
+}
+
+HandoverState OwnerSide::stateFrom(const wire::HandoverReply &reply, core::TimePoint sentAt, core::TimePoint now) const
+{
+    HandoverState state;
+    state.tokens = reply->tokens;
+    for (const wire::LoanRecord &record : reply->loans) {
+        // What others hold is counted from now, what this side holds from the sending of the request.
+        const core::TimePoint lentUntil = now + durationOf(seconds(record.remaining) * DriftFactor);
+        const core::TimePoint heldUntil = sentAt + record.remaining;
+        if (record.dataCentre == m_settings.dataCentre) {
+            state.holds.emplace_back(HoldKind::Granted, core::DataCentreId(), record.capacity, lentUntil);
+        } else if (record.rate > 0) {
+            state.holds.emplace_back(record.isLent ? HoldKind::RateLent : HoldKind::RateBorrowed,
+                                     record.dataCentre,
+                                     record.rate,
+                                     record.isLent ? lentUntil : heldUntil);
+        } else {
+            state.holds.emplace_back(record.isLent ? HoldKind::CapacityLent : HoldKind::CapacityBorrowed,
+                                     record.dataCentre,
+                                     record.capacity,
+                                     record.isLent ? lentUntil : heldUntil);
+        }
+    }
+    return state;
+}
+
+wire::Message OwnerSide::handOverTo(const core::HostId &to, const wire::HandoverRequest &request)
+{
+    const NodeSnapshot node = m_nodeState.observe();
+    const core::WorkspaceId &workspace = request->workspace;
+    const StartPlan plan = planStart(workspace.value(), m_settings.self, *node.view, node.lease, node.now);
+    Shard &shard = shardOf(workspace);
+    const std::scoped_lock lock(shard.mutex);
+    Slot &slot = shard.slots[workspace];
+    slot.ownership = slot.ownership.under(node.lease);
+    if (slot.ownership.phase() == OwnershipPhase::Active && node.isLeaseValid()) {
+        wire::HandoverReplyFields reply{true, 0, {}};
+        const HandoverState state = slot.bucket->handOver(node.now);
+        reply.tokens = state.tokens;
+        for (const Hold &hold : state.holds) {
+            const bool isRate = hold.kind() == HoldKind::RateLent || hold.kind() == HoldKind::RateBorrowed;
+            const bool isBorrowed = hold.kind() == HoldKind::RateBorrowed || hold.kind() == HoldKind::CapacityBorrowed;
+            const auto &partner = hold.kind() == HoldKind::Granted ? m_settings.dataCentre : hold.partner();
+            reply.loans.push_back(wire::LoanRecord{
+                partner, !isBorrowed, isRate ? hold.amount() : 0, isRate ? 0 : hold.amount(), hold.until() - node.now});
+        }
+        slot.bucket.reset();
+        slot.ownership = Ownership();
+        slot.lastActive = node.now;
+        slot.yieldedTo = to;
+        return wire::HandoverReply(std::move(reply));
+    }
+    const bool isWaiting = slot.ownership.phase() == OwnershipPhase::Waiting && node.now < slot.ownership.until();
+    if (slot.isStarting || isWaiting || node.now < plan.readyAt || node.now < slot.lastActive + LoanWait) {
+        return wire::Refused(wire::RefusedFields{"what an earlier owner granted may still be in use"});
+    }
+    slot.bucket.reset();
+    slot.ownership = Ownership();
+    slot.yieldedTo = to;
+    return wire::HandoverReply(wire::HandoverReplyFields{});
+}
+
+boost::asio::awaitable<wire::GrantReply> OwnerSide::grant(core::HostId from, wire::GrantRequest request)
+{
+    const core::WorkspaceId workspace = request->workspace;
+    const auto limit = m_hooks.limitOf(workspace);
+    if (!limit) {
+        co_return grantReply(wire::GrantStatus::Granted, {request->tokens, MaxLifetime, {}});
+    }
+    if (request->tokens == 0) {
+        // A host that stops by plan asks its successor to fetch the bucket.
+        m_nodeState.retire(from);
+    }
+    const Readiness ready = co_await makeReady(workspace, *limit);
+    if (ready.status != wire::GrantStatus::Granted || request->tokens == 0) {
+        co_return grantReply(ready.status, {0, {}, ready.wait});
+    }
+    const NodeSnapshot node = m_nodeState.observe();
+    GrantDecision decision;
+    std::vector<LoanNeed> needs;
+    std::uint64_t generation = 0;
+    {
+        Shard &shard = shardOf(workspace);
+        const std::scoped_lock lock(shard.mutex);
+        Slot &slot = shard.slots[workspace];
+        if (readiness(slot, workspace, node, *limit).status != wire::GrantStatus::Granted) {
+            slot.isStarting = false;
+            co_return grantReply(wire::GrantStatus::Later, {0, {}, StartPollInterval});
+        }
+        decision = slot.bucket->grant(request->tokens, node.now);
+        needs = slot.bucket->needs(node.now);
+        slot.lastActive = node.now;
+        generation = slot.generation;
+    }
+    spawnLoans(workspace, generation, needs);
+    co_return grantReply(decision.tokens > 0 ? wire::GrantStatus::Granted : wire::GrantStatus::Later, decision);
+}
+
+boost::asio::awaitable<wire::LoanReply> OwnerSide::lend(wire::LoanRequest request)
+{
+    const core::WorkspaceId workspace = request->workspace;
+    const auto limit = m_hooks.limitOf(workspace);
+    if (!limit) {
+        co_return wire::LoanReply();
+    }
+    const Readiness ready = co_await makeReady(workspace, *limit);
+    if (ready.status != wire::GrantStatus::Granted) {
+        co_return wire::LoanReply();
+    }
+    const NodeSnapshot node = m_nodeState.observe();
+    Shard &shard = shardOf(workspace);
+    const std::scoped_lock lock(shard.mutex);
+    Slot &slot = shard.slots[workspace];
+    if (readiness(slot, workspace, node, *limit).status != wire::GrantStatus::Granted) {
+        slot.isStarting = false;
+        co_return wire::LoanReply();
+    }
+    const LoanDecision loan = slot.bucket->lend(request->borrower, request->rate, request->capacity, node.now);
+    slot.lastActive = node.now;
+    co_return wire::LoanReply(
+        wire::LoanReplyFields{loan.rate > 0 || loan.tokens > 0, loan.rate, loan.tokens, loan.tokens, loan.duration});
+}
+
+void OwnerSide::spawnLoans(const core::WorkspaceId &workspace,
+                           std::uint64_t generation,
+                           const std::vector<LoanNeed> &needs)
+{
+    for (const LoanNeed &need : needs) {
+        boost::asio::co_spawn(
+            m_context->executor,
+            [](std::shared_ptr<OwnerSide> self, core::WorkspaceId name, std::uint64_t number, LoanNeed what)
+                -> boost::asio::awaitable<void> {
+                co_await self->borrow(name, number, what);
+            }(shared_from_this(), workspace, generation, need),
+            boost::asio::detached);
+    }
+}
+
+boost::asio::awaitable<void> OwnerSide::borrow(core::WorkspaceId workspace, std::uint64_t generation, LoanNeed need)
+{
+    const std::vector<core::HostId> hosts = m_hooks.liveHosts(need.lender);
+    const core::HostId owner = core::rendezvousFirst(workspace.value(), hosts);
+    const core::TimePoint sentAt = m_hooks.now();
+    std::optional<LoanDecision> loan;
+    if (!owner.isEmpty()) {
+        ++m_totals.loans;
+        wire::Message request =
+            wire::LoanRequest(wire::LoanRequestFields{workspace, m_settings.dataCentre, need.rate, need.tokens});
+        const core::Duration timeout = need.tokens > 0 ? TokenLoanTimeout : RateLoanTimeout;
+        const auto reply = co_await m_hooks.call(owner, std::move(request), timeout);
+        if (const auto *answer = reply ? std::get_if<wire::LoanReply>(&*reply) : nullptr) {
+            loan = LoanDecision{(*answer)->rate, (*answer)->tokens, (*answer)->duration};
+        }
+    }
+    const core::TimePoint now = m_hooks.now();
+    Shard &shard = shardOf(workspace);
+    const std::scoped_lock lock(shard.mutex);
+    const auto found = shard.slots.find(workspace);
+    if (found == shard.slots.end() || !found->second.bucket || found->second.generation != generation) {
+        co_return;
+    }
+    if (loan) {
+        found->second.bucket->borrowed(need, *loan, sentAt, now);
+    } else {
+        found->second.bucket->notBorrowed(need, now);
+    }
+}
+
+boost::asio::awaitable<void> OwnerSide::prompt(core::WorkspaceId workspace)
+{
+    std::vector<core::HostId> hosts = m_hooks.liveHosts(m_settings.dataCentre);
+    std::erase(hosts, m_settings.self);
+    const core::HostId next = core::rendezvousFirst(workspace.value(), hosts);
+    if (next.isEmpty()) {
+        co_return;
+    }
+    wire::Message request = wire::GrantRequest(wire::GrantRequestFields{workspace, 0});
+    const auto reply = co_await m_hooks.call(next, std::move(request), HandoverTimeout);
+    static_cast<void>(reply); // Without an answer the next owner waits for the end of this node's lease.
+}
+
+boost::asio::awaitable<void> OwnerSide::stop()
+{
+    m_isStopping = true;
+    std::vector<core::WorkspaceId> owned;
+    for (Shard &shard : m_shards) {
+        const std::scoped_lock lock(shard.mutex);
+        for (const auto &[workspace, slot] : shard.slots) {
+            if (slot.bucket) {
+                owned.push_back(workspace);
+            }
+        }
+    }
+    for (const core::WorkspaceId &workspace : owned) {
+        co_await prompt(workspace);
+    }
+}
+
+bool OwnerSide::isForgettable(Slot &slot, const NodeSnapshot &node)
+{
+    if (slot.isStarting || slot.yieldedTo || node.now < slot.lastActive + SettleTime) {
+        return false;
+    }
+    // A bucket that starts anew refills from the time at which this node was settled.
+    const core::TimePoint refillFrom = node.lease.brokenAt() + SettleTime + LoanWait;
+    return !slot.bucket || slot.bucket->isIdle(node.now, node.now - refillFrom);
+}
+
+void OwnerSide::tick()
+{
+    const NodeSnapshot node = m_nodeState.observe();
+    for (Shard &shard : m_shards) {
+        const std::scoped_lock lock(shard.mutex);
+        for (auto entry = shard.slots.begin(); entry != shard.slots.end();) {
+            entry = isForgettable(entry->second, node) ? shard.slots.erase(entry) : std::next(entry);
+        }
+    }
+}
+
+}
--- /dev/null
+++ b/src/limit/owner_side.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "berylspring/limit/limit_service.h"
+#include "berylspring/limit/owner_bucket.h"
+#include "limit_context.h"
+#include "node_state.h"
+
+#include <array>
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <unordered_map>
+
+namespace berylspring::limit::detail {
+
+/** @brief The buckets that this node owns, and the way to own one. */
+class OwnerSide : public std::enable_shared_from_this<OwnerSide>
+{
+public:
+    explicit OwnerSide(std::shared_ptr<LimitContext> context);
+
+    [[nodiscard]] boost::asio::awaitable<wire::GrantReply> grant(core::HostId from, wire::GrantRequest request);
+    [[nodiscard]] boost::asio::awaitable<wire::LoanReply> lend(wire::LoanRequest request);
+    /** @return HandoverReply, or Refused when the past of the bucket is still uncertain. */
+    [[nodiscard]] wire::Message handOverTo(const core::HostId &to, const wire::HandoverRequest &request);
+    /** @brief Asks the next owner of each bucket to fetch it. */
+    [[nodiscard]] boost::asio::awaitable<void> stop();
+    /** @brief Renews the lease and drops idle buckets. */
+    void tick();
+
+private:
+    struct Slot
+    {
+        Ownership ownership;
+        std::optional<OwnerBucket> bucket;
+        std::uint64_t generation = 0; ///< Tells the answers to loans of an earlier bucket apart.
+        bool isStarting = false;
+        core::TimePoint retryAt{}; ///< No new start before this.
+        core::TimePoint lastActive{}; ///< Latest moment of a grant, a loan or a handover.
+        std::optional<core::HostId> yieldedTo;
+        std::shared_ptr<const ViewHistory> orderView; ///< View from which isFirst was computed.
+        bool isFirst = false;
+    };
+    struct Shard
+    {
+        std::mutex mutex;
+        std::unordered_map<core::WorkspaceId, Slot> slots;
+    };
+    /** @brief Whether a bucket may be used, or how long to wait. */
+    struct Readiness
+    {
+        wire::GrantStatus status = wire::GrantStatus::NotOwner;
+        core::Duration wait{};
+        bool mayStart = false;
+    };
+
+    [[nodiscard]] Shard &shardOf(const core::WorkspaceId &workspace);
+    [[nodiscard]] OwnerBucket makeBucket(const WorkspaceLimit &limit, HandoverState state, core::TimePoint start) const;
+    [[nodiscard]] bool isFirst(Slot &slot, const core::WorkspaceId &workspace, const NodeSnapshot &node) const;
+    [[nodiscard]] Readiness
+    readiness(Slot &slot, const core::WorkspaceId &workspace, const NodeSnapshot &node, const WorkspaceLimit &limit);
+    [[nodiscard]] boost::asio::awaitable<Readiness> makeReady(core::WorkspaceId workspace, WorkspaceLimit limit);
+    [[nodiscard]] boost::asio::awaitable<void> startOwning(core::WorkspaceId workspace, WorkspaceLimit limit);
+    [[nodiscard]] static bool isForgettable(Slot &slot, const NodeSnapshot &node);
+    [[nodiscard]] StartPlan planFor(const core::WorkspaceId &workspace, const NodeSnapshot &node);
+    /** @return The ownership after a predecessor that did not answer. */
+    [[nodiscard]] Ownership withoutPredecessor(const StartPlan &plan, const NodeSnapshot &node) const;
+    [[nodiscard]] boost::asio::awaitable<std::optional<wire::HandoverReply>>
+    askPredecessor(core::HostId predecessor, core::WorkspaceId workspace);
+    void finishStart(const core::WorkspaceId &workspace,
+                     const WorkspaceLimit &limit,
+                     const NodeSnapshot &began,
+                     const StartPlan &plan,
+                     const std::optional<wire::HandoverReply> &answer);
+    void storeStart(const core::WorkspaceId &workspace,
+                    const NodeSnapshot &began,
+                    Ownership ownership,
+                    std::optional<OwnerBucket> bucket);
+    [[nodiscard]] HandoverState
+    stateFrom(const wire::HandoverReply &reply, core::TimePoint sentAt, core::TimePoint now) const;
+    void spawnLoans(const core::WorkspaceId &workspace, std::uint64_t generation, const std::vector<LoanNeed> &needs);
+    [[nodiscard]] boost::asio::awaitable<void>
+    borrow(core::WorkspaceId workspace, std::uint64_t generation, LoanNeed need);
+    [[nodiscard]] boost::asio::awaitable<void> prompt(core::WorkspaceId workspace);
+
+    std::shared_ptr<LimitContext> m_context;
+    const LimitSettings &m_settings;
+    const LimitHooks &m_hooks;
+    Totals &m_totals;
+    NodeState m_nodeState;
+    std::atomic<bool> m_isStopping{false};
+    std::array<Shard, 16> m_shards;
+};
+
+}
