Put the services together in the daemon

Cause: all packages have a first version, but no process runs them. Change: Node connects configuration, membership, limits, idempotency, admission and routing by hooks; operator, endpoint and caller ports; first contact through the log; planned stop. The schema carries the attempt, boot, memory, age and challenge members that claims need.

--- /dev/null
+++ b/src/node/announcer.cpp
@@ -0,0 +1,91 @@
+#include "node/announcer.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json.hpp>
+
+namespace berylspring::node::detail {
+
+namespace {
+
+namespace asio = boost::asio;
+
+const std::string Stream = "announce";
+constexpr auto RefreshInterval = std::chrono::minutes(10);
+constexpr auto RetryInterval = std::chrono::seconds(2);
+constexpr std::uint32_t PageRecords = 500;
+
+std::string toJson(const wire::MemberUpdate &member)
+{
+    return boost::json::serialize(boost::json::object{{"host", member->host.value()},
+                                                      {"data_centre", member->dataCentre.value()},
+                                                      {"address", member->address},
+                                                      {"port", member->port}});
+}
+
+std::optional<wire::MemberUpdate> fromJson(const std::string &data)
+{
+    boost::system::error_code error;
+    const boost::json::value value = boost::json::parse(data, error);
+    if (error || !value.is_object()) {
+        return std::nullopt;
+    }
+    const auto text = [&](std::string_view name) {
+        const boost::json::value *member = value.as_object().if_contains(name);
+        return member != nullptr && member->is_string() ? std::string(member->as_string()) : std::string();
+    };
+    const boost::json::value *port = value.as_object().if_contains("port");
+    const bool isPort = port != nullptr && port->is_int64() && port->as_int64() > 0 && port->as_int64() <= 65535;
+    if (!isPort || !core::isValidName(text("host")) || !core::isValidName(text("data_centre"))) {
+        return std::nullopt;
+    }
+    return wire::MemberUpdate({.host = core::HostId(text("host")),
+                               .dataCentre = core::DataCentreId(text("data_centre")),
+                               .address = text("address"),
+                               .port = static_cast<std::uint16_t>(port->as_int64())});
+}
+
+/** @return Whether the end of the stream was reached. */
+asio::awaitable<bool> readContacts(const AnnouncerHooks &hooks, core::Offset &from)
+{
+    while (true) {
+        const auto page = co_await hooks.log.read(Stream, from, PageRecords, core::Duration::zero());
+        if (!page && page.error().code() == platform::ErrorCode::Expired && page.error().first() > from) {
+            from = *page.error().first();
+            continue;
+        }
+        if (!page) {
+            co_return false;
+        }
+        for (const platform::LogEntry &record : (*page)->records) {
+            if (const auto member = fromJson(record.data)) {
+                hooks.addContact(*member);
+            }
+        }
+        from = (*page)->next;
+        if ((*page)->records.empty()) {
+            co_return true;
+        }
+    }
+}
+
+}
+
+asio::awaitable<void> announceThroughLog(AnnouncerHooks hooks)
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    core::Offset from = 0;
+    while (!hooks.isStopping()) {
+        const bool hasRead = co_await readContacts(hooks, from);
+        bool hasAppended = false;
+        if (hasRead) {
+            const auto appended = co_await hooks.log.append(Stream, toJson(hooks.self()));
+            hasAppended = appended.has_value();
+        }
+        timer.expires_after(hasAppended ? core::Duration(RefreshInterval) : core::Duration(RetryInterval));
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+}
+
+}
--- /dev/null
+++ b/src/node/node.cpp
@@ -0,0 +1,227 @@
+#include "berylspring/node/node.h"
+
+#include "berylspring/platform/http_log.h"
+#include "berylspring/telemetry/log.h"
+#include "http/address.h"
+#include "node/announcer.h"
+#include "node/node_parts.h"
+#include "node/span_export.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace berylspring::node {
+
+namespace {
+
+namespace asio = boost::asio;
+
+/** Grows with each start of the host as long as its clock does not go back between starts. */
+std::uint64_t makeBootId()
+{
+    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::nanoseconds>(sinceEpoch).count());
+}
+
+platform::LogHooks makeLog(const asio::any_io_executor &executor, const std::string &address)
+{
+    const auto endpoint = http::detail::parseAddress(address);
+    const std::string ip = endpoint ? endpoint->address().to_string() : address;
+    return platform::makeHttpLog(executor, ip, endpoint ? endpoint->port() : 0);
+}
+
+http::ServerOptions serverOptions(const Settings &settings)
+{
+    return {.headerLimitBytes = settings->maxHeaderBytes, .bodyLimitBytes = settings->maxBodyBytes};
+}
+
+telemetry::SpanSink sinkOf(const std::shared_ptr<telemetry::SpanBuffer> &spans)
+{
+    return [spans](telemetry::Span span) { spans->add(std::move(span)); };
+}
+
+std::vector<telemetry::Sample> admissionSamples(const admission::AdmissionState &state)
+{
+    return {{"berylspring_admission_running", static_cast<double>(state->running), {}},
+            {"berylspring_admission_queued", static_cast<double>(state->queued), {}},
+            {"berylspring_admission_limit", static_cast<double>(state->limit), {}},
+            {"berylspring_admission_level", static_cast<double>(state->admittedLevel), {}},
+            {"berylspring_admission_overloaded", static_cast<double>(state->counters.overloaded), {}},
+            {"berylspring_admission_too_late", static_cast<double>(state->counters.tooLate), {}},
+            {"berylspring_admission_quarantined", static_cast<double>(state->counters.quarantined), {}},
+            {"berylspring_admission_connections_lost", static_cast<double>(state->counters.connectionsLost), {}}};
+}
+
+}
+
+Node::Implementation::Implementation(asio::any_io_executor executor, Settings settings)
+    : m_executor(std::move(executor))
+    , m_settings(std::move(settings))
+    , m_random(core::systemRandom())
+    , m_bootId(makeBootId())
+    , m_startedAt(now())
+    , m_spans(std::make_shared<telemetry::SpanBuffer>())
+    , m_inFlight(m_random)
+    , m_datagrams(m_settings->secret, m_settings->host, m_bootId)
+    , m_peers(m_executor,
+              peerOptions(),
+              [this](const core::HostId &host) -> std::optional<wire::PeerAddress> {
+                  const auto member = m_membership->find(host);
+                  return member ? std::optional<wire::PeerAddress>({member->address(), member->port()}) : std::nullopt;
+              })
+    , m_peerServer(
+          m_executor,
+          peerOptions(),
+          [this](core::HostId from, wire::Message message) { return handlePeer(std::move(from), std::move(message)); })
+    , m_log(makeLog(m_executor, m_settings->logAddress))
+    , m_config(m_executor, {.snapshotInterval = m_settings->snapshotInterval}, configHooks())
+    , m_limits(m_executor, {m_settings->host, m_settings->dataCentre, m_settings->dataCentres}, limitHooks())
+    , m_idempotency(
+          m_executor,
+          {.self = m_settings->host, .dataCentre = m_settings->dataCentre, .declared = m_settings->dataCentres},
+          idempotencyHooks())
+    , m_endpoint(m_executor, m_settings->maxBodyBytes, m_inFlight, m_random, sinkOf(m_spans))
+    , m_admission(makeAdmission())
+    , m_dispatcher(m_settings->host, m_settings->dataCentre, m_settings->areControlsOn, dispatcherHooks())
+    , m_entry(m_inFlight, m_metrics, m_settings->sampleRatio, entryHooks())
+    , m_operatorApi(operatorHooks())
+    , m_callerServer(m_executor,
+                     serverOptions(m_settings),
+                     [this](http::Request request) { return handleCaller(std::move(request)); })
+    , m_endpointServer(m_executor,
+                       serverOptions(m_settings),
+                       [this](http::Request request) { return handleEndpoint(std::move(request)); })
+    , m_operatorServer(m_executor, serverOptions(m_settings), [this](http::Request request) {
+        return m_operatorApi.handle(std::move(request));
+    })
+{
+    m_metrics.addSource([this] { return samples(); });
+}
+
+Result<NodePorts> Node::Implementation::start()
+{
+    const auto failed = [](const auto &error) { return tl::unexpected(Error(ErrorCode::StartFailed, error.detail())); };
+    NodePorts ports;
+    const auto peer = m_peerServer.listen(m_settings->address, m_settings->peerPort);
+    if (!peer) {
+        return failed(peer.error());
+    }
+    ports.peer = *peer;
+    membership::MembershipSettings settings = membershipSettings();
+    settings.port = *peer;
+    m_membership = std::make_unique<membership::MembershipService>(m_executor, settings, membershipHooks());
+    const auto members = m_membership->start();
+    if (!members) {
+        return failed(members.error());
+    }
+    const auto caller = m_callerServer.listen(m_settings->address, m_settings->callerPort);
+    const auto endpoint = m_endpointServer.listen(m_settings->address, m_settings->endpointPort);
+    const auto operators = m_operatorServer.listen(m_settings->address, m_settings->operatorPort);
+    for (const auto *bound : {&caller, &endpoint, &operators}) {
+        if (!*bound) {
+            return failed(bound->error());
+        }
+    }
+    ports.caller = *caller;
+    ports.endpoint = *endpoint;
+    ports.operatorPort = *operators;
+    m_config.start();
+    m_limits.start();
+    asio::co_spawn(m_executor, publishLoop(), asio::detached);
+    asio::co_spawn(m_executor,
+                   detail::announceThroughLog(
+                       {.log = m_log,
+                        .self = [this] { return m_membership->self().record(); },
+                        .addContact = [this](const wire::MemberUpdate &member) { m_membership->addContact(member); },
+                        .isStopping = [this] { return m_isStopping.load(); }}),
+                   asio::detached);
+    detail::startSpanExport(
+        m_executor, {m_settings->host.value(), m_settings->otlpAddress, m_settings->spanFile}, m_spans);
+    return ports;
+}
+
+asio::awaitable<void> Node::Implementation::stop()
+{
+    m_isStopping = true;
+    telemetry::log(telemetry::Severity::Info, "stopping");
+    drainEndpoint();
+    using asio::experimental::awaitable_operators::operator||;
+    asio::steady_timer deadline(co_await asio::this_coro::executor, m_settings->stopTimeout);
+    const auto outcome = co_await (finishWork() || deadline.async_wait(asio::use_awaitable));
+    if (outcome.index() != 0) {
+        telemetry::log(telemetry::Severity::Error, "stop timed out, requests are cut");
+    }
+    co_await m_membership->leave();
+    m_config.stop();
+    m_limits.stop();
+    m_operatorServer.close();
+    m_endpointServer.close();
+    m_peerServer.close();
+    m_peers.close();
+    telemetry::log(telemetry::Severity::Info, "stopped");
+}
+
+asio::awaitable<void> Node::Implementation::finishWork()
+{
+    // The caller port stays open until the endpoint is idle, since its running requests make nested calls through it.
+    co_await admission()->idle();
+    m_callerServer.stopAccepting();
+    co_await m_callerServer.idle();
+    co_await m_limits.handOver();
+    co_await m_idempotency.handOver();
+}
+
+std::shared_ptr<admission::AdmissionService> Node::Implementation::admission() const
+{
+    const std::scoped_lock lock(m_admissionMutex);
+    return m_admission;
+}
+
+std::shared_ptr<admission::AdmissionService> Node::Implementation::makeAdmission()
+{
+    const admission::AdmissionSettings settings{.areControlsOn = m_settings->areControlsOn};
+    return std::make_shared<admission::AdmissionService>(m_executor, settings, admissionHooks());
+}
+
+std::vector<telemetry::Sample> Node::Implementation::samples() const
+{
+    std::vector<telemetry::Sample> samples = admissionSamples(admission()->state());
+    const limit::LimitCounters limits = m_limits.counters();
+    const wire::PeerPoolCounters peers = m_peers.counters();
+    const auto add = [&](const char *name, auto value) { samples.push_back({name, static_cast<double>(value), {}}); };
+    add("berylspring_limit_admitted", limits.admitted);
+    add("berylspring_limit_held", limits.held);
+    add("berylspring_limit_refused", limits.refused);
+    add("berylspring_limit_grants", limits.grants);
+    add("berylspring_limit_loans", limits.loans);
+    add("berylspring_peer_connections", peers.connections);
+    add("berylspring_peer_connections_lost", peers.connectionsLost);
+    add("berylspring_peer_answers_dropped", peers.droppedAnswers);
+    add("berylspring_members_live", m_membership->snapshot()->liveMembers().size());
+    add("berylspring_config_applied_offset", m_config.catalogue()->appliedOffset());
+    add("berylspring_requests_in_flight", m_inFlight.size());
+    add("berylspring_spans_dropped", m_spans->dropped());
+    return samples;
+}
+
+Node::Node(asio::any_io_executor executor, Settings settings)
+    : m_implementation(std::make_shared<Implementation>(std::move(executor), std::move(settings)))
+{
+}
+
+Node::~Node() = default;
+
+Result<NodePorts> Node::start()
+{
+    return m_implementation->start();
+}
+
+asio::awaitable<void> Node::stop()
+{
+    return m_implementation->stop();
+}
+
+}
--- /dev/null
+++ b/src/node/node_handlers.cpp
@@ -0,0 +1,203 @@
+#include "node/endpoint_api.h"
+#include "node/node_parts.h"
+
+#include "berylspring/config/log_record.h"
+#include "berylspring/http/problem.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace berylspring::node {
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr core::Duration NoticeTimeout = std::chrono::seconds(1);
+constexpr core::Duration PublishInterval = std::chrono::milliseconds(100);
+constexpr std::uint32_t WatchPageRecords = 200;
+
+std::string_view nameOf(wire::MemberState state) noexcept
+{
+    switch (state) {
+    case wire::MemberState::Alive:
+        return "alive";
+    case wire::MemberState::Suspect:
+        return "suspect";
+    case wire::MemberState::Dead:
+        return "dead";
+    case wire::MemberState::Left:
+        return "left";
+    }
+    return "invalid";
+}
+
+/** @return The change of a log entry if the catalogue accepted it at that offset. */
+std::optional<http::ChangeRecord> acceptedChange(const wire::LogEntry &entry, const config::Catalogue &catalogue)
+{
+    const auto record = config::parseLogRecord(entry.data);
+    if (!record) {
+        return std::nullopt;
+    }
+    const auto result = catalogue.findOperation((*record)->operationId);
+    if (!result || result->offset != entry.offset || result->reason != config::VoidReason::None) {
+        return std::nullopt;
+    }
+    return http::ChangeRecord{.change = entry.offset,
+                              .kind = (*record)->kind == config::RecordKind::Put ? "put" : "delete",
+                              .type = std::string(config::toString((*record)->type)),
+                              .name = (*record)->name};
+}
+
+}
+
+asio::awaitable<wire::Message> Node::Implementation::handlePeer(core::HostId from, wire::Message message)
+{
+    if (auto *call = std::get_if<wire::CallRequest>(&message)) {
+        co_return wire::Message(co_await admission()->run(std::move(*call)));
+    }
+    if (std::holds_alternative<wire::HomeRequest>(message) || std::holds_alternative<wire::ClaimRequest>(message)
+        || std::holds_alternative<wire::ClaimHandover>(message)) {
+        co_return co_await m_idempotency.handle(std::move(from), std::move(message));
+    }
+    if (std::holds_alternative<wire::GrantRequest>(message) || std::holds_alternative<wire::LoanRequest>(message)
+        || std::holds_alternative<wire::HandoverRequest>(message)) {
+        co_return co_await m_limits.handle(std::move(from), std::move(message));
+    }
+    if (std::holds_alternative<wire::RecordPull>(message) || std::holds_alternative<wire::Tombstone>(message)) {
+        co_return co_await m_config.handle(std::move(from), std::move(message));
+    }
+    if (const auto *notice = std::get_if<wire::QuarantineNotice>(&message)) {
+        if ((*notice)->remaining > core::Duration::zero()) {
+            admission()->addQuarantine(*notice);
+        } else {
+            admission()->addSuspect((*notice)->requestDigest);
+        }
+        co_return wire::Message(wire::Ack());
+    }
+    co_return wire::Message(wire::Refused({.detail = "not a request"}));
+}
+
+asio::awaitable<http::Reply> Node::Implementation::handleCaller(http::Request request)
+{
+    auto parsed = http::parseCallerRequest(std::move(request));
+    if (!parsed) {
+        co_return http::problemResponse(parsed.error());
+    }
+    const wire::CallResponse response = co_await m_entry.call(std::move(*parsed));
+    co_return http::callerResponse(response);
+}
+
+asio::awaitable<http::Reply> Node::Implementation::handleEndpoint(http::Request request)
+{
+    const detail::EndpointApiHooks hooks{
+        .announce = [this](const http::EndpointAnnouncement &announcement) { announceEndpoint(announcement); },
+        .drain = [this] { drainEndpoint(); },
+        .reportLoad = [this](const http::LoadReport &report) { m_endpoint.reportLoad(report); }};
+    co_return detail::handleEndpointRequest(request, hooks);
+}
+
+void Node::Implementation::announceEndpoint(const http::EndpointAnnouncement &announcement)
+{
+    if (m_isStopping) {
+        return;
+    }
+    const bool wasDraining = m_endpoint.isDraining();
+    if (m_endpoint.announce(announcement, now())) {
+        if (wasDraining) {
+            const std::scoped_lock lock(m_admissionMutex);
+            m_admission = makeAdmission();
+        }
+        publishEndpoint();
+    }
+}
+
+void Node::Implementation::drainEndpoint()
+{
+    m_endpoint.drain();
+    admission()->startDrain();
+    publishEndpoint();
+}
+
+void Node::Implementation::publishEndpoint()
+{
+    const core::TimePoint time = now();
+    const std::shared_ptr<admission::AdmissionService> service = admission();
+    service->setSlots(m_endpoint.slots(time));
+    m_membership->setEndpoint(m_endpoint.state(service->state(), time));
+}
+
+asio::awaitable<void> Node::Implementation::publishLoop()
+{
+    asio::steady_timer timer(m_executor);
+    while (true) {
+        publishEndpoint();
+        timer.expires_after(PublishInterval);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+}
+
+void Node::Implementation::tellProviders(wire::QuarantineNotice notice)
+{
+    const std::optional<wire::EndpointState> own = m_endpoint.state(admission()->state(), now());
+    if (!own) {
+        return;
+    }
+    for (const membership::Member &member : m_membership->snapshot()->providers((*own)->service)) {
+        if (member.host() != m_settings->host) {
+            asio::co_spawn(m_executor, tell(member.host(), wire::Message(notice)), asio::detached);
+        }
+    }
+}
+
+asio::awaitable<void> Node::Implementation::tell(core::HostId host, wire::Message message)
+{
+    // A provider that cannot be reached learns of the request by running it.
+    [[maybe_unused]] const auto ignored = co_await m_peers.call(std::move(host), std::move(message), NoticeTimeout);
+}
+
+asio::awaitable<http::ChangePage> Node::Implementation::changes(core::Offset from)
+{
+    const wire::Message pull(wire::RecordPull({.from = from, .limit = WatchPageRecords}));
+    const wire::Message answer = co_await m_config.handle(m_settings->host, pull);
+    const auto *batch = std::get_if<wire::RecordBatch>(&answer);
+    if (batch == nullptr) {
+        co_return http::ChangePage{.next = from};
+    }
+    http::ChangePage page{.next = std::max(from, (*batch)->next)};
+    const std::shared_ptr<const config::Catalogue> catalogue = m_config.catalogue();
+    for (const wire::LogEntry &entry : (*batch)->records) {
+        if (auto change = acceptedChange(entry, *catalogue)) {
+            page.changes.push_back(std::move(*change));
+        }
+    }
+    co_return page;
+}
+
+std::vector<http::NodeStatus> Node::Implementation::nodeStatus() const
+{
+    std::vector<http::NodeStatus> nodes;
+    for (const membership::Member &member : m_membership->members()) {
+        const std::optional<wire::EndpointState> &endpoint = member.endpoint();
+        nodes.push_back({.host = member.host(),
+                         .dataCentre = member.dataCentre(),
+                         .state = std::string(nameOf(member.state())),
+                         .appliedOffset = member.appliedOffset(),
+                         .service = endpoint ? (*endpoint)->service.value() : std::string(),
+                         .isDraining = endpoint && (*endpoint)->isDraining});
+    }
+    return nodes;
+}
+
+void Node::Implementation::refreshMembers(core::Offset change)
+{
+    for (const membership::Member &member : m_membership->liveMembers()) {
+        if (member.appliedOffset() <= change && member.host() != m_settings->host) {
+            m_membership->pingNow(member.host());
+        }
+    }
+}
+
+}
--- /dev/null
+++ b/src/node/node_hooks.cpp
@@ -0,0 +1,252 @@
+#include "node/node_parts.h"
+
+#include "berylspring/core/rendezvous.h"
+#include "berylspring/telemetry/log.h"
+
+#include <algorithm>
+#include <charconv>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace berylspring::node {
+
+namespace {
+
+namespace asio = boost::asio;
+
+/** Readers of the log in each data centre; more would add reads without making changes arrive sooner. */
+constexpr std::size_t ReadersPerDataCentre = 3;
+
+std::size_t rankOf(const core::HostId &host, std::string_view key, std::vector<core::HostId> hosts)
+{
+    const std::vector<core::HostId> order = core::rendezvousOrder(key, std::move(hosts));
+    return static_cast<std::size_t>(std::find(order.begin(), order.end(), host) - order.begin());
+}
+
+membership::PeerAddress seedAddress(const std::string &text)
+{
+    const std::size_t colon = text.rfind(':');
+    std::uint16_t port = 0;
+    if (colon != std::string::npos) {
+        std::from_chars(text.data() + colon + 1, text.data() + text.size(), port);
+    }
+    return {.address = text.substr(0, colon), .port = port};
+}
+
+}
+
+wire::PeerOptions Node::Implementation::peerOptions() const
+{
+    return {.self = m_settings->host,
+            .bootId = m_bootId,
+            .secret = m_settings->secret,
+            .maxFrameBytes = m_settings->maxFrameBytes};
+}
+
+membership::MembershipSettings Node::Implementation::membershipSettings() const
+{
+    membership::MembershipSettings settings{
+        .host = m_settings->host, .dataCentre = m_settings->dataCentre, .address = m_settings->address};
+    for (const std::string &seed : m_settings->seeds) {
+        settings.seeds.push_back(seedAddress(seed));
+    }
+    return settings;
+}
+
+membership::MembershipHooks Node::Implementation::membershipHooks()
+{
+    using OpenResult = wire::Result<std::pair<core::HostId, wire::Datagram>>;
+    membership::MembershipHooks hooks;
+    hooks.seal = [this](const wire::Datagram &datagram) { return m_datagrams.seal(datagram); };
+    hooks.open = [this](std::string_view bytes) -> OpenResult {
+        auto opened = m_datagrams.open(bytes);
+        if (!opened) {
+            return tl::unexpected(opened.error());
+        }
+        m_peers.notePeerBoot(opened->sender, opened->bootId);
+        return std::pair(opened->sender, std::move(opened->datagram));
+    };
+    hooks.random = m_random;
+    hooks.offsetHeard = [this](const core::HostId &host, core::Offset offset) {
+        if (offset > m_config.catalogue()->appliedOffset()) {
+            asio::co_spawn(m_executor, m_config.pullFrom(host, offset), asio::detached);
+        }
+    };
+    hooks.changed = [](const membership::Member &member) {
+        telemetry::log(telemetry::Severity::Debug,
+                       "member changed",
+                       {{"member", member.host().value()},
+                        {"data_centre", member.dataCentre().value()},
+                        {"state", static_cast<std::int64_t>(member.state())}});
+    };
+    return hooks;
+}
+
+config::ConfigHooks Node::Implementation::configHooks()
+{
+    config::ConfigHooks hooks;
+    hooks.log = m_log;
+    hooks.call = m_peers.asPeerCall();
+    hooks.now = now;
+    hooks.random = m_random;
+    hooks.isReader = [this] {
+        return rankOf(m_settings->host, "log-reader", liveHosts(m_settings->dataCentre)) < ReadersPerDataCentre;
+    };
+    hooks.snapshotRank = [this] {
+        std::vector<core::HostId> hosts;
+        for (const membership::Member &member : m_membership->snapshot()->liveMembers()) {
+            hosts.push_back(member.host());
+        }
+        const std::size_t rank = rankOf(m_settings->host, "snapshot", std::move(hosts));
+        return rank < 2 ? static_cast<int>(rank) : -1;
+    };
+    hooks.peers = [this] {
+        std::vector<core::HostId> hosts;
+        for (const membership::Member &member : m_membership->snapshot()->liveMembers()) {
+            if (member.host() != m_settings->host) {
+                hosts.push_back(member.host());
+            }
+        }
+        return hosts;
+    };
+    hooks.applied = [this](core::Offset offset) { m_membership->setAppliedOffset(offset); };
+    hooks.notify = [this] { m_membership->sendOffsetNotice(); };
+    hooks.report = [](const std::string &text) { telemetry::log(telemetry::Severity::Warning, text); };
+    return hooks;
+}
+
+limit::LimitHooks Node::Implementation::limitHooks()
+{
+    limit::LimitHooks hooks;
+    hooks.call = m_peers.asPeerCall();
+    hooks.liveHosts = [this](const core::DataCentreId &dataCentre) { return claimHosts(dataCentre); };
+    hooks.limitOf = [this](const core::WorkspaceId &workspace) -> std::optional<limit::WorkspaceLimit> {
+        const std::shared_ptr<const config::Catalogue> catalogue = m_config.catalogue();
+        const config::Limit *limit = catalogue->findLimit(workspace);
+        if (limit == nullptr) {
+            return std::nullopt;
+        }
+        return limit::WorkspaceLimit((*limit)->rate, (*limit)->burst);
+    };
+    hooks.now = now;
+    hooks.lastPeerAck = [this] { return m_membership->lastPeerAck(); };
+    hooks.resumeCount = [this] { return m_membership->resumeCount(); };
+    hooks.random = m_random;
+    return hooks;
+}
+
+idempotency::IdempotencyHooks Node::Implementation::idempotencyHooks()
+{
+    idempotency::IdempotencyHooks hooks;
+    hooks.call = m_peers.asPeerCall();
+    hooks.liveHosts = [this](const core::DataCentreId &dataCentre) { return claimHosts(dataCentre); };
+    hooks.recentHosts = [this](const core::DataCentreId &dataCentre) {
+        return m_membership->snapshot()->recentHosts(dataCentre);
+    };
+    hooks.dispatch = [this](wire::CallRequest call) { return m_dispatcher.dispatch(std::move(call)); };
+    hooks.now = now;
+    hooks.random = m_random;
+    return hooks;
+}
+
+admission::AdmissionHooks Node::Implementation::admissionHooks()
+{
+    admission::AdmissionHooks hooks;
+    hooks.endpointCall = [this](wire::CallRequest call) { return m_endpoint.call(std::move(call)); };
+    hooks.now = now;
+    hooks.random = m_random;
+    hooks.isKeyWithdrawn = [this](const core::Digest &digest) { return m_config.isKeyWithdrawn(digest); };
+    hooks.weightOf = [this](const core::WorkspaceId &name) {
+        const std::shared_ptr<const config::Catalogue> catalogue = m_config.catalogue();
+        const config::Workspace *workspace = catalogue->findWorkspace(name);
+        return workspace == nullptr ? 1.0 : (*workspace)->weight;
+    };
+    hooks.quarantined = [this](wire::QuarantineNotice notice) {
+        telemetry::log(
+            telemetry::Severity::Warning, "request quarantined", {{"digest", notice->requestDigest.toHex()}});
+        tellProviders(std::move(notice));
+    };
+    hooks.suspected = [this](core::Digest digest) { tellProviders(wire::QuarantineNotice({.requestDigest = digest})); };
+    return hooks;
+}
+
+DispatcherHooks Node::Implementation::dispatcherHooks()
+{
+    DispatcherHooks hooks;
+    hooks.call = m_peers.asPeerCall();
+    hooks.runLocally = [this](wire::CallRequest call) { return admission()->run(std::move(call)); };
+    hooks.endpoints = [this](const core::ServiceId &service) {
+        return m_endpointViews.views(service, m_membership->snapshot());
+    };
+    hooks.now = now;
+    hooks.random = m_random;
+    hooks.retried = [this] { m_metrics.countRetry(); };
+    return hooks;
+}
+
+EntryHooks Node::Implementation::entryHooks()
+{
+    EntryHooks hooks;
+    hooks.catalogue = [this] { return m_config.isReady() ? m_config.catalogue() : nullptr; };
+    hooks.isKeyWithdrawn = [this](const core::Digest &digest) { return m_config.isKeyWithdrawn(digest); };
+    hooks.sinceOutsideContact = [this] { return sinceOutsideContact(); };
+    hooks.admit = [this](core::WorkspaceId workspace) {
+        return m_limits.admit(std::move(workspace), m_settings->maxLimitHold);
+    };
+    hooks.dispatch = [this](wire::CallRequest call) { return m_dispatcher.dispatch(std::move(call)); };
+    hooks.runOnce = [this](wire::CallRequest call) { return m_idempotency.run(std::move(call)); };
+    hooks.now = now;
+    hooks.random = m_random;
+    hooks.spans = [spans = m_spans](telemetry::Span span) { spans->add(std::move(span)); };
+    return hooks;
+}
+
+http::OperatorHooks Node::Implementation::operatorHooks()
+{
+    http::OperatorHooks hooks;
+    hooks.tokenDigest = m_settings->operatorTokenDigest;
+    hooks.catalogue = [this] { return m_config.catalogue(); };
+    hooks.put =
+        [this](config::ResourceType type, std::string name, std::string json, std::optional<core::Offset> expected) {
+            return m_config.put(type, std::move(name), std::move(json), expected);
+        };
+    hooks.remove = [this](config::ResourceType type, std::string name, std::optional<core::Offset> expected) {
+        return m_config.remove(type, std::move(name), expected);
+    };
+    hooks.changes = [this](core::Offset from) { return changes(from); };
+    hooks.nodes = [this] { return nodeStatus(); };
+    hooks.refresh = [this](core::Offset change) { refreshMembers(change); };
+    hooks.metrics = [this] { return m_metrics.text(); };
+    hooks.isReady = [this] { return m_config.isReady() && !m_isStopping; };
+    return hooks;
+}
+
+std::vector<core::HostId> Node::Implementation::liveHosts(const core::DataCentreId &dataCentre) const
+{
+    return m_membership->snapshot()->liveHosts(dataCentre);
+}
+
+/** Hosts that may own buckets and claims: a node that stops hands its own over and takes no new ones. */
+std::vector<core::HostId> Node::Implementation::claimHosts(const core::DataCentreId &dataCentre) const
+{
+    std::vector<core::HostId> hosts = liveHosts(dataCentre);
+    if (m_isStopping) {
+        std::erase(hosts, m_settings->host);
+    }
+    return hosts;
+}
+
+core::Duration Node::Implementation::sinceOutsideContact() const
+{
+    core::TimePoint last = m_startedAt;
+    if (const auto log = m_config.lastLogContact()) {
+        last = std::max(last, *log);
+    }
+    if (const auto other = m_membership->lastHeardFromOtherDataCentre()) {
+        last = std::max(last, *other);
+    }
+    return now() - last;
+}
+
+}
--- /dev/null
+++ b/src/node/node_parts.h
@@ -0,0 +1,107 @@
+#pragma once
+
+#include "berylspring/admission/admission_service.h"
+#include "berylspring/config/config_service.h"
+#include "berylspring/http/operator_api.h"
+#include "berylspring/http/server.h"
+#include "berylspring/idempotency/service.h"
+#include "berylspring/limit/limit_service.h"
+#include "berylspring/membership/membership_service.h"
+#include "berylspring/node/dispatcher.h"
+#include "berylspring/node/endpoint_views.h"
+#include "berylspring/node/entry.h"
+#include "berylspring/node/in_flight_table.h"
+#include "berylspring/node/local_endpoint.h"
+#include "berylspring/node/node.h"
+#include "berylspring/telemetry/metrics.h"
+#include "berylspring/telemetry/span_buffer.h"
+#include "berylspring/wire/datagram_codec.h"
+#include "berylspring/wire/peer_pool.h"
+#include "berylspring/wire/peer_server.h"
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+
+namespace berylspring::node {
+
+/** @brief All services of a node and the hooks between them. */
+class Node::Implementation : public std::enable_shared_from_this<Node::Implementation>
+{
+public:
+    Implementation(boost::asio::any_io_executor executor, Settings settings);
+
+    Result<NodePorts> start();
+    boost::asio::awaitable<void> stop();
+
+private:
+    // Hooks of the services, in node_hooks.cpp.
+    wire::PeerOptions peerOptions() const;
+    membership::MembershipSettings membershipSettings() const;
+    membership::MembershipHooks membershipHooks();
+    config::ConfigHooks configHooks();
+    limit::LimitHooks limitHooks();
+    idempotency::IdempotencyHooks idempotencyHooks();
+    admission::AdmissionHooks admissionHooks();
+    DispatcherHooks dispatcherHooks();
+    EntryHooks entryHooks();
+    http::OperatorHooks operatorHooks();
+    std::vector<telemetry::Sample> samples() const;
+
+    // Messages and requests, in node_handlers.cpp.
+    boost::asio::awaitable<wire::Message> handlePeer(core::HostId from, wire::Message message);
+    boost::asio::awaitable<http::Reply> handleCaller(http::Request request);
+    boost::asio::awaitable<http::Reply> handleEndpoint(http::Request request);
+    boost::asio::awaitable<http::ChangePage> changes(core::Offset from);
+    std::vector<http::NodeStatus> nodeStatus() const;
+    void refreshMembers(core::Offset change);
+
+    void announceEndpoint(const http::EndpointAnnouncement &announcement);
+    void drainEndpoint();
+    void publishEndpoint();
+    boost::asio::awaitable<void> publishLoop();
+    boost::asio::awaitable<void> finishWork();
+    void tellProviders(wire::QuarantineNotice notice);
+    boost::asio::awaitable<void> tell(core::HostId host, wire::Message message);
+
+    [[nodiscard]] std::shared_ptr<admission::AdmissionService> admission() const;
+    [[nodiscard]] std::shared_ptr<admission::AdmissionService> makeAdmission();
+    [[nodiscard]] std::vector<core::HostId> liveHosts(const core::DataCentreId &dataCentre) const;
+    [[nodiscard]] std::vector<core::HostId> claimHosts(const core::DataCentreId &dataCentre) const;
+    [[nodiscard]] core::Duration sinceOutsideContact() const;
+    [[nodiscard]] static core::TimePoint now()
+    {
+        return std::chrono::steady_clock::now();
+    }
+
+    boost::asio::any_io_executor m_executor;
+    Settings m_settings;
+    core::RandomSource m_random;
+    std::uint64_t m_bootId;
+    core::TimePoint m_startedAt;
+    std::atomic<bool> m_isStopping{false};
+
+    telemetry::Metrics m_metrics;
+    std::shared_ptr<telemetry::SpanBuffer> m_spans;
+    InFlightTable m_inFlight;
+    EndpointViewCache m_endpointViews;
+    wire::DatagramCodec m_datagrams;
+    wire::PeerPool m_peers;
+    wire::PeerServer m_peerServer;
+    std::unique_ptr<membership::MembershipService> m_membership; ///< Made by start(), when its port is known.
+    platform::LogHooks m_log;
+    config::ConfigService m_config;
+    limit::LimitService m_limits;
+    idempotency::IdempotencyService m_idempotency;
+    LocalEndpoint m_endpoint;
+    mutable std::mutex m_admissionMutex;
+    std::shared_ptr<admission::AdmissionService> m_admission; ///< Replaced when an endpoint comes back after a drain.
+    Dispatcher m_dispatcher;
+    Entry m_entry;
+    http::OperatorApi m_operatorApi;
+    http::Server m_callerServer;
+    http::Server m_endpointServer;
+    http::Server m_operatorServer;
+};
+
+}
--- a/src/wire/envelope_decode.cpp
+++ b/src/wire/envelope_decode.cpp
@@ -15,7 +15,7 @@
 static_assert(static_cast<int>(schema::RefusalReason::MAX) == static_cast<int>(core::RefusalReason::Cancelled));
 static_assert(static_cast<int>(schema::Outcome::MAX) == static_cast<int>(core::Outcome::Unknown));
 static_assert(static_cast<int>(schema::GrantStatus::MAX) == static_cast<int>(GrantStatus::NotOwner));
-static_assert(static_cast<int>(schema::ClaimState::MAX) == static_cast<int>(ClaimState::Unknown));
+static_assert(static_cast<int>(schema::ClaimState::MAX) == static_cast<int>(ClaimState::Released));
 
 // The deepest message is Envelope > ClaimHandover > ClaimRecord > CallResponse > Header.
 constexpr flatbuffers::uoffset_t MaxDepth = 16;
@@ -61,7 +61,7 @@
         case schema::Payload::CallResponse:
             return read(*envelope.payload_as_CallResponse());
         case schema::Payload::HomeRequest:
-            return HomeRequest(HomeRequestFields{read(*envelope.payload_as_HomeRequest()->call())});
+            return read(*envelope.payload_as_HomeRequest());
         case schema::Payload::GrantRequest:
             return read(*envelope.payload_as_GrantRequest());
         case schema::Payload::GrantReply:
@@ -231,6 +231,11 @@
         return HandoverReply(HandoverReplyFields{value.was_owner(), number(value.tokens()), std::move(loans)});
     }
 
+    [[nodiscard]] HomeRequest read(const schema::HomeRequest &value)
+    {
+        return HomeRequest(HomeRequestFields{read(*value.call()), duration(value.age_ns()), value.challenge()});
+    }
+
     [[nodiscard]] ClaimRecord read(const schema::ClaimRecord &value)
     {
         ClaimRecordFields fields;
@@ -242,6 +247,8 @@
             fields.response = read(*value.response());
         }
         fields.age = duration(value.age_ns());
+        fields.boot = value.boot();
+        fields.attempt = value.attempt();
         return ClaimRecord(std::move(fields));
     }
 
@@ -257,6 +264,8 @@
         if (value.existing() != nullptr) {
             fields.existing = read(*value.existing());
         }
+        fields.memory = duration(value.memory_ns());
+        fields.challenge = value.challenge();
         return ClaimReply(std::move(fields));
     }
 
--- a/src/wire/envelope_encode.cpp
+++ b/src/wire/envelope_encode.cpp
@@ -173,7 +173,7 @@
     }
     Offset<schema::HomeRequest> write(const HomeRequest &value)
     {
-        return schema::CreateHomeRequest(m_builder, write(value->call));
+        return schema::CreateHomeRequest(m_builder, write(value->call), value->age.count(), value->challenge);
     }
     Offset<schema::GrantRequest> write(const GrantRequest &value)
     {
@@ -223,7 +223,9 @@
                                          &requestDigest,
                                          static_cast<schema::ClaimState>(value->state),
                                          response,
-                                         value->age.count());
+                                         value->age.count(),
+                                         value->boot,
+                                         value->attempt);
     }
     Offset<schema::ClaimRequest> write(const ClaimRequest &value)
     {
@@ -232,7 +234,8 @@
     Offset<schema::ClaimReply> write(const ClaimReply &value)
     {
         const auto existing = value->existing ? write(*value->existing) : Offset<schema::ClaimRecord>();
-        return schema::CreateClaimReply(m_builder, value->isAccepted, existing);
+        return schema::CreateClaimReply(
+            m_builder, value->isAccepted, existing, value->memory.count(), value->challenge);
     }
     Offset<schema::ClaimHandover> write(const ClaimHandover &value)
     {
