--- a/src/config/catalogue_json.cpp
+++ b/src/config/catalogue_json.cpp
@@ -73,9 +73,9 @@
 
 const json::object &objectOrEmpty(const json::value &value)
 {
-    static const json::object Empty;
+    static const json::object empty;
     const json::object *object = value.if_object();
-    return object == nullptr ? Empty : *object;
+    return object == nullptr ? empty : *object;
 }
 
 Result<CatalogueTables> withResourceFrom(const CatalogueTables &tables, const json::value &value)
--- a/src/config/log_follower.cpp
+++ b/src/config/log_follower.cpp
@@ -42,9 +42,9 @@
     const ContextPtr context = self->m_context;
     const core::Offset from = context->store().appliedOffset();
     if (self->m_mustCheckContinuity) {
-        const bool isSound = co_await isContinuous(self, from);
-        if (!isSound) {
-            co_return SyncState::WentBack;
+        const SyncState state = co_await checkContinuity(self, from);
+        if (state != SyncState::UpToDate) {
+            co_return state;
         }
         self->m_mustCheckContinuity = false;
     }
@@ -58,6 +58,8 @@
         context->noteLogContact();
         co_return co_await onExpired(self);
     }
+    // The log may come back without its records.
+    self->m_mustCheckContinuity = true;
     self->reportOnce(SyncState::Failed, "the configuration log cannot be read: " + page.error().detail());
     co_return SyncState::Failed;
 }
@@ -109,17 +111,28 @@
     co_return change.hasAdvanced;
 }
 
-asio::awaitable<bool> LogFollower::isContinuous(std::shared_ptr<LogFollower> self, core::Offset from)
+asio::awaitable<SyncState> LogFollower::checkContinuity(std::shared_ptr<LogFollower> self, core::Offset from)
 {
     const ContextPtr context = self->m_context;
     const auto known = from > 0 ? context->store().recordAt(from - 1) : std::nullopt;
     if (!known) {
-        co_return false;
+        // After a snapshot there is no record to compare with; the check of the end of the log still applies.
+        co_return SyncState::UpToDate;
     }
     const auto page =
         co_await context->hooks().log.read(context->settings().configStream, from - 1, 1, core::Duration::zero());
-    co_return page && !(*page)->records.empty() && (*page)->records.front().offset == from - 1
-        && (*page)->records.front().data == *known;
+    if (!page) {
+        const bool isExpired = page.error().code() == platform::ErrorCode::Expired;
+        co_return isExpired ? SyncState::UpToDate : SyncState::Failed;
+    }
+    const auto &records = (*page)->records;
+    if (records.empty() || records.front().offset != from - 1 || records.front().data != *known) {
+        self->reportOnce(SyncState::WentBack,
+                         "the configuration log has other records than those folded up to offset "
+                             + std::to_string(from) + "; they are ignored");
+        co_return SyncState::WentBack;
+    }
+    co_return SyncState::UpToDate;
 }
 
 void LogFollower::reportOnce(SyncState state, const std::string &text)
--- a/src/config/log_follower.h
+++ b/src/config/log_follower.h
@@ -58,8 +58,8 @@
 
 private:
     static boost::asio::awaitable<SyncState> onExpired(std::shared_ptr<LogFollower> self);
-    /** Whether the log still has the last record that was folded. */
-    static boost::asio::awaitable<bool> isContinuous(std::shared_ptr<LogFollower> self, core::Offset from);
+    /** @return UpToDate if the log still has the last record that was folded, else WentBack or Failed. */
+    static boost::asio::awaitable<SyncState> checkContinuity(std::shared_ptr<LogFollower> self, core::Offset from);
     SyncState foldPage(core::Offset from, const platform::LogPage &page);
     void reportOnce(SyncState state, const std::string &text);
 
--- a/src/config/peer_sync.cpp
+++ b/src/config/peer_sync.cpp
@@ -57,7 +57,7 @@
     if (peers.empty()) {
         co_return;
     }
-    const core::HostId peer = peers[self->m_context->hooks().random() % peers.size()];
+    const core::HostId &peer = peers[self->m_context->hooks().random() % peers.size()];
     co_await pull(self, peer, std::numeric_limits<core::Offset>::max());
 }
 
