--- a/include/berylspring/idempotency/claim.h
+++ b/include/berylspring/idempotency/claim.h
@@ -59,7 +59,8 @@
     {
         return m_created;
     }
-    /** @return When a caller was told that no send of the name had run, if that was before this claim or is its state. */
+    /** @return When a caller was told that no send of the name had run, if that was before this claim or is its state.
+     */
     [[nodiscard]] std::optional<core::TimePoint> notRunSince() const noexcept
     {
         return m_notRunSince;
--- a/include/berylspring/idempotency/claim_table.h
+++ b/include/berylspring/idempotency/claim_table.h
@@ -116,7 +116,8 @@
     [[nodiscard]] const Shard &shardOf(const std::string &name) const;
     [[nodiscard]] bool isExpired(const Claim &claim, core::TimePoint now) const noexcept;
     [[nodiscard]] bool isOwnUnfinished(const Claim &claim) const noexcept;
-    [[nodiscard]] Begin beginOn(const Claim &known, const core::Digest &digest, core::TimePoint now, SendTime send) const;
+    [[nodiscard]] Begin
+    beginOn(const Claim &known, const core::Digest &digest, core::TimePoint now, SendTime send) const;
     [[nodiscard]] ClaimOwner nextOwner();
     /** Shard functions are called with its mutex held. */
     [[nodiscard]] const Claim *live(const Shard &shard, const std::string &name, core::TimePoint now) const;
--- a/include/berylspring/idempotency/hooks.h
+++ b/include/berylspring/idempotency/hooks.h
@@ -23,7 +23,8 @@
     std::function<std::vector<core::HostId>(const core::DataCentreId &)> liveHosts;
     /**
      * Live hosts and those that died within the retention (plus the longest time of a request), without those that left
-     * by plan. A host that crashed and came back under the same name is listed once more.
+     * by plan. A host that was taken for dead within that time and is live again is listed once more, whether it
+     * crashed or was only paused; this includes this host. A node that joins learns the dead hosts from its peers.
      */
     std::function<std::vector<core::HostId>(const core::DataCentreId &)> recentHosts;
     /** Routes to an endpoint's node. A refusal with outcome NotRun means that no endpoint received any byte. */
--- a/include/berylspring/wire/messages.h
+++ b/include/berylspring/wire/messages.h
@@ -179,6 +179,7 @@
 {
     ClaimRecord record;
     bool isRelease = false; ///< Nothing was run: forget the claim, and with state Released keep that as a record.
+    core::Duration memory{}; ///< How long the sending process has kept claims.
     [[nodiscard]] bool operator==(const ClaimRequestFields &) const = default;
 };
 using ClaimRequest = core::Immutable<ClaimRequestFields>;
--- a/src/idempotency/claim_table.cpp
+++ b/src/idempotency/claim_table.cpp
@@ -157,11 +157,8 @@
     return wire::ClaimReply(std::move(reply));
 }
 
-bool ClaimTable::acceptOver(Shard &shard,
-                            const Claim &known,
-                            const std::string &name,
-                            const Claim &offered,
-                            bool isRelease)
+bool ClaimTable::acceptOver(
+    Shard &shard, const Claim &known, const std::string &name, const Claim &offered, bool isRelease)
 {
     if (known.owner() == offered.owner()) {
         if (isRelease) {
--- a/src/idempotency/execution.cpp
+++ b/src/idempotency/execution.cpp
@@ -81,10 +81,8 @@
     co_await timer.async_wait(asio::use_awaitable);
 }
 
-asio::awaitable<std::optional<wire::Message>> waitFor(asio::any_io_executor executor,
-                                                      const SleepHook &sleep,
-                                                      std::shared_ptr<Execution> execution,
-                                                      core::Duration atMost)
+asio::awaitable<std::optional<wire::Message>>
+waitFor(asio::any_io_executor executor, SleepHook sleep, std::shared_ptr<Execution> execution, core::Duration atMost)
 {
     const auto wake = std::make_shared<Wake>(executor, 1);
     auto result = execution->resultOr(wake);
--- a/src/idempotency/execution.h
+++ b/src/idempotency/execution.h
@@ -60,10 +60,9 @@
 [[nodiscard]] boost::asio::awaitable<void> sleepFor(SleepHook sleep, core::Duration duration);
 
 /** @return The result, or nothing after the time. */
-[[nodiscard]] boost::asio::awaitable<std::optional<wire::Message>>
-waitFor(boost::asio::any_io_executor executor,
-        SleepHook sleep,
-        std::shared_ptr<Execution> execution,
-        core::Duration atMost);
+[[nodiscard]] boost::asio::awaitable<std::optional<wire::Message>> waitFor(boost::asio::any_io_executor executor,
+                                                                           SleepHook sleep,
+                                                                           std::shared_ptr<Execution> execution,
+                                                                           core::Duration atMost);
 
 }
--- a/src/idempotency/home_order.cpp
+++ b/src/idempotency/home_order.cpp
@@ -3,7 +3,6 @@
 #include "berylspring/core/rendezvous.h"
 
 #include <algorithm>
-#include <optional>
 #include <utility>
 
 namespace berylspring::idempotency {
@@ -23,9 +22,13 @@
 
 }
 
-HomeOrder::HomeOrder(std::string_view claimName, std::vector<core::HostId> live, std::vector<core::HostId> recent)
+HomeOrder::HomeOrder(std::string_view claimName,
+                     std::vector<core::HostId> live,
+                     std::vector<core::HostId> recent,
+                     core::Duration retention)
     : m_live(core::rendezvousOrder(claimName, std::move(live)))
     , m_recent(core::rendezvousOrder(claimName, withAll(std::move(recent), m_live)))
+    , m_retention(retention)
 {
 }
 
@@ -39,61 +42,101 @@
     return m_live.empty() ? m_live : std::vector<core::HostId>(m_live.begin() + 1, m_live.end());
 }
 
-std::size_t HomeOrder::goneAbove(const core::HostId &host) const
+std::size_t HomeOrder::asked() const
 {
-    const auto last = std::find(m_recent.rbegin(), m_recent.rend(), host).base();
-    std::size_t gone = 0;
-    for (auto recent = m_recent.begin(); recent != last;) {
-        const auto next = std::find_if(recent, last, [&](const core::HostId &other) { return other != *recent; });
-        const bool hasCrashed = next - recent > 1;
-        const bool isLive = std::find(m_live.begin(), m_live.end(), *recent) != m_live.end();
-        gone += hasCrashed || !isLive ? 1U : 0U;
-        recent = next;
+    std::size_t young = 0;
+    for (std::size_t i = 0; i < m_live.size(); ++i) {
+        young += wasAway(m_live[i]) ? 0U : 1U;
+        if (young > MaxStandbys) {
+            return i + 1;
+        }
     }
-    return gone;
+    return m_live.size();
 }
 
-ClaimStep HomeOrder::next(const std::map<core::HostId, Memory> &accepted,
-                          const std::function<bool(const core::HostId &)> &isPresumedOld) const
+ClaimStep HomeOrder::next(const Accepted &accepted, const MemoryOf &memoryOf) const
 {
-    const std::size_t end = std::min(m_live.size(), MaxStandbys + 1);
-    if (end == 0) {
-        return {ClaimStep::Kind::PastUnknown, {}};
-    }
     std::optional<core::HostId> firstOld;
-    std::size_t held = 0;
-    while (held < end && (!firstOld || held < Holders)) {
-        const auto found = accepted.find(m_live[held]);
+    const std::size_t end = asked();
+    for (std::size_t i = 0; i < end && (!firstOld || i < Holders); ++i) {
+        const auto found = accepted.find(m_live[i]);
         if (found == accepted.end()) {
-            return ask(held, isPresumedOld, !firstOld);
+            return ask(i, end, !firstOld, memoryOf);
         }
-        if (!firstOld && found->second == Memory::CoversRetention) {
-            firstOld = m_live[held];
+        if (!firstOld && found->second >= m_retention && !wasAway(m_live[i])) {
+            firstOld = m_live[i];
         }
-        ++held;
     }
-    return judge(firstOld.value_or(m_live[end - 1]));
+    const bool isUnknown = firstOld ? areBothGone(*firstOld, accepted) : mayBeGone(accepted, memoryOf);
+    return {isUnknown ? ClaimStep::Kind::PastUnknown : ClaimStep::Kind::Proceed, {}};
+}
+
+bool HomeOrder::isLive(const core::HostId &host) const
+{
+    return std::find(m_live.begin(), m_live.end(), host) != m_live.end();
 }
 
-ClaimStep HomeOrder::ask(std::size_t first,
-                         const std::function<bool(const core::HostId &)> &isPresumedOld,
-                         bool needsOld) const
+bool HomeOrder::wasAway(const core::HostId &host) const
+{
+    return std::count(m_recent.begin(), m_recent.end(), host) > 1;
+}
+
+bool HomeOrder::isGone(const core::HostId &host, const Accepted &accepted) const
+{
+    if (!isLive(host)) {
+        return true;
+    }
+    const auto memory = accepted.find(host);
+    return wasAway(host) && (memory == accepted.end() || memory->second < m_retention);
+}
+
+ClaimStep HomeOrder::ask(std::size_t first, std::size_t end, bool needsOld, const MemoryOf &memoryOf) const
 {
     ClaimStep step;
-    const std::size_t end = std::min(m_live.size(), MaxStandbys + 1);
     for (std::size_t i = first; i < end; ++i) {
         step.hosts.push_back(m_live[i]);
-        if (!needsOld || isPresumedOld(m_live[i])) {
+        const bool isPresumedOld = memoryOf(m_live[i]).value_or(core::Duration::zero()) >= m_retention;
+        if (!needsOld || (isPresumedOld && !wasAway(m_live[i]))) {
             break;
         }
     }
     return step;
 }
 
-ClaimStep HomeOrder::judge(const core::HostId &firstOld) const
+bool HomeOrder::areBothGone(const core::HostId &member, const Accepted &accepted) const
+{
+    const auto end = std::find(m_recent.begin(), m_recent.end(), member);
+    std::size_t gone = 0;
+    for (auto recent = m_recent.begin(); recent != end; ++recent) {
+        const bool isCounted = recent != m_recent.begin() && *recent == *(recent - 1);
+        gone += !isCounted && isGone(*recent, accepted) ? 1U : 0U;
+    }
+    return gone >= Holders;
+}
+
+/**
+ * The longest-running host that was never away knows of two holders for each record since its start. Records from
+ * before, or from while all others were away, may have been held by one gone host of any rank, unless that is known to
+ * have started no earlier.
+ */
+bool HomeOrder::mayBeGone(const Accepted &accepted, const MemoryOf &memoryOf) const
 {
-    const bool areBothGone = goneAbove(firstOld) >= Holders;
-    return {areBothGone ? ClaimStep::Kind::PastUnknown : ClaimStep::Kind::Proceed, {}};
+    core::Duration longest{};
+    std::optional<core::HostId> oldest;
+    for (const auto &[host, memory] : accepted) {
+        if (isLive(host) && !wasAway(host) && memory > longest) {
+            longest = memory;
+            oldest = host;
+        }
+    }
+    if (!oldest) {
+        return std::any_of(m_recent.begin(), m_recent.end(), [&](const auto &host) { return isGone(host, accepted); });
+    }
+    return areBothGone(*oldest, accepted)
+           || std::any_of(m_recent.begin(), m_recent.end(), [&](const core::HostId &host) {
+                  const auto memory = memoryOf(host);
+                  return isGone(host, accepted) && !(memory && *memory <= longest + StartSpread);
+              });
 }
 
 }
--- a/src/idempotency/home_run.cpp
+++ b/src/idempotency/home_run.cpp
@@ -47,7 +47,7 @@
 
 wire::Message earlierRefusal()
 {
-    auto fields = *refusalOf(RefusalReason::NotReady, Outcome::NotRun, "a later send of this name was refused");
+    auto fields = *refusalOf(RefusalReason::ClaimUnknown, Outcome::Unknown, "a later send of this name was answered");
     fields.refusal = fields.refusal->withRetryAfter(EarlierRetryAfter);
     return wire::CallResponse(std::move(fields));
 }
@@ -258,8 +258,7 @@
     asio::co_spawn(state->executor, execute(state, std::move(attempt)), asio::detached);
 }
 
-asio::awaitable<wire::Message>
-wait(StatePtr state, std::shared_ptr<Execution> execution, core::Duration remaining)
+asio::awaitable<wire::Message> wait(StatePtr state, std::shared_ptr<Execution> execution, core::Duration remaining)
 {
     auto waiting = waitFor(state->executor, state->hooks.sleep, std::move(execution), remaining);
     auto result = co_await std::move(waiting);
--- a/src/idempotency/home_selection.cpp
+++ b/src/idempotency/home_selection.cpp
@@ -20,7 +20,7 @@
     const std::string_view key = keyOf(claimName);
     const auto end = key.find('/');
     if (end != std::string_view::npos) {
-        const core::DataCentreId prefix{std::string(key.substr(0, end))};
+        core::DataCentreId prefix{std::string(key.substr(0, end))};
         if (std::binary_search(m_declared.begin(), m_declared.end(), prefix)) {
             return prefix;
         }
--- a/src/idempotency/replication.cpp
+++ b/src/idempotency/replication.cpp
@@ -31,12 +31,13 @@
 asio::awaitable<std::optional<wire::ClaimReply>>
 sendTo(StatePtr state, core::HostId host, wire::ClaimRequest request, core::Duration timeout)
 {
-    const auto result = co_await state->hooks.call(host, wire::Message(std::move(request)), timeout);
+    wire::Message message = request.with(&wire::ClaimRequestFields::memory, state->memory());
+    const auto result = co_await state->hooks.call(host, std::move(message), timeout);
     if (!result || !std::holds_alternative<wire::ClaimReply>(*result)) {
         co_return std::nullopt;
     }
     const auto &reply = std::get<wire::ClaimReply>(*result);
-    state->keepsSince.insertOrAssign(host, state->hooks.now() - reply->memory);
+    state->noteMemory(host, reply->memory);
     co_return reply;
 }
 
@@ -84,8 +85,7 @@
         : m_state(state)
         , m_claim(claim)
     {
-        const bool isOld = state.memory() >= state.settings.retention;
-        m_accepted.emplace(state.settings.self, isOld ? Memory::CoversRetention : Memory::Shorter);
+        m_accepted.emplace(state.settings.self, state.memory());
     }
 
     /** @return The hosts to ask next, or nothing when the replication is decided. */
@@ -95,11 +95,11 @@
             m_result.kind = Replicated::Kind::NotHome;
             return {};
         }
-        const auto isPresumedOld = [&](const core::HostId &host) {
+        const auto memoryOf = [&](const core::HostId &host) {
             const auto since = m_state.keepsSince.find(host);
-            return since && now - *since >= m_state.settings.retention;
+            return since ? std::optional<core::Duration>(now - *since) : std::nullopt;
         };
-        const ClaimStep step = order.next(m_accepted, isPresumedOld);
+        const ClaimStep step = order.next(m_accepted, memoryOf);
         m_result.kind = step.kind == ClaimStep::Kind::Proceed ? Replicated::Kind::Held : Replicated::Kind::PastUnknown;
         return step.kind == ClaimStep::Kind::Ask ? step.hosts : std::vector<core::HostId>();
     }
@@ -120,8 +120,7 @@
         if (reply->existing) {
             m_result.notRunSince = std::max(m_result.notRunSince, std::optional(now - (*reply->existing)->age));
         }
-        const bool isOld = reply->memory >= m_state.settings.retention;
-        m_accepted.insert_or_assign(answer.host, isOld ? Memory::CoversRetention : Memory::Shorter);
+        m_accepted.insert_or_assign(answer.host, reply->memory);
     }
 
     [[nodiscard]] bool isBlocked() const
@@ -144,8 +143,8 @@
     void noteExisting(const std::optional<wire::ClaimRecord> &existing, core::TimePoint now)
     {
         const wire::ClaimRecord record = existing.value_or(m_claim.toRecord(std::string(), now));
-        const bool isBetter = !m_result.existing
-            || Claim::fromRecord(record, now).isAheadOf(Claim::fromRecord(*m_result.existing, now));
+        const bool isBetter =
+            !m_result.existing || Claim::fromRecord(record, now).isAheadOf(Claim::fromRecord(*m_result.existing, now));
         if (isBetter) {
             m_result.existing = record;
         }
@@ -153,7 +152,7 @@
 
     const State &m_state;
     const Claim &m_claim;
-    std::map<core::HostId, Memory> m_accepted;
+    std::map<core::HostId, core::Duration> m_accepted;
     Replicated m_result;
 };
 
--- a/src/idempotency/replication.h
+++ b/src/idempotency/replication.h
@@ -41,9 +41,8 @@
 replicate(StatePtr state, std::string name, Claim claim, core::TimePoint deadline);
 
 /** @brief Sends a record, or its release, to the hosts and waits for each of them or for the time limit. */
-[[nodiscard]] boost::asio::awaitable<void> sendOnce(StatePtr state,
-                                                    std::vector<core::HostId> hosts,
-                                                    wire::ClaimRequest request);
+[[nodiscard]] boost::asio::awaitable<void>
+sendOnce(StatePtr state, std::vector<core::HostId> hosts, wire::ClaimRequest request);
 
 /** @brief Sends a result to the hosts in the background, again while they are live, for a few seconds. */
 void publish(const StatePtr &state, const std::vector<core::HostId> &hosts, const wire::ClaimRequest &request);
--- a/src/idempotency/send_time.cpp
+++ b/src/idempotency/send_time.cpp
@@ -17,7 +17,7 @@
         return SendOrder::Ambiguous;
     }
     const core::TimePoint challenged{core::Duration(static_cast<core::Duration::rep>(m_challenge - 1))};
-    return challenged - m_age >= notRunSince ? SendOrder::Later : SendOrder::Earlier;
+    return challenged - m_age >= notRunSince ? SendOrder::Later : SendOrder::Ambiguous;
 }
 
 }
--- a/src/idempotency/service.cpp
+++ b/src/idempotency/service.cpp
@@ -18,13 +18,15 @@
     return wire::Refused(wire::RefusedFields{std::move(detail)});
 }
 
-wire::Message acceptClaim(detail::State &state, const wire::ClaimRequest &request)
+wire::Message acceptClaim(detail::State &state, const core::HostId &from, const wire::ClaimRequest &request)
 {
     // A claim accepted after the records were handed over would be lost with this process.
     if (state.isHandingOver) {
         return refused("handing over");
     }
-    const wire::ClaimReply reply = state.table.accept(request, state.hooks.now());
+    const core::TimePoint now = state.hooks.now();
+    state.noteMemory(from, request->memory);
+    const wire::ClaimReply reply = state.table.accept(request, now);
     auto &count = reply->isAccepted ? state.counts.claimsAccepted : state.counts.claimsRefused;
     count.fetch_add(1);
     return reply.with(&wire::ClaimReplyFields::memory, state.memory());
@@ -56,7 +58,7 @@
     return detail::enter(m_state, std::move(call), origin);
 }
 
-asio::awaitable<wire::Message> IdempotencyService::handle(core::HostId /*from*/, wire::Message message)
+asio::awaitable<wire::Message> IdempotencyService::handle(core::HostId from, wire::Message message)
 {
     if (const auto *request = std::get_if<wire::HomeRequest>(&message)) {
         const SendTime send((*request)->age, (*request)->challenge);
@@ -64,7 +66,7 @@
         co_return co_await std::move(serving);
     }
     if (const auto *claim = std::get_if<wire::ClaimRequest>(&message)) {
-        co_return acceptClaim(*m_state, *claim);
+        co_return acceptClaim(*m_state, from, *claim);
     }
     if (const auto *handover = std::get_if<wire::ClaimHandover>(&message)) {
         co_return acceptHandover(*m_state, *handover);
--- a/src/idempotency/state.cpp
+++ b/src/idempotency/state.cpp
@@ -1,5 +1,6 @@
 #include "idempotency/state.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace berylspring::idempotency::detail {
@@ -17,7 +18,7 @@
 HomeOrder State::orderOf(const std::string &name) const
 {
     const auto dataCentre = selection.dataCentreOf(name);
-    return {name, hooks.liveHosts(dataCentre), hooks.recentHosts(dataCentre)};
+    return {name, hooks.liveHosts(dataCentre), hooks.recentHosts(dataCentre), settings.retention};
 }
 
 bool State::isOwnDataCentre(const std::string &name) const
@@ -30,6 +31,13 @@
     return hooks.now() - started;
 }
 
+void State::noteMemory(const core::HostId &host, core::Duration hostMemory)
+{
+    const core::TimePoint since = hooks.now() - hostMemory;
+    keepsSince.update(host,
+                      [&](std::optional<core::TimePoint> &known) { known = std::min(known.value_or(since), since); });
+}
+
 wire::CallResponse refusalOf(core::RefusalReason reason, core::Outcome outcome, std::string detail)
 {
     wire::CallResponseFields fields;
--- a/src/idempotency/state.h
+++ b/src/idempotency/state.h
@@ -52,6 +52,8 @@
     [[nodiscard]] bool isOwnDataCentre(const std::string &name) const;
     /** @return How long this process has kept claims. */
     [[nodiscard]] core::Duration memory() const;
+    /** @brief Keeps the earliest start known of a host, so that a restart does not hide the process before it. */
+    void noteMemory(const core::HostId &host, core::Duration memory);
 
     const boost::asio::any_io_executor executor;
     const IdempotencySettings settings;
@@ -60,7 +62,7 @@
     const core::TimePoint started;
     ClaimTable table;
     core::ShardedMap<std::string, std::shared_ptr<Execution>> executions;
-    core::ShardedMap<core::HostId, core::TimePoint> keepsSince; ///< Peers' claims, by their replies.
+    core::ShardedMap<core::HostId, core::TimePoint> keepsSince; ///< Of peers, by their claims and replies.
     core::ShardedMap<std::string, core::TimePoint> passedOn; ///< With UnreachableRule::ThisNode only.
     std::atomic<std::uint64_t> publishing{0}; ///< Results on their way to the standbys.
     std::atomic<bool> isStopping{false}; ///< Starts no requests.
@@ -70,7 +72,6 @@
 
 using StatePtr = std::shared_ptr<State>;
 
-[[nodiscard]] wire::CallResponse
-refusalOf(core::RefusalReason reason, core::Outcome outcome, std::string detail = {});
+[[nodiscard]] wire::CallResponse refusalOf(core::RefusalReason reason, core::Outcome outcome, std::string detail = {});
 
 }
--- a/tests/idempotency/one_name_on_three_hosts.cpp
+++ b/tests/idempotency/one_name_on_three_hosts.cpp
@@ -1,8 +1,8 @@
+#include "berylspring/core/rendezvous.h"
 #include "berylspring/idempotency/claim_name.h"
 #include "berylspring/idempotency/claim_table.h"
 #include "berylspring/idempotency/home_order.h"
 #include "berylspring/idempotency/home_selection.h"
-#include "berylspring/core/rendezvous.h"
 #include "support/section.h"
 
 #include <CppUTest/TestHarness.h>
@@ -11,16 +11,17 @@
 using idempotency::Begin;
 using idempotency::ClaimStep;
 using idempotency::HomeOrder;
-using idempotency::Memory;
-using test::checkProperty;
 using test::section;
 using namespace std::chrono_literals;
 
 namespace {
 
-const core::TimePoint Start{1h};
-const core::Digest Request = core::sha256("request");
-const std::string Name = "w/r/k";
+constexpr core::TimePoint Start{1h};
+constexpr core::Duration Retention = 600s;
+constexpr core::Duration Old = 700s;
+constexpr core::Duration Young = 60s;
+const core::Digest request = core::sha256("request");
+const std::string name = "w/r/k";
 
 std::vector<core::HostId> hosts(std::size_t count)
 {
@@ -28,12 +29,12 @@
     for (std::size_t i = 0; i < count; ++i) {
         hosts.emplace_back("h" + std::to_string(i));
     }
-    return core::rendezvousOrder(Name, hosts);
+    return core::rendezvousOrder(name, hosts);
 }
 
-bool nobodyIsPresumedOld(const core::HostId &)
+std::optional<core::Duration> nothingIsKnown(const core::HostId &)
 {
-    return false;
+    return std::nullopt;
 }
 
 wire::CallResponse answer(std::string body)
@@ -44,14 +45,15 @@
     return wire::CallResponse(std::move(fields));
 }
 
-wire::ClaimRequest claimOf(const std::string &home, std::uint64_t attempt, wire::ClaimState state, bool isRelease = false)
+wire::ClaimRequest
+claimOf(const std::string &home, std::uint64_t attempt, wire::ClaimState state, bool isRelease = false)
 {
     wire::ClaimRecordFields record;
-    record.name = Name;
+    record.name = name;
     record.home = core::HostId(home);
     record.boot = 7;
     record.attempt = attempt;
-    record.requestDigest = Request;
+    record.requestDigest = request;
     record.state = state;
     return wire::ClaimRequest({wire::ClaimRecord(record), isRelease});
 }
@@ -67,14 +69,14 @@
     const core::WorkspaceId workspace("w");
     const core::RouteId route("r");
     section("the prefix of the key chooses it", [&] {
-        const auto name = idempotency::claimName(workspace, route, "west/order-1");
-        CHECK(selection.dataCentreOf(name) == core::DataCentreId("west"));
-        CHECK(idempotency::keyOf(name) == "west/order-1");
+        const auto placed = idempotency::claimName(workspace, route, "west/order-1");
+        CHECK(selection.dataCentreOf(placed) == core::DataCentreId("west"));
+        CHECK(idempotency::keyOf(placed) == "west/order-1");
     });
     section("an undeclared prefix is an ordinary key, placed alike on every node", [&] {
-        const auto name = idempotency::claimName(workspace, route, "north/order-1");
+        const auto placed = idempotency::claimName(workspace, route, "north/order-1");
         const idempotency::HomeSelection reordered({declared[1], declared[0], declared[0]});
-        CHECK(selection.dataCentreOf(name) == reordered.dataCentreOf(name));
+        CHECK(selection.dataCentreOf(placed) == reordered.dataCentreOf(placed));
     });
     section("a generated key stays in the data centre of its entry", [&] {
         const auto key = idempotency::oneTimeKey(declared[0], [] { return 5; });
@@ -86,61 +88,75 @@
 TEST(OneNameOnThreeHosts, isScannedDownToAHostThatKnowsThePast)
 {
     const auto ranked = hosts(8);
+    const auto orderOf = [](const std::vector<core::HostId> &live, const std::vector<core::HostId> &recent) {
+        return HomeOrder(name, live, recent, Retention);
+    };
     section("an old home needs one standby", [&] {
-        const HomeOrder order(Name, ranked, ranked);
-        auto step = order.next({{ranked[0], Memory::CoversRetention}}, nobodyIsPresumedOld);
-        CHECK(step == (ClaimStep{ClaimStep::Kind::Ask, {ranked[1]}}));
-        step = order.next({{ranked[0], Memory::CoversRetention}, {ranked[1], Memory::Shorter}}, nobodyIsPresumedOld);
-        CHECK(step.kind == ClaimStep::Kind::Proceed);
+        const auto order = orderOf(ranked, ranked);
+        CHECK(order.next({{ranked[0], Old}}, nothingIsKnown) == (ClaimStep{ClaimStep::Kind::Ask, {ranked[1]}}));
+        CHECK(order.next({{ranked[0], Old}, {ranked[1], Young}}, nothingIsKnown).kind == ClaimStep::Kind::Proceed);
     });
     section("a home that joined lately asks until one knows the whole retention", [&] {
-        const HomeOrder order(Name, ranked, ranked);
-        const auto first = order.next({{ranked[0], Memory::Shorter}}, nobodyIsPresumedOld);
+        const auto order = orderOf(ranked, ranked);
+        const auto first = order.next({{ranked[0], Young}}, nothingIsKnown);
         CHECK(first == (ClaimStep{ClaimStep::Kind::Ask, {ranked[1], ranked[2], ranked[3]}}));
-        const auto second = order.next({{ranked[0], Memory::Shorter}, {ranked[1], Memory::Shorter}},
-                                       [&](const auto &host) { return host == ranked[2]; });
+        const auto second = order.next({{ranked[0], Young}, {ranked[1], Young}}, [&](const auto &host) {
+            return std::optional(host == ranked[2] ? Old : Young);
+        });
         CHECK(second == (ClaimStep{ClaimStep::Kind::Ask, {ranked[2]}}));
     });
     section("without the two highest-ranked recent hosts the past is unknown", [&] {
         const std::vector<core::HostId> live(ranked.begin() + 2, ranked.end());
-        const std::map<core::HostId, Memory> held{{live[0], Memory::CoversRetention},
-                                                  {live[1], Memory::CoversRetention}};
-        CHECK(HomeOrder(Name, live, ranked).next(held, nobodyIsPresumedOld).kind == ClaimStep::Kind::PastUnknown);
+        const std::map<core::HostId, core::Duration> held{{live[0], Old}, {live[1], Old}};
+        CHECK(orderOf(live, ranked).next(held, nothingIsKnown).kind == ClaimStep::Kind::PastUnknown);
         const std::vector<core::HostId> oneGone(ranked.begin() + 1, ranked.end());
-        CHECK(HomeOrder(Name, live, oneGone).next(held, nobodyIsPresumedOld).kind == ClaimStep::Kind::Proceed);
+        CHECK(orderOf(live, oneGone).next(held, nothingIsKnown).kind == ClaimStep::Kind::Proceed);
     });
     section("a host that came back without its records counts as gone", [&] {
         auto recent = ranked;
-        recent.push_back(ranked[0]);
-        recent.push_back(ranked[1]);
-        recent.push_back(ranked[1]);
-        const std::map<core::HostId, Memory> held{
-            {ranked[0], Memory::Shorter}, {ranked[1], Memory::Shorter}, {ranked[2], Memory::CoversRetention}};
-        const HomeOrder order(Name, ranked, recent);
-        LONGS_EQUAL(2, order.goneAbove(ranked[2]));
-        CHECK(order.next(held, nobodyIsPresumedOld).kind == ClaimStep::Kind::PastUnknown);
+        recent.insert(recent.end(), {ranked[0], ranked[1], ranked[1]});
+        const auto order = orderOf(ranked, recent);
+        std::map<core::HostId, core::Duration> held{{ranked[0], Young}, {ranked[1], Young}, {ranked[2], Old}};
+        CHECK(order.next(held, nothingIsKnown).kind == ClaimStep::Kind::PastUnknown);
+        section("unless it was only paused: then it has missed the claims of that time, and others are asked", [&] {
+            held[ranked[0]] = held[ranked[1]] = Old;
+            CHECK(order.next(held, nothingIsKnown).kind == ClaimStep::Kind::Proceed);
+            held.erase(ranked[2]);
+            const auto step = order.next(held, nothingIsKnown);
+            CHECK(step == (ClaimStep{ClaimStep::Kind::Ask, {ranked[2], ranked[3], ranked[4], ranked[5]}}));
+        });
+    });
+    section("a young home whose older peers are all gone does not know the past", [&] {
+        const std::vector<core::HostId> live{ranked[0]};
+        const std::vector<core::HostId> recent{ranked[0], ranked[4], ranked[5]};
+        const std::map<core::HostId, core::Duration> held{{ranked[0], Young}};
+        CHECK(orderOf(live, recent).next(held, nothingIsKnown).kind == ClaimStep::Kind::PastUnknown);
+        section("unless the whole fleet is young", [&] {
+            const auto startedTogether = [](const auto &) { return std::optional(Young); };
+            CHECK(orderOf(live, recent).next(held, startedTogether).kind == ClaimStep::Kind::Proceed);
+        });
     });
     section("a home that is alone proceeds", [&] {
-        const HomeOrder order(Name, {ranked[0]}, {ranked[0]});
-        CHECK(order.next({{ranked[0], Memory::Shorter}}, nobodyIsPresumedOld).kind == ClaimStep::Kind::Proceed);
+        const auto order = orderOf({ranked[0]}, {ranked[0]});
+        CHECK(order.next({{ranked[0], Young}}, nothingIsKnown).kind == ClaimStep::Kind::Proceed);
     });
 }
 
 TEST(OneNameOnThreeHosts, runsOnceOnItsHome)
 {
     idempotency::ClaimTable table(core::HostId("home"), 7, {});
-    const auto begin = table.begin(Name, Request, Start);
+    const auto begin = table.begin(name, request, Start);
     CHECK(begin.kind == Begin::Kind::Start);
     section("a resend during the run waits, another request is refused", [&] {
-        CHECK(table.begin(Name, Request, Start).kind == Begin::Kind::Wait);
-        CHECK(table.begin(Name, core::sha256("other"), Start).kind == Begin::Kind::Mismatch);
+        CHECK(table.begin(name, request, Start).kind == Begin::Kind::Wait);
+        CHECK(table.begin(name, core::sha256("other"), Start).kind == Begin::Kind::Mismatch);
     });
     section("a resend after it gets the stored answer until the retention ends", [&] {
-        CHECK(table.markDispatched(Name, *begin.owner));
-        CHECK_FALSE(table.markDispatched(Name, *begin.owner));
-        table.storeAnswer(Name, *begin.owner, answer("done"));
-        CHECK((*table.begin(Name, Request, Start + 599s).response)->body == "done");
-        CHECK(table.begin(Name, Request, Start + 600s).kind == Begin::Kind::Start);
+        CHECK(table.markDispatched(name, *begin.owner));
+        CHECK_FALSE(table.markDispatched(name, *begin.owner));
+        table.storeAnswer(name, *begin.owner, answer("done"));
+        CHECK((*table.begin(name, request, Start + 599s).response)->body == "done");
+        CHECK(table.begin(name, request, Start + 600s).kind == Begin::Kind::Start);
     });
 }
 
@@ -159,7 +175,7 @@
         CHECK(standby.accept(claimOf("a", 2, ClaimState::Dispatched), Start)->isAccepted);
         CHECK_FALSE(standby.accept(claimOf("a", 1, ClaimState::Released, true), Start)->isAccepted);
         CHECK_FALSE(standby.accept(claimOf("a", 1, ClaimState::Claimed, true), Start)->isAccepted);
-        CHECK(standby.find(Name, Start)->state() == ClaimState::Dispatched);
+        CHECK(standby.find(name, Start)->state() == ClaimState::Dispatched);
     });
     section("a release frees the name, and a late copy of its claim does not take it back", [&] {
         CHECK(standby.accept(claimOf("a", 2, ClaimState::Released, true), Start)->isAccepted);
@@ -171,8 +187,8 @@
     });
     section("a withdrawn claim leaves the release before it", [&] {
         CHECK(standby.accept(claimOf("b", 1, ClaimState::Claimed, true), Start + 2s)->isAccepted);
-        CHECK(standby.find(Name, Start + 2s)->state() == ClaimState::Released);
-        CHECK(standby.find(Name, Start + 2s)->created() == Start);
+        CHECK(standby.find(name, Start + 2s)->state() == ClaimState::Released);
+        CHECK(standby.find(name, Start + 2s)->created() == Start);
     });
 }
 
@@ -180,33 +196,34 @@
 TEST(OneNameOnThreeHosts, doesNotRunForASendThatIsOlderThanItsRelease)
 {
     idempotency::ClaimTable table(core::HostId("home"), 7, {});
-    const auto first = table.begin(Name, Request, Start);
-    table.release(Name, *first.owner, Start + 1s);
+    const auto first = table.begin(name, request, Start);
+    table.release(name, *first.owner, Start + 1s);
     section("an age that reaches behind the release tells it", [&] {
-        CHECK(table.begin(Name, Request, Start + 2s, {1500ms, 0}).kind == Begin::Kind::Earlier);
+        CHECK(table.begin(name, request, Start + 2s, {1500ms, 0}).kind == Begin::Kind::Earlier);
     });
     section("a small age may hide a long way: the home asks", [&] {
-        CHECK(table.begin(Name, Request, Start + 2s, {1ms, 0}).kind == Begin::Kind::Challenge);
+        CHECK(table.begin(name, request, Start + 2s, {1ms, 0}).kind == Begin::Kind::Challenge);
         const auto challenge = idempotency::SendTime::challengeAt(Start + 2s);
-        CHECK(table.begin(Name, Request, Start + 3s, {1500ms, challenge}).kind == Begin::Kind::Earlier);
-        CHECK(table.begin(Name, Request, Start + 3s, {500ms, challenge}).kind == Begin::Kind::Start);
+        CHECK(table.begin(name, request, Start + 3s, {1500ms, challenge}).kind == Begin::Kind::Challenge);
+        CHECK(table.begin(name, request, Start + 3s, {2500ms, challenge}).kind == Begin::Kind::Earlier);
+        CHECK(table.begin(name, request, Start + 3s, {500ms, challenge}).kind == Begin::Kind::Start);
     });
 }
 
 // Guards against memory that grows without bound, and against a name that runs again because its answer was dropped.
 TEST(OneNameOnThreeHosts, isNotForgottenWhenMemoryIsShort)
 {
-    constexpr std::size_t Limit = 16 * 100;
-    idempotency::ClaimTable table(core::HostId("home"), 7, {600s, Limit, 16 * 100});
+    constexpr std::size_t Limit = 1600;
+    idempotency::ClaimTable table(core::HostId("home"), 7, {600s, Limit, 1600});
     std::size_t unknown = 0;
     for (int i = 0; i < 200; ++i) {
-        const std::string name = "w/r/" + std::to_string(i);
-        const auto begin = table.begin(name, Request, Start);
-        table.storeAnswer(name, *begin.owner, answer(std::string(30, 'x')));
+        const std::string other = "w/r/" + std::to_string(i);
+        const auto begin = table.begin(other, request, Start);
+        table.storeAnswer(other, *begin.owner, answer(std::string(30, 'x')));
         CHECK(table.storedBytes() <= Limit);
     }
     for (int i = 0; i < 200; ++i) {
-        const auto kind = table.begin("w/r/" + std::to_string(i), Request, Start).kind;
+        const auto kind = table.begin("w/r/" + std::to_string(i), request, Start).kind;
         CHECK(kind == Begin::Kind::Replay || kind == Begin::Kind::Unknown);
         unknown += kind == Begin::Kind::Unknown ? 1 : 0;
     }
