--- /dev/null
+++ b/include/berylspring/ctl/fwd.h
@@ -0,0 +1,8 @@
+#pragma once
+
+namespace berylspring::ctl {
+
+class OperatorClient;
+struct Options;
+
+}
--- /dev/null
+++ b/src/http/line_stream.cpp
@@ -0,0 +1,103 @@
+#include "berylspring/http/line_stream.h"
+
+#include "http/address.h"
+#include "http/beast_convert.h"
+
+#include <array>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+namespace berylspring::http {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using boost::system::error_code;
+
+constexpr std::size_t PieceBytes = 8192;
+constexpr std::size_t MaxLineBytes = 1'048'576;
+
+/** @brief Cuts pieces of text into lines. */
+class LineCutter
+{
+public:
+    explicit LineCutter(LineReader onLine)
+        : m_onLine(std::move(onLine))
+    {
+    }
+    /** @return Whether to go on. */
+    bool add(std::string_view piece)
+    {
+        m_rest += piece;
+        std::size_t end = m_rest.find('\n');
+        while (end != std::string::npos) {
+            const std::string line = m_rest.substr(0, end);
+            m_rest.erase(0, end + 1);
+            if (!m_onLine(line)) {
+                return false;
+            }
+            end = m_rest.find('\n');
+        }
+        return m_rest.size() <= MaxLineBytes;
+    }
+
+private:
+    LineReader m_onLine;
+    std::string m_rest;
+};
+
+Error lost(const error_code &error)
+{
+    return {ErrorCode::ConnectionLost, true, error.message()};
+}
+
+}
+
+asio::awaitable<Result<unsigned>> readLines(std::string address, Request request, LineReader onLine)
+{
+    const auto endpoint = detail::parseAddress(address);
+    if (!endpoint) {
+        co_return tl::unexpected(endpoint.error());
+    }
+    error_code error;
+    beast::tcp_stream stream(co_await asio::this_coro::executor);
+    co_await stream.async_connect(*endpoint, asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+        co_return tl::unexpected(Error(ErrorCode::Unreachable, false, address + ": " + error.message()));
+    }
+    const detail::BeastRequest message = detail::toBeast(request, address);
+    co_await beast::http::async_write(stream, message, asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+        co_return tl::unexpected(lost(error));
+    }
+    beast::flat_buffer buffer;
+    beast::http::response_parser<beast::http::buffer_body> parser;
+    parser.body_limit(boost::none);
+    co_await beast::http::async_read_header(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+        co_return tl::unexpected(lost(error));
+    }
+    const unsigned status = parser.get().result_int();
+    LineCutter lines(std::move(onLine));
+    std::array<char, PieceBytes> piece{};
+    while (status == 200 && !parser.is_done()) {
+        parser.get().body().data = piece.data();
+        parser.get().body().size = piece.size();
+        co_await beast::http::async_read_some(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+        if (error && error != beast::http::error::need_buffer) {
+            co_return tl::unexpected(lost(error));
+        }
+        if (!lines.add(std::string_view(piece.data(), piece.size() - parser.get().body().size))) {
+            break;
+        }
+    }
+    co_return status;
+}
+
+}
--- /dev/null
+++ b/tests/ctl/an_operator_types_a_command.cpp
@@ -0,0 +1,56 @@
+#include "berylspring/ctl/commands.h"
+#include "berylspring/ctl/options.h"
+#include "berylspring/ctl/table.h"
+#include "support/section.h"
+
+#include <sstream>
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace berylspring;
+using test::checkProperty;
+using test::section;
+
+TEST_GROUP(AnOperatorTypesACommand){};
+
+TEST(AnOperatorTypesACommand, andItIsParsed)
+{
+    const auto options = ctl::parseOptions({"key", "create", "k1", "--workspace", "w1", "--wait", "5", "-o", "json"});
+    CHECK(options.has_value());
+    const std::vector<std::string> expected{"key", "create", "k1"};
+    CHECK(options->command == expected);
+    CHECK(options->workspace == "w1");
+    LONGS_EQUAL(5, options->waitSeconds);
+    CHECK(options->output == ctl::OutputFormat::Json);
+}
+
+TEST(AnOperatorTypesACommand, andAMistakeIsExplained)
+{
+    section("an unknown option", [] { CHECK_FALSE(ctl::parseOptions({"list", "--frm", "3"}).has_value()); });
+    section("an unknown output format", [] {
+        STRCMP_CONTAINS("must be table or json", ctl::parseOptions({"list", "-o", "xml"}).error().c_str());
+    });
+    section("an unknown command and a key without workspace end in a usage error", [] {
+        for (const std::vector<std::string> &words : {std::vector<std::string>{"lst"}, {"key", "create", "k1"}}) {
+            std::ostringstream out;
+            std::ostringstream err;
+            CHECK(ctl::runCommand(ctl::parseOptions(words).value(), out, err) == ctl::ExitCode::Usage);
+            CHECK(!err.str().empty());
+        }
+    });
+    section("a node that does not answer", [] {
+        std::ostringstream out;
+        std::ostringstream err;
+        const auto options = ctl::parseOptions({"list", "keys", "--address", "127.0.0.1:1"});
+        CHECK(ctl::runCommand(*options, out, err) == ctl::ExitCode::Unavailable);
+    });
+}
+
+TEST(AnOperatorTypesACommand, andTheAnswerIsLaidOut)
+{
+    const std::string table = ctl::toTable(R"({"items":[{"version":3,"name":"a"},{"name":"longer","extra":[1]}]})");
+    STRCMP_EQUAL("name    version  extra\na       3        -\nlonger  -        [1]\n", table.c_str());
+    checkProperty("any text is printed in some form",
+                  [](const std::string &text) { RC_ASSERT(!ctl::toTable(text).empty()); });
+}
