--- a/tests/wire/a_call_between_two_hosts.cpp
+++ b/tests/wire/a_call_between_two_hosts.cpp
@@ -1,11 +1,18 @@
+// GCC 12 takes the frame allocator of Asio's coroutines for a mismatched pair once it inlines one half of it.
+#pragma GCC diagnostic ignored "-Wmismatched-new-delete"
+
 #include "support/section.h"
 #include "wire/fleet.h"
 
+#include <atomic>
+#include <chrono>
+#include <exception>
+#include <stdexcept>
 #include <string>
+#include <utility>
 #include <variant>
 
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
 
 #include <CppUTest/TestHarness.h>
 
@@ -63,3 +70,50 @@
     LONGS_EQUAL(CallCount, matched);
     LONGS_EQUAL(1, pool.counters().connectionsStarted);
 }
+
+// Guards against answers that are mixed up, lost or given twice when threads, connections and failures overlap.
+TEST(ACallBetweenTwoHosts, staysMatchedWhileConnectionsComeAndGo)
+{
+    constexpr int ThreadCount = 4;
+    constexpr int CallerCount = 16;
+    constexpr int CallsPerCaller = 60;
+    auto serverOptions = test::peerOptions("server");
+    auto clientOptions = test::peerOptions("client");
+    clientOptions.connectionsPerPeer = 2;
+    wire::PeerServer server(context.get_executor(), serverOptions, echo);
+    wire::PeerServer second(context.get_executor(), serverOptions, echo);
+    wire::PeerPool pool(context.get_executor(), clientOptions, addresses.book());
+    addresses.set("server", server.listen("127.0.0.1", 0).value());
+    std::atomic<int> matched{0};
+    std::atomic<int> failed{0};
+    std::atomic<int> wrong{0};
+    std::atomic<int> running{CallerCount};
+    const auto caller = [&, call = pool.asPeerCall()](int id) -> awaitable<void> {
+        for (int i = 0; i < CallsPerCaller; ++i) {
+            const std::string operation =
+                std::to_string(id) + "/" + std::to_string(i) + std::string(static_cast<std::size_t>(i) * 300, 'x');
+            const Message request = tombstone(operation);
+            const auto timeout = i % 10 == 9 ? core::Duration(std::chrono::microseconds(100)) : Forever;
+            const auto reply = co_await call(core::HostId("server"), request, timeout);
+            const bool isRight = operationOf(reply) == "client said " + operation;
+            ++(isRight ? matched : reply ? wrong : failed);
+            if (id == 0 && i == CallsPerCaller / 2) {
+                addresses.set("server", second.listen("127.0.0.1", 0).value());
+                server.close(); // Calls in progress fail, and later ones go to the second server.
+            }
+        }
+        if (--running == 0) {
+            pool.close();
+            second.close();
+        }
+    };
+    for (int id = 1; id < CallerCount; ++id) {
+        auto calls = caller(id);
+        boost::asio::co_spawn(context, std::move(calls), [](const std::exception_ptr &) {});
+    }
+    test::runStory(context, ThreadCount, [&]() { return caller(0); });
+    LONGS_EQUAL(0, wrong.load());
+    LONGS_EQUAL(CallerCount * CallsPerCaller, matched + failed);
+    CHECK(matched >= CallerCount * CallsPerCaller / 2);
+    LONGS_EQUAL(0, pool.counters().connections);
+}
--- a/tests/wire/fleet.h
+++ b/tests/wire/fleet.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <utility>
@@ -19,6 +20,9 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 namespace berylspring::test {
 
@@ -61,6 +65,35 @@
     std::map<core::HostId, std::uint16_t> m_ports;
 };
 
+/** @brief Something that one coroutine waits for until another one signals it; for a context with one thread. */
+class Event
+{
+public:
+    explicit Event(boost::asio::io_context &context)
+        : m_timer(context, boost::asio::steady_timer::time_point::max())
+    {
+    }
+
+    void signal()
+    {
+        m_isSignalled = true;
+        m_timer.cancel();
+    }
+
+    boost::asio::awaitable<void> wait()
+    {
+        boost::system::error_code ignored;
+        while (!m_isSignalled) {
+            auto token = boost::asio::redirect_error(boost::asio::use_awaitable, ignored);
+            co_await m_timer.async_wait(token);
+        }
+    }
+
+private:
+    boost::asio::steady_timer m_timer;
+    bool m_isSignalled = false;
+};
+
 /**
  * @brief Runs a coroutine to its end on a number of threads, then what remains until no work is left.
  * @param story Must close what it opened, or the run does not end.
@@ -70,7 +103,12 @@
 {
     std::exception_ptr failure;
     auto running = story();
-    boost::asio::co_spawn(context, std::move(running), [&](const std::exception_ptr &error) { failure = error; });
+    boost::asio::co_spawn(context, std::move(running), [&](const std::exception_ptr &error) {
+        failure = error;
+        if (error) {
+            context.stop(); // A failed check leaves connections open.
+        }
+    });
     {
         std::vector<std::jthread> threads;
         for (int i = 1; i < threadCount; ++i) {
