Let all members agree sooner after mass starts and mass failures

Change: seeds are tried three times at once, transfers of the table are three and are passed on in small tables, updates are sent on at least 15 times, the health counts the first miss of a member only, and a reported death halves the suspicion.

--- a/include/berylspring/membership/backlog.h
+++ b/include/berylspring/membership/backlog.h
@@ -25,7 +25,7 @@
     /** @brief Sends the own record to these members, instead of those left from an earlier push. */
     void push(std::vector<core::HostId> receivers);
     /** @brief Sends the records of these hosts to a member, unless that is under way already. */
-    void sync(const core::HostId &receiver, std::vector<core::HostId> hosts);
+    void sync(const core::HostId &receiver, const std::vector<core::HostId> &hosts);
 
     /** @return Up to count members that get the own record now. */
     [[nodiscard]] std::vector<core::HostId> nextPushes(std::size_t count);
--- a/include/berylspring/membership/contact_book.h
+++ b/include/berylspring/membership/contact_book.h
@@ -25,6 +25,8 @@
     core::TimePoint addedAt;
     bool isSeed = false; ///< Kept for ever.
     bool isLive = false; ///< A seed that belongs to a live member.
+    int tries = 0;
+
     [[nodiscard]] auto operator<=>(const Contact &) const = default;
 };
 
@@ -52,8 +54,9 @@
      * @param isReachable Whether a data centre has a live member besides this one.
      * @param isAlone Whether no other member is known.
      * @param randomBits Decide the choice.
-     * @return A contact when one is due: each LocalProbeInterval while no member is known, each UrgentContactInterval
-     * while a data centre of the book is unreachable, otherwise each ContactInterval.
+     * @return A contact when one is due: each LocalProbeInterval while no member is known and for the first tries of
+     * each seed, each UrgentContactInterval while a data centre of the book is unreachable, otherwise each
+     * ContactInterval.
      */
     [[nodiscard]] std::optional<Contact> due(core::TimePoint now,
                                              const std::function<bool(const core::DataCentreId &)> &isReachable,
@@ -63,11 +66,16 @@
     [[nodiscard]] std::size_t size() const;
 
 private:
+    /** How soon a contact may be tried after another. */
+    [[nodiscard]] static core::Duration
+    interval(const Contact &contact, const std::function<bool(const core::DataCentreId &)> &isReachable, bool isAlone);
     void dropOldest();
 
     mutable std::mutex m_mutex;
     PeerAddress m_own;
     std::map<PeerAddress, Contact> m_contacts;
+
+    std::optional<core::TimePoint> m_lastSearch;
     std::optional<core::TimePoint> m_lastTry;
 };
 
--- a/include/berylspring/membership/local_health.h
+++ b/include/berylspring/membership/local_health.h
@@ -16,8 +16,8 @@
 {
 public:
     static constexpr int MaxScore = 8;
-    /** A single missing ack says more about its sender than about this process. */
-    static constexpr int TrustedMissesInARow = 2;
+    /** Fewer missing acks in a row say more about their senders, also when a third of the members died at once. */
+    static constexpr int TrustedMissesInARow = 3;
 
     void tickWasLate();
     void probeAnswered();
--- a/include/berylspring/membership/member_table.h
+++ b/include/berylspring/membership/member_table.h
@@ -46,7 +46,8 @@
  *
  * Within one incarnation the states rank alive, suspect, dead, left, and the version orders the applied offset and
  * the endpoint. A higher incarnation replaces the record. That another member considers a live member dead only
- * starts a suspicion here: each member waits for the refutation itself, so a single confused member ejects nobody.
+ * starts a suspicion here, with half of the time: each member waits for the refutation itself, so a single confused
+ * member ejects nobody.
  * Unknown hosts are added only as alive, so that late news of a forgotten host does not revive it.
  */
 class MemberTable
@@ -103,7 +104,7 @@
     [[nodiscard]] Shard &shardOf(const core::HostId &host);
     [[nodiscard]] const Shard &shardOf(const core::HostId &host) const;
     MergeOutcome insert(Shard &shard, const wire::MemberUpdate &update, RecordSource source, core::TimePoint now);
-    void store(Shard &shard, const Member &member, core::TimePoint now);
+    void store(Shard &shard, const Member &member, core::TimePoint fadingSince);
     void expireShard(Shard &shard, core::TimePoint now, core::Duration suspicionTime, ExpiryOutcome &outcome);
     bool expireSuspect(Shard &shard,
                        Fading &fading,
--- a/include/berylspring/membership/swim_protocol.h
+++ b/include/berylspring/membership/swim_protocol.h
@@ -70,6 +70,9 @@
     [[nodiscard]] int healthScore() const;
 
 private:
+    /** Sequence number of acks that answer no ping but carry a part of the table. */
+    static constexpr std::uint64_t TransferSequence = 0;
+
     void onPing(const wire::Ping &ping, core::TimePoint now, Actions &actions);
     void onPingAck(const wire::PingAck &ack, core::TimePoint now, Actions &actions);
     void onPingRequest(const wire::PingRequest &request, core::TimePoint now, Actions &actions);
@@ -79,6 +82,7 @@
     noteSender(const wire::MemberUpdate &sender, core::TimePoint now, Actions &actions);
     void noteUpdates(const core::HostId &from,
                      const std::vector<wire::MemberUpdate> &updates,
+                     bool isTransfer,
                      core::TimePoint now,
                      Actions &actions);
     void noteSelf(const wire::MemberUpdate &heard, core::TimePoint now, Actions &actions);
--- a/include/berylspring/membership/sync_plan.h
+++ b/include/berylspring/membership/sync_plan.h
@@ -5,7 +5,6 @@
 
 #include <mutex>
 #include <optional>
-#include <unordered_map>
 
 namespace berylspring::membership {
 
@@ -13,7 +12,7 @@
 class SyncPlan
 {
 public:
-    /** @brief Asks for two transfers, the first from this member, or from any without one. */
+    /** @brief Asks for three transfers, the first from this member, or from any without one. */
     void request(const std::optional<core::HostId> &from);
 
     /** @brief What to do at a tick. */
@@ -25,17 +24,14 @@
     };
     [[nodiscard]] Step next(core::TimePoint now);
 
-    /** @brief Notes that a transfer was requested from the member. */
-    void began(const core::HostId &from, core::TimePoint now);
-    /** @return Whether records of this member are part of a transfer, and so no news to others. */
-    [[nodiscard]] bool isSyncingFrom(const core::HostId &from, core::TimePoint now) const;
+    /** @brief Notes that a transfer was requested; a step for which no member was found is not lost. */
+    void began(core::TimePoint now);
 
 private:
-    mutable std::mutex m_mutex;
+    std::mutex m_mutex;
     int m_wanted = 0;
     std::optional<core::HostId> m_from;
     std::optional<core::TimePoint> m_lastBegan;
-    std::unordered_map<core::HostId, core::TimePoint> m_running;
 };
 
 }
--- a/include/berylspring/membership/timing.h
+++ b/include/berylspring/membership/timing.h
@@ -42,7 +42,12 @@
 /** @brief Datagrams per tick and receiver while the table is sent; 64 x 1400 bytes fit the usual socket buffer. */
 inline constexpr std::size_t SyncDatagramsPerTick = 64;
 /** @brief A second request for the table follows after this time, since datagrams of the first may be lost. */
-inline constexpr core::Duration SyncInterval = 5s;
+inline constexpr core::Duration SyncInterval = 2s;
+/** @brief The third follows when members that started at the same time have settled. */
+inline constexpr core::Duration LastSyncInterval = 8s;
+
+/** @brief Members that are learned from a transfer are passed on up to this size of the table. */
+inline constexpr std::size_t MaxPassedOnTransfer = 256;
 
 /** @brief Contacts are tried this often when a data centre has no live member, or no other member is known. */
 inline constexpr core::Duration UrgentContactInterval = 1s;
--- a/include/berylspring/membership/update_queue.h
+++ b/include/berylspring/membership/update_queue.h
@@ -12,7 +12,11 @@
 
 namespace berylspring::membership {
 
-/** @return How often an update is sent on: 3 times the rounds that an epidemic needs to reach all members. */
+/**
+ * @return How often an update is sent on: 3 times the rounds that an epidemic needs to reach all members. At least 15,
+ * since a member that has just joined knows only a few of them.
+ */
+
 [[nodiscard]] std::size_t transmissionLimit(std::size_t memberCount) noexcept;
 
 /**
--- a/src/membership/backlog.cpp
+++ b/src/membership/backlog.cpp
@@ -24,10 +24,10 @@
     m_pushes = std::move(receivers);
 }
 
-void Backlog::sync(const core::HostId &receiver, std::vector<core::HostId> hosts)
+void Backlog::sync(const core::HostId &receiver, const std::vector<core::HostId> &hosts)
 {
     const std::scoped_lock lock(m_mutex);
-    m_syncs.try_emplace(receiver, std::move(hosts));
+    m_syncs.try_emplace(receiver, hosts);
 }
 
 std::vector<core::HostId> Backlog::nextPushes(std::size_t count)
--- a/src/membership/contact_book.cpp
+++ b/src/membership/contact_book.cpp
@@ -35,7 +35,7 @@
     if (address == m_own || (record->state == wire::MemberState::Left && !isSeed)) {
         return;
     }
-    m_contacts.insert_or_assign(address, Contact{address, record->host, record->dataCentre, now, isSeed, false});
+    m_contacts.insert_or_assign(address, Contact{address, record->host, record->dataCentre, now, isSeed, false, 0});
     if (m_contacts.size() > MaxContacts) {
         dropOldest();
     }
@@ -64,28 +64,49 @@
                                         std::uint64_t randomBits)
 {
     const std::scoped_lock lock(m_mutex);
-    const auto interval = isAlone ? LocalProbeInterval : UrgentContactInterval;
-    if (m_lastTry && now - *m_lastTry < interval) {
+    if (m_lastSearch && now - *m_lastSearch < LocalProbeInterval) {
         return std::nullopt;
     }
+    m_lastSearch = now;
+    const auto sinceLast = m_lastTry ? now - *m_lastTry : ContactInterval;
+
     std::erase_if(m_contacts, [&](const auto &entry) {
         return !entry.second.isSeed && now - entry.second.addedAt >= ContactRetention;
     });
-    std::vector<const Contact *> urgent;
-    std::vector<const Contact *> others;
-    for (const auto &[address, contact] : m_contacts) {
-        if (!contact.isLive) {
-            const bool isUrgent = isAlone || (!contact.dataCentre.isEmpty() && !isReachable(contact.dataCentre));
-            (isUrgent ? urgent : others).push_back(&contact);
+    // Of the contacts that may be tried now, those with the shortest interval come first.
+    auto shortest = core::Duration::max();
+    std::vector<Contact *> candidates;
+    for (auto &[address, contact] : m_contacts) {
+        const auto wait = interval(contact, isReachable, isAlone);
+        if (contact.isLive || sinceLast < wait || wait > shortest) {
+            continue;
+        }
+        if (wait < shortest) {
+            shortest = wait;
+            candidates.clear();
         }
+        candidates.push_back(&contact);
     }
-    const bool isOrdinaryDue = !m_lastTry || now - *m_lastTry >= ContactInterval;
-    const auto &candidates = urgent.empty() && isOrdinaryDue ? others : urgent;
     if (candidates.empty()) {
         return std::nullopt;
     }
     m_lastTry = now;
-    return *candidates[randomBits % candidates.size()];
+    auto &chosen = *candidates[randomBits % candidates.size()];
+    ++chosen.tries;
+    return chosen;
+}
+
+core::Duration ContactBook::interval(const Contact &contact,
+                                     const std::function<bool(const core::DataCentreId &)> &isReachable,
+                                     bool isAlone)
+{
+    // Members that start together may each find a different seed first; the other seeds join these groups.
+    constexpr int FirstTries = 3;
+    if (isAlone || (contact.isSeed && contact.tries < FirstTries)) {
+        return LocalProbeInterval;
+    }
+    const bool isUnreachable = !contact.dataCentre.isEmpty() && !isReachable(contact.dataCentre);
+    return isUnreachable ? UrgentContactInterval : ContactInterval;
 }
 
 std::size_t ContactBook::size() const
--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -81,7 +81,10 @@
     }
     const bool isNewState = record->state != known.state() || record->incarnation != known.incarnation();
     const Member member(std::move(record), heardAt, isNewState ? now : known.stateSince());
-    store(shard, member, now);
+    // Whoever reports a death has waited for the refutation already, so half of the time is enough here.
+    const bool isReportedDeath =
+        update->state == wire::MemberState::Dead && member.state() == wire::MemberState::Suspect;
+    store(shard, member, isReportedDeath ? now - SuspicionTime / 2 : now);
     MergeOutcome outcome;
     // A higher incarnation is passed on even without another change, or it could not overtake a suspicion.
     if (isChanged || member.incarnation() != known.incarnation()) {
@@ -112,7 +115,8 @@
     return outcome;
 }
 
-void MemberTable::store(Shard &shard, const Member &member, core::TimePoint now)
+void MemberTable::store(Shard &shard, const Member &member, core::TimePoint fadingSince)
+
 {
     ++m_contentRevision;
     const auto found = shard.members.find(member.host());
@@ -122,7 +126,7 @@
     if (member.state() == wire::MemberState::Alive) {
         shard.fading.erase(member.host());
     } else if (!isSameState) {
-        shard.fading.insert_or_assign(member.host(), Fading{now});
+        shard.fading.insert_or_assign(member.host(), Fading{fadingSince});
     }
 }
 
--- a/src/membership/service_state.cpp
+++ b/src/membership/service_state.cpp
@@ -54,11 +54,13 @@
 
 }
 
-ServiceState::ServiceState(asio::any_io_executor executor, const MembershipSettings &settings, MembershipHooks hooks)
+ServiceState::ServiceState(const asio::any_io_executor &executor,
+                           const MembershipSettings &settings,
+                           MembershipHooks hooks)
     : m_hooks(withDefaults(std::move(hooks)))
     , m_settings(settings)
     , m_protocol(settings, m_hooks.random)
-    , m_strand(asio::make_strand(std::move(executor)))
+    , m_strand(asio::make_strand(executor))
     , m_socket(m_strand)
     , m_timer(m_strand)
 {
--- a/src/membership/service_state.h
+++ b/src/membership/service_state.h
@@ -21,7 +21,9 @@
 class ServiceState : public std::enable_shared_from_this<ServiceState>
 {
 public:
-    ServiceState(boost::asio::any_io_executor executor, const MembershipSettings &settings, MembershipHooks hooks);
+    ServiceState(const boost::asio::any_io_executor &executor,
+                 const MembershipSettings &settings,
+                 MembershipHooks hooks);
 
     [[nodiscard]] Result<std::uint16_t> start();
     /** @brief Closes the socket on the strand. Hooks are not called any more once it returned on the strand. */
--- a/src/membership/swim_protocol.cpp
+++ b/src/membership/swim_protocol.cpp
@@ -94,11 +94,13 @@
         }
     }
     for (const auto &probe : overdue.failed) {
-        // Misses from elsewhere tell of a cut between data centres rather than of this process.
-        if (probe.ping.isLocal) {
-            m_health.probeMissed();
-        }
         if (const auto suspect = m_table.suspect(probe.ping.target, probe.ping.incarnation, now)) {
+            // Misses from elsewhere tell of a cut between data centres rather than of this process, and repeated ones
+            // of one member tell of that member.
+            if (probe.ping.isLocal) {
+                m_health.probeMissed();
+            }
+
             noteChange(*suspect, true, now, actions);
             sendPing(*suspect, false, now, actions);
         }
@@ -166,7 +168,7 @@
         }
     }
     if (source) {
-        m_syncs.began(source->host(), now);
+        m_syncs.began(now);
         wire::PingRequestFields request{nextSequence(), m_host, m_self.record()};
         actions.datagrams.push_back(
             {PeerAddress{source->address(), source->port()}, wire::PingRequest(std::move(request))});
@@ -197,7 +199,7 @@
 {
     const auto &sender = ping->sender;
     const auto contradiction = noteSender(sender, now, actions);
-    noteUpdates(sender->host, ping->updates, now, actions);
+    noteUpdates(sender->host, ping->updates, false, now, actions);
     if (sender->state == wire::MemberState::Left) {
         return;
     }
@@ -214,7 +216,7 @@
 {
     const auto &sender = ack->sender;
     const auto contradiction = noteSender(sender, now, actions);
-    noteUpdates(sender->host, ack->updates, now, actions);
+    noteUpdates(sender->host, ack->updates, ack->sequence == TransferSequence, now, actions);
     if (const auto relay = m_pings.relayAnswered(ack->sequence, ack->target)) {
         wire::PingAckFields relayed{relay->sequence, relay->target, m_self.record(), {sender}};
         actions.datagrams.push_back({relay->requester, wire::PingAck(std::move(relayed))});
@@ -246,7 +248,7 @@
                 hosts.push_back(member.host());
             }
         }
-        m_backlog.sync(sender->host, std::move(hosts));
+        m_backlog.sync(sender->host, hosts);
         return;
     }
     const auto target = m_table.find(request->target);
@@ -278,6 +280,7 @@
 
 void SwimProtocol::noteUpdates(const core::HostId &from,
                                const std::vector<wire::MemberUpdate> &updates,
+                               bool isTransfer,
                                core::TimePoint now,
                                Actions &actions)
 {
@@ -291,8 +294,10 @@
         }
         const auto outcome = m_table.merge(update, RecordSource::Other, now);
         if (outcome.changed) {
-            // What a transfer of the table adds is news here only.
-            const bool isNews = !(outcome.isNew && m_syncs.isSyncingFrom(from, now));
+            // What a transfer of a large table adds is news here only: passing it on would fill all datagrams for
+            // minutes. In a small one it helps where many members start together.
+            const bool isNews = !(outcome.isNew && isTransfer && m_table.size() > MaxPassedOnTransfer);
+
             noteChange(*outcome.changed, isNews, now, actions);
         }
         if (outcome.hasHigherOffset) {
--- a/src/membership/swim_protocol_sending.cpp
+++ b/src/membership/swim_protocol_sending.cpp
@@ -92,7 +92,7 @@
         return;
     }
     // Acks that answer no ping carry the records: they need no answer themselves.
-    wire::PingAckFields ack{0, m_host, m_self.record(), {}};
+    wire::PingAckFields ack{TransferSequence, m_host, m_self.record(), {}};
     const auto emptyBytes = estimatedBytes(wire::Datagram(wire::PingAck(ack)));
     auto bytes = emptyBytes;
     const auto flush = [&] {
--- a/src/membership/update_queue.cpp
+++ b/src/membership/update_queue.cpp
@@ -1,5 +1,6 @@
 #include "berylspring/membership/update_queue.h"
 
+#include <algorithm>
 #include <bit>
 #include <iterator>
 
@@ -8,7 +9,8 @@
 std::size_t transmissionLimit(std::size_t memberCount) noexcept
 {
     constexpr std::size_t Factor = 3;
-    return Factor * static_cast<std::size_t>(std::bit_width(memberCount));
+    constexpr std::size_t LeastMemberCount = 16;
+    return Factor * static_cast<std::size_t>(std::bit_width(std::max(memberCount, LeastMemberCount)));
 }
 
 void UpdateQueue::add(const core::HostId &host)
--- a/tests/membership/a_cluster_that_starts_and_loses_hosts.cpp
+++ b/tests/membership/a_cluster_that_starts_and_loses_hosts.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-const std::vector<std::string> ThreeDataCentres{"a", "b", "c"};
+const std::vector<std::string> threeDataCentres{"a", "b", "c"};
 
 void checkConverged(ModelNetwork &network)
 {
@@ -35,7 +35,7 @@
         for (std::uint64_t seed = 1; seed <= 5; ++seed) {
             section(title + ", seed " + std::to_string(seed), [&, &isKilled = isKilled] {
                 ModelNetwork network(seed);
-                network.startMany(30, ThreeDataCentres);
+                network.startMany(30, threeDataCentres);
                 network.run(5s);
                 checkConverged(network);
                 LONGS_EQUAL(0, network.deaths().size());
--- /dev/null
+++ b/tests/membership/a_partition_that_heals.cpp
@@ -0,0 +1,93 @@
+#include "membership/model_network.h"
+#include "support/section.h"
+
+#include <chrono>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace berylspring;
+using namespace std::chrono_literals;
+using test::ModelNetwork;
+using test::section;
+
+namespace {
+
+const std::vector<std::string> threeDataCentres{"a", "b", "c"};
+
+bool isInDataCentreA(const std::string &host)
+{
+    return std::stoi(host.substr(1)) % 3 == 0;
+}
+
+}
+
+TEST_GROUP(APartitionThatHeals)
+{
+    ModelNetwork network{1};
+
+    void setup() override
+    {
+        network.startMany(15, threeDataCentres);
+        network.run(6s);
+    }
+    void cutDataCentreA()
+    {
+        network.cut([](const auto &from, const auto &to) { return isInDataCentreA(from) != isInDataCentreA(to); });
+    }
+};
+
+TEST(APartitionThatHeals, afterAnHourBringsBackMembersThatWereForgotten)
+{
+    // Guards against two halves that each live on without an address of the other.
+    section("each side keeps its own members and forgets the others", [&] {
+        cutDataCentreA();
+        network.run(1h);
+        LONGS_EQUAL(5, network.view("h0").size());
+        LONGS_EQUAL(10, network.view("h1").size());
+        LONGS_EQUAL(10, network.of("h1").snapshot(network.now())->members().size());
+        for (const auto &death : network.deaths()) {
+            CHECK(isInDataCentreA(death.observer.value()) != isInDataCentreA(death.subject.value()));
+        }
+    });
+    section("all see all again soon after the end, without a death", [&] {
+        const auto before = network.deaths().size();
+        network.heal();
+        network.run(10s);
+        STRCMP_EQUAL("", network.differences().c_str());
+        LONGS_EQUAL(before, network.deaths().size());
+    });
+}
+
+TEST(APartitionThatHeals, beforeTheRetentionEndsOverturnsTheDeathsOfBothSides)
+{
+    // Each side holds the members of the other as dead in their current incarnation.
+    cutDataCentreA();
+    network.run(20s);
+    LONGS_EQUAL(10, network.view("h1").size());
+    const auto before = network.deaths().size();
+    network.heal();
+    network.run(10s);
+    STRCMP_EQUAL("", network.differences().c_str());
+    LONGS_EQUAL(before, network.deaths().size());
+}
+
+TEST(APartitionThatHeals, doesNotSeparateDataCentresThatAThirdOneConnects)
+{
+    // Guards against ejecting members that only some others cannot reach.
+    network.cut([](const std::string &from, const std::string &to) {
+        const int difference = (std::stoi(from.substr(1)) - std::stoi(to.substr(1))) % 3;
+        return difference != 0 && std::stoi(from.substr(1)) % 3 != 2 && std::stoi(to.substr(1)) % 3 != 2;
+    });
+    network.run(120s);
+    LONGS_EQUAL(0, network.deaths().size());
+}
+
+TEST(APartitionThatHeals, ofOneMemberWithSilenceInOneDirectionEndsWithAllViewsEqual)
+{
+    network.cut([](const std::string &from, const std::string &) { return from == "h5"; });
+    network.run(90s);
+    CHECK_FALSE(network.view("h0").contains("h5"));
+    network.heal();
+    network.run(15s);
+    STRCMP_EQUAL("", network.differences().c_str());
+}
--- /dev/null
+++ b/tests/membership/members_that_are_hard_to_hear.cpp
@@ -0,0 +1,104 @@
+#include "membership/model_network.h"
+#include "support/section.h"
+
+#include <algorithm>
+#include <chrono>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace berylspring;
+using namespace std::chrono_literals;
+using test::ModelNetwork;
+using test::section;
+
+namespace {
+
+const std::vector<std::string> threeDataCentres{"a", "b", "c"};
+constexpr int HostCount = 30;
+
+std::unique_ptr<ModelNetwork> runningNetwork(std::uint64_t seed)
+{
+    auto network = std::make_unique<ModelNetwork>(seed);
+    network->startMany(HostCount, threeDataCentres);
+    network->run(6s);
+    STRCMP_EQUAL("", network->differences().c_str());
+    return network;
+}
+
+}
+
+TEST_GROUP(MembersThatAreHardToHear){};
+
+TEST(MembersThatAreHardToHear, areNotEjectedByALossOfOneInTen)
+{
+    // Guards against suspicions that cannot be refuted in time because the refutation is lost as well.
+    for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+        section("seed " + std::to_string(seed), [&] {
+            auto network = runningNetwork(seed);
+            network->setLoss(10);
+            network->run(120s);
+            LONGS_EQUAL(0, network->deaths().size());
+            network->setLoss(0);
+            network->run(10s);
+            STRCMP_EQUAL("", network->differences().c_str());
+        });
+    }
+}
+
+TEST(MembersThatAreHardToHear, resumeAfterAPauseAndRefute)
+{
+    auto network = runningNetwork(1);
+    section("a paused member is declared dead, but only that one", [&] {
+        network->pause("h4");
+        network->run(5s);
+        CHECK_FALSE(network->view("h0").contains("h4"));
+        for (const auto &death : network->deaths()) {
+            STRCMP_EQUAL("h4", death.subject.value().c_str());
+        }
+    });
+    section("it counts the pause, declares nobody dead itself and is back at all members", [&] {
+        const auto before = network->deaths().size();
+        const auto incarnation = network->of("h4").self(network->now()).incarnation();
+        network->resume("h4");
+        network->run(5s);
+        STRCMP_EQUAL("", network->differences().c_str());
+        LONGS_EQUAL(before, network->deaths().size());
+        LONGS_EQUAL(1, network->of("h4").resumeCount());
+        CHECK(network->of("h4").self(network->now()).incarnation() > incarnation);
+    });
+    section("after a pause beyond the retention it is found again as well", [&] {
+        network->pause("h4");
+        network->run(90s);
+        CHECK_FALSE(network->of("h0").find(core::HostId("h4"), network->now()).has_value());
+        network->resume("h4");
+        network->run(10s);
+        STRCMP_EQUAL("", network->differences().c_str());
+    });
+}
+
+TEST(MembersThatAreHardToHear, neitherEjectNorAreEjectedWhileTheyAreBusy)
+{
+    // A process that gets the processor late sees its own timeouts expire before it sees the acks.
+    for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+        section("seed " + std::to_string(seed), [&] {
+            auto network = runningNetwork(seed);
+            for (const char *busy : {"h1", "h2", "h3", "h4", "h5"}) {
+                network->makeBusy(busy, 800ms);
+            }
+            network->run(60s);
+            LONGS_EQUAL(0, network->deaths().size());
+            LONGS_EQUAL(0, network->of("h1").resumeCount());
+        });
+    }
+}
+
+TEST(MembersThatAreHardToHear, areAllKeptWhenTheWholeMachineIsBusy)
+{
+    // Many nodes share one machine in tests and demonstrations; its load delays all of them.
+    auto network = runningNetwork(7);
+    for (int i = 0; i < HostCount; ++i) {
+        network->makeBusy("h" + std::to_string(i), 500ms);
+    }
+    network->run(60s);
+    LONGS_EQUAL(0, network->deaths().size());
+}
--- /dev/null
+++ b/tests/membership/news_that_reaches_everybody.cpp
@@ -0,0 +1,158 @@
+#include "membership/model_network.h"
+#include "support/section.h"
+
+#include <algorithm>
+#include <chrono>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace berylspring;
+using namespace std::chrono_literals;
+using test::ModelNetwork;
+using test::section;
+
+namespace {
+
+const std::vector<std::string> threeDataCentres{"a", "b", "c"};
+constexpr int HostCount = 30;
+
+wire::EndpointState endpointOf(bool isDraining, std::uint32_t load)
+{
+    wire::EndpointStateFields fields;
+    fields.service = core::ServiceId("bookings");
+    fields.slots = 10;
+    fields.isDraining = isDraining;
+    fields.load = load;
+    return wire::EndpointState(fields);
+}
+
+int seenDraining(ModelNetwork &network)
+{
+    int count = 0;
+    for (const auto &host : network.runningHosts()) {
+        const auto providers = network.of(host).snapshot(network.now())->providers(core::ServiceId("bookings"));
+        count +=
+            static_cast<int>(std::count_if(providers.begin(), providers.end(), [](const membership::Member &member) {
+                return (*member.endpoint())->isDraining;
+            }));
+    }
+    return count;
+}
+
+}
+
+TEST_GROUP(NewsThatReachesEverybody)
+{
+    ModelNetwork network{3};
+
+    void setup() override
+    {
+        network.startMany(HostCount, threeDataCentres);
+        network.run(6s);
+    }
+    void setEndpoint(const std::string &host, const wire::EndpointState &endpoint)
+    {
+        network.perform(host, network.of(host).setEndpoint(endpoint, network.now()));
+    }
+};
+
+TEST(NewsThatReachesEverybody, ofADrainComesInOnePush)
+{
+    setEndpoint("h7", endpointOf(false, 0));
+    network.run(1s);
+    section("a change of load alone is not pushed", [&] {
+        const auto actions = network.of("h7").setEndpoint(endpointOf(false, 5), network.now());
+        CHECK(actions.datagrams.empty());
+    });
+    section("a drain arrives everywhere within one network delay", [&] {
+        setEndpoint("h7", endpointOf(true, 5));
+        network.run(10ms);
+        LONGS_EQUAL(HostCount, seenDraining(network));
+    });
+    section("where the push is lost, others pass it on in under 2 s", [&] {
+        setEndpoint("h7", endpointOf(false, 5));
+        network.run(1s);
+        LONGS_EQUAL(0, seenDraining(network));
+        network.setLoss(50);
+        setEndpoint("h7", endpointOf(true, 5));
+        network.run(10ms);
+        CHECK(seenDraining(network) < HostCount);
+        network.setLoss(0);
+        network.run(2s);
+        LONGS_EQUAL(HostCount, seenDraining(network));
+    });
+}
+
+TEST(NewsThatReachesEverybody, ofAPlannedStopIsNoDeath)
+{
+    network.perform("h7", network.of("h7").leave(network.now()));
+    network.kill("h7");
+    network.run(1s);
+    STRCMP_EQUAL("", network.differences().c_str());
+    LONGS_EQUAL(0, network.deaths().size());
+    const auto recent = network.of("h1").snapshot(network.now())->recentHosts(core::DataCentreId("b"));
+    LONGS_EQUAL(9, recent.size());
+}
+
+TEST(NewsThatReachesEverybody, ofADeathIsKeptForTheRetention)
+{
+    network.kill("h7");
+    network.run(10s);
+    const auto hosts = [&] { return network.of("h1").snapshot(network.now()); };
+    LONGS_EQUAL(9, hosts()->liveHosts(core::DataCentreId("b")).size());
+    LONGS_EQUAL(10, hosts()->recentHosts(core::DataCentreId("b")).size());
+    network.run(60s);
+    LONGS_EQUAL(9, hosts()->recentHosts(core::DataCentreId("b")).size());
+}
+
+TEST(NewsThatReachesEverybody, ofANewProcessOfAHostIsAcceptedWithALowerIncarnation)
+{
+    // Hosts keep no state, so a new process starts with a low incarnation and version.
+    for (int i = 0; i < 3; ++i) {
+        network.pause("h7");
+        network.run(5s);
+        network.resume("h7");
+        network.run(3s);
+    }
+    const auto before = network.of("h1").find(core::HostId("h7"), network.now());
+    CHECK(before->incarnation() > 1);
+    section("while the earlier process is still believed to be alive", [&] {
+        network.start("h7", "b", {"h0"});
+        network.run(3s);
+        STRCMP_EQUAL("", network.differences().c_str());
+        CHECK(network.of("h7").self(network.now()).incarnation() > before->incarnation());
+        CHECK_FALSE(network.of("h1").find(core::HostId("h7"), network.now())->endpoint().has_value());
+    });
+    section("after the earlier process was declared dead", [&] {
+        network.kill("h7");
+        network.run(10s);
+        CHECK_FALSE(network.view("h1").contains("h7"));
+        network.start("h7", "b", {"h0"});
+        network.run(3s);
+        STRCMP_EQUAL("", network.differences().c_str());
+    });
+    section("after the earlier process left", [&] {
+        network.perform("h7", network.of("h7").leave(network.now()));
+        network.run(1s);
+        network.start("h7", "b", {"h0"});
+        network.run(3s);
+        STRCMP_EQUAL("", network.differences().c_str());
+    });
+}
+
+TEST(NewsThatReachesEverybody, startsFromContactsOfTheLogWhenNoSeedAnswers)
+{
+    network.start("late", "b", {"nowhere"});
+    network.run(2s);
+    LONGS_EQUAL(1, network.view("late").size());
+    for (const char *host : {"gone", "h3"}) {
+        wire::MemberUpdateFields fields;
+        fields.host = core::HostId(host);
+        fields.dataCentre = core::DataCentreId("a");
+        fields.address = host;
+        fields.port = 7000;
+        network.of("late").addContact(wire::MemberUpdate(fields), network.now());
+    }
+    network.run(8s);
+    STRCMP_EQUAL("", network.differences().c_str());
+}
