--- a/include/berylspring/config/snapshot.h
+++ b/include/berylspring/config/snapshot.h
@@ -15,14 +15,19 @@
 
 /** @brief Size that no record of a snapshot reaches. */
 inline constexpr std::size_t MaxSnapshotRecordBytes = 256UL * 1024;
+/** @brief Catalogue text of one record: escaping at most doubles it, and the other members take below 1 KiB. */
+inline constexpr std::size_t SnapshotChunkBytes = 120UL * 1024;
 
 /**
  * @brief Splits a catalogue into records for the stream `snapshot`.
  * @param catalogue The catalogue.
  * @param snapshotId A valid name, different for each call, so that chunks of two writers are not mixed.
- * @return Records below MaxSnapshotRecordBytes, in the order in which they are to be appended.
+ * @param chunkBytes Most bytes of the catalogue's text in one record, at least 1.
+ * @return With the default chunkBytes records below MaxSnapshotRecordBytes, in the order in which they are to be
+ * appended.
  */
-[[nodiscard]] std::vector<std::string> toSnapshotRecords(const Catalogue &catalogue, std::string_view snapshotId);
+[[nodiscard]] std::vector<std::string>
+toSnapshotRecords(const Catalogue &catalogue, std::string_view snapshotId, std::size_t chunkBytes = SnapshotChunkBytes);
 
 /** @brief Puts snapshots together from their records, in any order; used by one coroutine at a time. */
 class SnapshotAssembler
--- a/src/config/snapshot.cpp
+++ b/src/config/snapshot.cpp
@@ -12,19 +12,18 @@
 
 namespace {
 
-/** Escaping at most doubles ASCII text without control characters, and the other members take below 1 KiB. */
-constexpr std::size_t ChunkBytes = 120UL * 1024;
 constexpr std::size_t MaxChunks = 4096;
 /** More than the two writers and their predecessors ever leave incomplete at a time. */
 constexpr std::size_t MaxPartialSnapshots = 8;
 
 }
 
-std::vector<std::string> toSnapshotRecords(const Catalogue &catalogue, std::string_view snapshotId)
+std::vector<std::string>
+toSnapshotRecords(const Catalogue &catalogue, std::string_view snapshotId, std::size_t chunkBytes)
 {
     const std::string text = catalogue.toJson();
     const std::string digest = core::sha256(text).toHex();
-    const std::size_t chunkCount = (text.size() + ChunkBytes - 1) / ChunkBytes;
+    const std::size_t chunkCount = (text.size() + chunkBytes - 1) / chunkBytes;
     std::vector<std::string> records;
     for (std::size_t chunk = 0; chunk < chunkCount; ++chunk) {
         records.push_back(json::serialize(json::object{{"as_of", catalogue.appliedOffset()},
@@ -32,7 +31,7 @@
                                                        {"chunk", chunk},
                                                        {"chunks", chunkCount},
                                                        {"digest", digest},
-                                                       {"data", text.substr(chunk * ChunkBytes, ChunkBytes)}}));
+                                                       {"data", text.substr(chunk * chunkBytes, chunkBytes)}}));
     }
     return records;
 }
--- a/tests/config/a_snapshot_comes_in_pieces.cpp
+++ b/tests/config/a_snapshot_comes_in_pieces.cpp
@@ -18,10 +18,12 @@
 
 namespace {
 
-Catalogue largeCatalogue()
+constexpr std::size_t SmallChunk = 500;
+
+Catalogue catalogueOf(int workspaces)
 {
     Catalogue catalogue = test::startedCatalogue();
-    for (int i = 0; i < 1600; ++i) {
+    for (int i = 0; i < workspaces; ++i) {
         const std::string name = "workspace-" + std::to_string(i);
         catalogue = test::folded(catalogue, {test::putRecord(name, config::ResourceType::Workspace, name, "{}")});
     }
@@ -34,13 +36,15 @@
 
 TEST(ASnapshotComesInPieces, andIsPutTogetherInAnyOrder)
 {
-    const Catalogue older = largeCatalogue();
+    const Catalogue older = catalogueOf(20);
     const Catalogue newer = test::folded(older, {"garbage"});
-    const auto olderRecords = config::toSnapshotRecords(older, "older");
-    const auto newerRecords = config::toSnapshotRecords(newer, "newer");
+    const auto olderRecords = config::toSnapshotRecords(older, "older", SmallChunk);
+    const auto newerRecords = config::toSnapshotRecords(newer, "newer", SmallChunk);
+    CHECK_TRUE(newerRecords.size() > 2);
     section("in records below the size limit", [&] {
-        CHECK_TRUE(newerRecords.size() > 2);
-        for (const auto &record : newerRecords) {
+        const auto records = config::toSnapshotRecords(catalogueOf(1600), "large");
+        CHECK_TRUE(records.size() > 2);
+        for (const auto &record : records) {
             CHECK_TRUE(record.size() < config::MaxSnapshotRecordBytes);
         }
     });
