Document the packages platform and config

A trial in which the follower did the same was dropped: with a steady stream of changes a node might never have become ready.

--- a/include/berylspring/config/config_settings.h
+++ b/include/berylspring/config/config_settings.h
@@ -25,7 +25,8 @@
     core::Duration withdrawalRescue = std::chrono::seconds(10); ///< Until readers record a withdrawal of another node.
     core::Duration peerTimeout = std::chrono::seconds(1); ///< Of one call to a peer.
     core::Duration snapshotInterval = std::chrono::hours(6); ///< A quarter of the log's retention period.
-    std::uint32_t pageRecords = 500; ///< Records of one read or pull.
+    /** Records of one read or pull. A shorter page shows the end of the log, so the log must not cap pages below it. */
+    std::uint32_t pageRecords = 500;
     std::size_t historyRecords = 10'000; ///< Records that are kept in memory for peers.
     [[nodiscard]] bool operator==(const ConfigSettings &) const = default;
 };
--- a/src/config/log_follower.cpp
+++ b/src/config/log_follower.cpp
@@ -31,7 +31,7 @@
             self->m_assembler.add(entry.data);
             self->m_next = entry.offset + 1;
         }
-        if ((*page)->records.size() < SnapshotPageRecords) {
+        if ((*page)->records.empty()) {
             co_return true;
         }
     }
