--- a/include/berylspring/limit/ownership.h
+++ b/include/berylspring/limit/ownership.h
@@ -60,7 +60,7 @@
     /** @return The history with the view of now. */
     [[nodiscard]] ViewHistory observed(std::vector<core::HostId> live, core::TimePoint now) const;
 
-    /** @return The history without a host that announced its stop; it counts as departed. */
+    /** @return The history without the host, which counts as departed from now on. */
     [[nodiscard]] ViewHistory without(const core::HostId &host, core::TimePoint now) const;
 
     [[nodiscard]] const std::vector<core::HostId> &live() const noexcept
--- a/include/berylspring/limit/token_bucket.h
+++ b/include/berylspring/limit/token_bucket.h
@@ -28,13 +28,13 @@
     /**
      * @param rate Tokens per second.
      * @param capacity Tokens.
-     * @param tokens Tokens at updatedAt; the part above capacity is dropped.
+     * @param tokens Tokens at updatedAt; the part above capacity is dropped. Negative ones are a debt.
      * @param updatedAt Moment of the token count.
      */
     TokenBucket(double rate, double capacity, double tokens, core::TimePoint updatedAt)
         : m_rate(rate)
         , m_capacity(capacity)
-        , m_tokens(std::clamp(tokens, 0.0, std::max(0.0, capacity)))
+        , m_tokens(std::min(tokens, std::max(0.0, capacity)))
         , m_updatedAt(updatedAt)
     {
     }
@@ -64,7 +64,7 @@
         }
         return {m_rate, m_capacity, m_tokens + m_rate * seconds(now - m_updatedAt), now};
     }
-    /** @return The bucket at now without the given tokens, or with none when it has fewer. */
+    /** @return The bucket at now without the given tokens. */
     [[nodiscard]] TokenBucket taken(double tokens, core::TimePoint now) const
     {
         const TokenBucket current = refilled(now);
--- a/src/limit/entry_side.cpp
+++ b/src/limit/entry_side.cpp
@@ -71,6 +71,7 @@
     Shard &shard = shardOf(workspace);
     WaiterPointer waiter;
     bool mustFetch = false;
+    bool mustSweep = false;
     {
         const std::scoped_lock lock(shard.mutex);
         Slot &slot = shard.slots[workspace];
@@ -86,6 +87,8 @@
             waiter = std::make_shared<Waiter>(m_context->executor, arrival + hold);
             slot.waiters.push_back(waiter);
             mustFetch = true;
+            mustSweep = !slot.isSweeping;
+            slot.isSweeping = true;
         }
         mustFetch = mustFetch && !slot.isFetching;
         slot.isFetching = slot.isFetching || mustFetch;
@@ -93,12 +96,15 @@
     if (mustFetch) {
         startFetch(workspace);
     }
+    if (mustSweep) {
+        startSweep(workspace);
+    }
     if (!waiter) {
         ++m_totals.admitted;
         co_return Admission();
     }
     ++m_totals.held;
-    co_await asio::co_spawn(waiter->strand, wait(waiter, hold), asio::use_awaitable);
+    co_await asio::co_spawn(waiter->strand, wait(waiter), asio::use_awaitable);
     const core::TimePoint now = m_hooks.now();
     const std::scoped_lock lock(shard.mutex);
     std::erase(shard.slots[workspace].waiters, waiter);
@@ -109,11 +115,10 @@
     co_return refuse(waiter->retryAfter.value_or(hold));
 }
 
-asio::awaitable<void> EntrySide::wait(WaiterPointer waiter, core::Duration longest)
+asio::awaitable<void> EntrySide::wait(WaiterPointer waiter)
 {
     if (!waiter->isWoken) {
-        waiter->timer.expires_after(longest);
-        co_await waiter->timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        co_await waiter->signal.async_wait(asio::as_tuple(asio::use_awaitable));
     }
 }
 
@@ -121,7 +126,7 @@
 {
     asio::post(waiter->strand, [waiter] {
         waiter->isWoken = true;
-        waiter->timer.cancel();
+        waiter->signal.cancel();
     });
 }
 
@@ -135,16 +140,49 @@
         asio::detached);
 }
 
+void EntrySide::startSweep(const core::WorkspaceId &workspace)
+{
+    asio::co_spawn(
+        m_context->executor,
+        [](std::shared_ptr<EntrySide> self, core::WorkspaceId name) -> asio::awaitable<void> {
+            co_await self->sweep(name);
+        }(shared_from_this(), workspace),
+        asio::detached);
+}
+
+asio::awaitable<void> EntrySide::sweep(core::WorkspaceId workspace)
+{
+    while (const auto pause = refuseExpired(workspace)) {
+        co_await m_context->sleep(*pause);
+    }
+}
+
+std::optional<core::Duration> EntrySide::refuseExpired(const core::WorkspaceId &workspace)
+{
+    const core::TimePoint now = m_hooks.now();
+    Shard &shard = shardOf(workspace);
+    const std::scoped_lock lock(shard.mutex);
+    Slot &slot = shard.slots[workspace];
+    refuseLate(slot, now, 0ms);
+    slot.isSweeping = !slot.waiters.empty();
+    if (!slot.isSweeping) {
+        return std::nullopt;
+    }
+    const auto next =
+        std::min_element(slot.waiters.begin(), slot.waiters.end(), [](const auto &one, const auto &other) {
+            return one->deadline < other->deadline;
+        });
+    return (*next)->deadline - now;
+}
+
 asio::awaitable<void> EntrySide::fetchAll(core::WorkspaceId workspace)
 {
-    asio::steady_timer timer(m_context->executor);
     while (const auto fetch = nextFetch(workspace)) {
         const core::TimePoint sentAt = m_hooks.now();
         const wire::GrantReply reply = co_await request(workspace, *fetch);
         const core::Duration pause = apply(workspace, *fetch, reply, sentAt);
         if (pause > 0ms) {
-            timer.expires_after(pause);
-            co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+            co_await m_context->sleep(pause);
         }
     }
 }
@@ -274,10 +312,10 @@
 void EntrySide::refuseLate(Slot &slot, core::TimePoint now, core::Duration wait)
 {
     std::erase_if(slot.waiters, [&](const WaiterPointer &waiter) {
-        if (waiter->deadline >= now + wait) {
+        if (waiter->deadline > now + wait) {
             return false;
         }
-        waiter->retryAfter = wait;
+        waiter->retryAfter = std::max<core::Duration>(wait, MaxHold);
         wake(waiter);
         return true;
     });
@@ -290,7 +328,7 @@
         const std::scoped_lock lock(shard.mutex);
         std::erase_if(shard.slots, [&](const auto &entry) {
             const Slot &slot = entry.second;
-            return !slot.isFetching && slot.waiters.empty() && now > slot.lastUsed + SlotMemory;
+            return !slot.isFetching && !slot.isSweeping && slot.waiters.empty() && now > slot.lastUsed + SlotMemory;
         });
     }
 }
--- a/src/limit/entry_side.h
+++ b/src/limit/entry_side.h
@@ -16,20 +16,20 @@
 
 namespace berylspring::limit::detail {
 
-/** @brief One held request. The timer is used in the strand only, the other members under the shard's mutex. */
+/** @brief One held request. The signal is used in the strand only, the other members under the shard's mutex. */
 struct Waiter
 {
     using Strand = boost::asio::strand<boost::asio::any_io_executor>;
 
     Waiter(const boost::asio::any_io_executor &executor, core::TimePoint end)
         : strand(executor)
-        , timer(strand)
+        , signal(strand, boost::asio::steady_timer::time_point::max())
         , deadline(end)
     {
     }
 
     Strand strand;
-    boost::asio::steady_timer timer;
+    boost::asio::steady_timer signal; ///< Never expires; cancelling it wakes the request.
     bool isWoken = false; ///< Strand only.
     core::TimePoint deadline;
     std::optional<core::TimePoint> tokenUntil; ///< It was given a token.
@@ -57,6 +57,7 @@
         DemandEstimate demand;
         std::deque<WaiterPointer> waiters;
         bool isFetching = false;
+        bool isSweeping = false; ///< Watches the deadlines of the waiters.
         std::uint32_t lastBatch = 0;
         core::Duration lifetime{}; ///< Of the last grant; zero unless tokens were plentiful.
         core::TimePoint refuseUntil{}; ///< All owners were without tokens.
@@ -81,6 +82,10 @@
     [[nodiscard]] Shard &shardOf(const core::WorkspaceId &workspace);
     [[nodiscard]] Admission refuse(core::Duration retryAfter);
     void startFetch(const core::WorkspaceId &workspace);
+    void startSweep(const core::WorkspaceId &workspace);
+    [[nodiscard]] boost::asio::awaitable<void> sweep(core::WorkspaceId workspace);
+    /** @return Time to the next deadline, or nothing without waiters. */
+    [[nodiscard]] std::optional<core::Duration> refuseExpired(const core::WorkspaceId &workspace);
     [[nodiscard]] boost::asio::awaitable<void> fetchAll(core::WorkspaceId workspace);
     [[nodiscard]] std::optional<Fetch> nextFetch(const core::WorkspaceId &workspace);
     [[nodiscard]] std::vector<core::HostId> targetsFor(const core::WorkspaceId &workspace) const;
@@ -93,7 +98,7 @@
     void handOut(Slot &slot, core::TimePoint now);
     void refuseLate(Slot &slot, core::TimePoint now, core::Duration wait);
     static void wake(const WaiterPointer &waiter);
-    [[nodiscard]] static boost::asio::awaitable<void> wait(WaiterPointer waiter, core::Duration longest);
+    [[nodiscard]] static boost::asio::awaitable<void> wait(WaiterPointer waiter);
 
     std::shared_ptr<LimitContext> m_context;
     const LimitSettings &m_settings;
--- a/src/limit/limit_context.h
+++ b/src/limit/limit_context.h
@@ -3,6 +3,12 @@
 #include "berylspring/limit/limit_service.h"
 
 #include <atomic>
+#include <utility>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 namespace berylspring::limit::detail {
 
@@ -24,12 +30,22 @@
     LimitSettings settings;
     LimitHooks hooks;
     Totals totals;
+    /** Waits; the tests replace it to run in their own time. */
+    std::function<boost::asio::awaitable<void>(core::Duration)> sleep;
 
     LimitContext(boost::asio::any_io_executor runOn, LimitSettings where, LimitHooks with)
         : executor(std::move(runOn))
         , settings(std::move(where))
         , hooks(std::move(with))
+        , sleep([](core::Duration duration) { return sleepByTimer(duration); })
+    {
+    }
+
+private:
+    static boost::asio::awaitable<void> sleepByTimer(core::Duration duration)
     {
+        boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor, duration);
+        co_await timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
     }
 };
 
--- a/src/limit/node_state.cpp
+++ b/src/limit/node_state.cpp
@@ -34,10 +34,16 @@
         live.push_back(m_settings.self);
     }
     const std::scoped_lock lock(m_mutex);
-    std::erase_if(m_retired, [&](const auto &entry) { return entry.second <= now; });
-    std::erase_if(live, [&](const core::HostId &host) { return m_retired.contains(host); });
     m_viewAt = now;
-    ViewHistory next = m_view->observed(std::move(live), now);
+    ViewHistory next = *m_view;
+    for (auto entry = m_retired.begin(); entry != m_retired.end();) {
+        // A retired host counts as gone only until it leaves the view; it may come back as a new process.
+        const bool hasLeft = std::find(live.begin(), live.end(), entry->first) == live.end();
+        next = hasLeft ? next.without(entry->first, now) : next;
+        entry = hasLeft || entry->second <= now ? m_retired.erase(entry) : std::next(entry);
+    }
+    std::erase_if(live, [&](const core::HostId &host) { return m_retired.contains(host); });
+    next = next.observed(std::move(live), now);
     if (next != *m_view) {
         m_view = std::make_shared<ViewHistory>(std::move(next));
     }
@@ -68,4 +74,12 @@
     }
 }
 
+void NodeState::restore(const core::HostId &host)
+{
+    const std::scoped_lock lock(m_mutex);
+    if (m_retired.erase(host) > 0) {
+        m_viewAt = {};
+    }
+}
+
 }
--- a/src/limit/node_state.h
+++ b/src/limit/node_state.h
@@ -31,6 +31,8 @@
     [[nodiscard]] NodeSnapshot observe();
     /** @brief Leaves a host that stops by plan out of the view until it is gone from it. */
     void retire(const core::HostId &host);
+    /** @brief Takes a host back that acts as an owner again. */
+    void restore(const core::HostId &host);
 
 private:
     void refreshView(core::TimePoint now);
--- a/src/limit/owner_side.cpp
+++ b/src/limit/owner_side.cpp
@@ -201,7 +201,9 @@
 Ownership OwnerSide::withoutPredecessor(const StartPlan &plan, const NodeSnapshot &node) const
 {
     const auto &live = node.view->live();
-    if (std::find(live.begin(), live.end(), *plan.predecessor) != live.end()) {
+    const auto &retired = node.retired;
+    if (std::find(live.begin(), live.end(), *plan.predecessor) != live.end()
+        || std::find(retired.begin(), retired.end(), *plan.predecessor) != retired.end()) {
         return {}; // It may still grant, so it is asked again until it answers or leaves the view.
     }
     const auto departed = node.view->departed().find(*plan.predecessor);
@@ -236,6 +238,7 @@
 
 wire::Message OwnerSide::handOverTo(const core::HostId &to, const wire::HandoverRequest &request)
 {
+    m_nodeState.restore(to);
     const NodeSnapshot node = m_nodeState.observe();
     const core::WorkspaceId &workspace = request->workspace;
     const StartPlan plan = planStart(workspace.value(), m_settings.self, *node.view, node.lease, node.now);
--- a/src/limit/ownership.cpp
+++ b/src/limit/ownership.cpp
@@ -55,7 +55,9 @@
 {
     std::vector<core::HostId> rest = m_live;
     std::erase(rest, host);
-    return observed(std::move(rest), now);
+    ViewHistory next = observed(std::move(rest), now);
+    next.m_departed[host] = now;
+    return next;
 }
 
 StartPlan planStart(std::string_view workspace,
