Leave by plan only after all records were handed over

Cause: the model found names that ran twice after a planned stop whose successors were paused: nobody took the records, and the host no longer counted as gone. Change: handOver() tries again with the current successors and returns whether all of them hold all records; if not, the host has to stay in recentHosts.

--- a/include/berylspring/idempotency/service.h
+++ b/include/berylspring/idempotency/service.h
@@ -43,8 +43,10 @@
     /**
      * @brief Planned stop: starts no more requests, waits for the running ones, and sends all records to their next
      * homes. Call it after liveHosts leaves this host out, and leave the membership after it.
+     * @return Whether the next homes hold all records. If not, this host must not count as left by plan: recentHosts
+     * has to list it like a dead one, or names that ran here would run again.
      */
-    [[nodiscard]] boost::asio::awaitable<void> handOver();
+    [[nodiscard]] boost::asio::awaitable<bool> handOver();
 
     [[nodiscard]] IdempotencyCounters counters() const;
 
--- a/src/idempotency/handover.cpp
+++ b/src/idempotency/handover.cpp
@@ -53,16 +53,51 @@
 
 asio::awaitable<bool> sendBatch(StatePtr state, core::HostId host, Batch batch)
 {
-    const wire::ClaimHandover handover{wire::ClaimHandoverFields{std::move(batch)}};
-    for (std::uint32_t attempt = 0; attempt < HandoverAttempts; ++attempt) {
-        const auto reply = co_await state->hooks.call(host, wire::Message(handover), HandoverTimeout);
-        if (reply && std::holds_alternative<wire::Ack>(*reply)) {
-            co_return true;
+    wire::ClaimHandover handover{wire::ClaimHandoverFields{std::move(batch)}};
+    const auto reply = co_await state->hooks.call(host, wire::Message(std::move(handover)), HandoverTimeout);
+    co_return reply &&std::holds_alternative<wire::Ack>(*reply);
+}
+
+/** @return Names of the records that the host did not take. */
+asio::awaitable<std::set<std::string>>
+sendAll(StatePtr state, core::HostId host, std::vector<wire::ClaimRecord> records)
+{
+    std::set<std::string> missing;
+    while (!records.empty()) {
+        Batch batch = takeBatch(records);
+        std::set<std::string> names;
+        for (const wire::ClaimRecord &record : batch) {
+            names.insert(record->name);
+        }
+        auto sending = sendBatch(state, host, std::move(batch));
+        if (!co_await std::move(sending)) {
+            missing.merge(names);
         }
-        const auto pause = Pauses.pause(attempt, HandoverTimeout, state->hooks.random());
-        co_await sleepFor(state->hooks.sleep, pause.value_or(DrainCheck));
     }
-    co_return false;
+    co_return missing;
+}
+
+/** @return The records that not all of their successors took. */
+asio::awaitable<std::vector<wire::ClaimRecord>> handOverOnce(StatePtr state, std::vector<wire::ClaimRecord> records)
+{
+    std::set<std::string> missing;
+    std::map<core::HostId, std::vector<wire::ClaimRecord>> byHost;
+    for (const wire::ClaimRecord &record : records) {
+        const auto hosts = successors(state, record->name);
+        for (const core::HostId &host : hosts) {
+            byHost[host].push_back(record);
+        }
+        if (hosts.empty()) {
+            missing.insert(record->name);
+        }
+    }
+    for (auto &[host, hostRecords] : byHost) {
+        auto sending = sendAll(state, host, std::move(hostRecords));
+        auto notTaken = co_await std::move(sending);
+        missing.merge(notTaken);
+    }
+    std::erase_if(records, [&](const wire::ClaimRecord &record) { return !missing.contains(record->name); });
+    co_return records;
 }
 
 asio::awaitable<void> drain(StatePtr state)
@@ -75,34 +110,24 @@
 
 }
 
-asio::awaitable<void> handOverAll(StatePtr state)
+asio::awaitable<bool> handOverAll(StatePtr state)
 {
     auto draining = drain(state);
     co_await std::move(draining);
     state->isHandingOver = true;
-    std::set<std::string> handedOver;
-    std::map<core::HostId, std::vector<wire::ClaimRecord>> byHost;
-    const auto records = state->table.records(state->hooks.now());
-    for (const wire::ClaimRecord &record : records) {
-        for (const core::HostId &host : successors(state, record->name)) {
-            byHost[host].push_back(record);
-        }
-    }
-    for (auto &[host, hostRecords] : byHost) {
-        while (!hostRecords.empty()) {
-            Batch batch = takeBatch(hostRecords);
-            std::vector<std::string> names;
-            for (const wire::ClaimRecord &record : batch) {
-                names.push_back(record->name);
-            }
-            auto sending = sendBatch(state, host, std::move(batch));
-            if (co_await std::move(sending)) {
-                handedOver.insert(names.begin(), names.end());
-            }
+    auto records = state->table.records(state->hooks.now());
+    const std::size_t total = records.size();
+    for (std::uint32_t attempt = 0; attempt < HandoverAttempts && !records.empty(); ++attempt) {
+        if (attempt > 0) {
+            const auto pause = Pauses.pause(attempt, HandoverTimeout, state->hooks.random());
+            co_await sleepFor(state->hooks.sleep, pause.value_or(DrainCheck));
         }
+        auto sending = handOverOnce(state, std::move(records));
+        records = co_await std::move(sending);
     }
-    state->counts.recordsHandedOver.fetch_add(handedOver.size());
-    state->counts.recordsNotHandedOver.fetch_add(records.size() - handedOver.size());
+    state->counts.recordsHandedOver.fetch_add(total - records.size());
+    state->counts.recordsNotHandedOver.fetch_add(records.size());
+    co_return records.empty();
 }
 
 }
--- a/src/idempotency/service.cpp
+++ b/src/idempotency/service.cpp
@@ -74,7 +74,7 @@
     co_return refused("no message of at-most-once requests");
 }
 
-asio::awaitable<void> IdempotencyService::handOver()
+asio::awaitable<bool> IdempotencyService::handOver()
 {
     return detail::handOverAll(m_state);
 }
--- a/tests/idempotency/model.cpp
+++ b/tests/idempotency/model.cpp
@@ -362,9 +362,9 @@
 asio::awaitable<void> Model::stopByPlan(Host &host)
 {
     host.announcedStop = m_clock.now();
-    co_await host.service->handOver();
+    const bool isComplete = co_await host.service->handOver();
     if (!host.died) {
-        host.left = m_clock.now();
+        (isComplete ? host.left : host.died) = m_clock.now();
     }
 }
 
--- a/tests/idempotency/one_name_in_a_small_fleet.cpp
+++ b/tests/idempotency/one_name_in_a_small_fleet.cpp
@@ -171,8 +171,8 @@
     fleet.context.poll();
     bool isHandedOver = false;
     fleet.live.erase(home);
-    asio::co_spawn(fleet.context, fleet.nodes[home]->handOver(), [&](const std::exception_ptr &) {
-        isHandedOver = true;
+    asio::co_spawn(fleet.context, fleet.nodes[home]->handOver(), [&](const std::exception_ptr &, bool isComplete) {
+        isHandedOver = isComplete;
     });
     fleet.context.poll();
     CHECK_FALSE(isHandedOver);
