Add the fake endpoint and the harness for tests with real processes

Cause: the daemon needs something that drives it from outside and judges what callers get. Change: berylspring-fakeendpoint answers with a digest over the request, runs nested calls through its node, crashes, hangs and refuses on demand, and keeps a record of effects by Idempotency-Key, of runs by root and of headers. The harness starts log, daemons and endpoints with posix_spawn, kills them by id on every way out, and has an open-loop load whose latency counts from the due time. section() turns a std::exception into a failed check, because CppUTest 4.0 lets it end the whole program. Found: http::Server::stopAccepting() does not shorten the wait of connections that are idle already, so idle() waits for their idle timeout; the tool closes its server instead.

--- /dev/null
+++ b/tests/integration/harness/fleet_config.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "berylspring/core/immutable.h"
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+namespace berylspring::test {
+
+/** @brief Options of one fake endpoint. */
+struct EndpointConfig
+{
+    std::string service;
+    std::size_t slots = 8;
+    double serviceMs = 5;
+    double jitter = 0;
+    std::string reportLoad = "on"; ///< "on", "stuck" or "off".
+    std::vector<std::string> moreOptions;
+    [[nodiscard]] bool operator==(const EndpointConfig &) const = default;
+};
+
+/** @brief What a Fleet starts. */
+struct FleetConfigFields
+{
+    std::vector<std::string> dataCentres{"dc-a"};
+    /** One node per data centre for each entry, with that endpoint; an empty service means no endpoint. */
+    std::vector<EndpointConfig> endpoints;
+    bool areControlsOn = true;
+    /** Sections in INI format that are added to the settings of every node, for example "[limits]\n...". */
+    std::string moreSettings;
+    [[nodiscard]] bool operator==(const FleetConfigFields &) const = default;
+};
+using FleetConfig = core::Immutable<FleetConfigFields>;
+
+}
--- /dev/null
+++ b/tests/integration/harness/load_report.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "berylspring/core/outcome.h"
+#include "berylspring/core/time.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace berylspring::test {
+
+/** @brief One call of a load with all its resends. */
+struct LoadSample
+{
+    core::Duration due{}; ///< From the start of the load.
+    core::Duration latency{}; ///< From the due time to the last answer.
+    core::Outcome outcome = core::Outcome::Unknown; ///< Of the last attempt.
+    std::string reason;
+    std::uint16_t status = 0;
+    bool isComplete = false;
+    bool isMismatch = false; ///< An answer that is not the one to the call.
+    std::uint32_t attempts = 0; ///< 0: not sent, because too many calls were open.
+    [[nodiscard]] bool operator==(const LoadSample &) const = default;
+};
+
+/** @brief Results of one class of a load. */
+class LoadReport
+{
+public:
+    LoadReport(std::string name, std::vector<LoadSample> samples);
+
+    [[nodiscard]] const std::string &name() const noexcept
+    {
+        return m_name;
+    }
+    /** @return The samples by due time. */
+    [[nodiscard]] const std::vector<LoadSample> &samples() const noexcept
+    {
+        return m_samples;
+    }
+    [[nodiscard]] std::uint64_t complete() const;
+    [[nodiscard]] std::uint64_t count(core::Outcome outcome) const;
+    [[nodiscard]] std::uint64_t mismatches() const;
+    [[nodiscard]] std::uint64_t attempts() const;
+    /** @return Calls that were never sent, a limit of the generator and not of the system. */
+    [[nodiscard]] std::uint64_t notSent() const;
+    /** @return Calls that did not get a complete answer, by "outcome reason". */
+    [[nodiscard]] std::map<std::string, std::uint64_t> failures() const;
+    /** @return Latency of complete calls, or zero without any. @param quantile 0 to 1. */
+    [[nodiscard]] core::Duration latency(double quantile) const;
+    /** @return Complete answers per second that arrived in [begin, end). */
+    [[nodiscard]] double goodput(core::Duration begin, core::Duration end) const;
+
+    [[nodiscard]] bool operator==(const LoadReport &) const = default;
+
+private:
+    std::string m_name;
+    std::vector<LoadSample> m_samples;
+};
+
+}
--- /dev/null
+++ b/tests/integration/harness/process.cpp
@@ -0,0 +1,282 @@
+#include "integration/harness/process.h"
+
+#include <csignal>
+#include <cstdlib>
+#include <exception>
+#include <fstream>
+#include <mutex>
+#include <set>
+#include <sstream>
+#include <stdexcept>
+#include <thread>
+#include <utility>
+
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <spawn.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <boost/filesystem.hpp>
+
+extern char **environ;
+
+namespace berylspring::test {
+
+namespace {
+
+constexpr auto PollInterval = std::chrono::milliseconds(10);
+
+/** @brief Processes that still run; killed by id when the test program exits without unwinding its stack. */
+class RunningProcesses
+{
+public:
+    void add(pid_t id)
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_ids.insert(id);
+    }
+    void remove(pid_t id)
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_ids.erase(id);
+    }
+    void killAll()
+    {
+        const std::scoped_lock lock(m_mutex);
+        for (const pid_t id : m_ids) {
+            ::kill(id, SIGKILL);
+        }
+    }
+
+private:
+    std::mutex m_mutex;
+    std::set<pid_t> m_ids;
+};
+
+RunningProcesses &runningProcesses()
+{
+    static auto *processes = new RunningProcesses;
+    return *processes;
+}
+
+/** @brief Ends all children when the test program ends without unwinding its stack. */
+void killAllAtEnd()
+{
+    static std::once_flag isInstalled;
+    std::call_once(isInstalled, [] {
+        static const std::terminate_handler previous = std::get_terminate();
+        std::atexit([] { runningProcesses().killAll(); });
+        std::set_terminate([] {
+            runningProcesses().killAll();
+            previous();
+        });
+    });
+}
+
+pid_t spawn(const std::vector<std::string> &arguments, const std::string &outputFile)
+{
+    std::vector<char *> pointers;
+    for (const std::string &argument : arguments) {
+        pointers.push_back(const_cast<char *>(argument.c_str()));
+    }
+    pointers.push_back(nullptr);
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_addopen(&actions, STDIN_FILENO, "/dev/null", O_RDONLY, 0);
+    constexpr mode_t OwnerOnly = 0600;
+    posix_spawn_file_actions_addopen(
+        &actions, STDOUT_FILENO, outputFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, OwnerOnly);
+    posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    pid_t id = -1;
+    const int error = posix_spawn(&id, pointers[0], &actions, nullptr, pointers.data(), environ);
+    posix_spawn_file_actions_destroy(&actions);
+    if (error != 0) {
+        throw std::runtime_error("cannot start " + arguments.at(0) + ": " + std::to_string(error));
+    }
+    return id;
+}
+
+ProcessEnd endOf(int status)
+{
+    return WIFEXITED(status) ? ProcessEnd{.exitStatus = WEXITSTATUS(status)}
+                             : ProcessEnd{.exitStatus = -1, .signal = WTERMSIG(status)};
+}
+
+}
+
+TemporaryDirectory::TemporaryDirectory()
+    : m_path((boost::filesystem::temp_directory_path() / "berylspring-XXXXXX").string())
+{
+    if (mkdtemp(m_path.data()) == nullptr) {
+        throw std::runtime_error("cannot make a directory " + m_path);
+    }
+}
+
+TemporaryDirectory::~TemporaryDirectory()
+{
+    if (std::getenv("BERYLSPRING_KEEP_FILES") == nullptr) {
+        boost::system::error_code ignored;
+        boost::filesystem::remove_all(m_path, ignored);
+    }
+}
+
+Process::Process(std::string name, const std::vector<std::string> &arguments, std::string outputFile)
+    : m_name(std::move(name))
+    , m_outputFile(std::move(outputFile))
+    , m_id(spawn(arguments, m_outputFile))
+{
+    killAllAtEnd();
+    runningProcesses().add(m_id);
+}
+
+Process::Process(Process &&other) noexcept
+    : m_name(std::move(other.m_name))
+    , m_outputFile(std::move(other.m_outputFile))
+    , m_id(std::exchange(other.m_id, -1))
+    , m_end(other.m_end)
+{
+}
+
+Process::~Process()
+{
+    if (m_id <= 0 || m_end) {
+        return;
+    }
+    ::kill(m_id, SIGKILL);
+    int status = 0;
+    waitpid(m_id, &status, 0);
+    runningProcesses().remove(m_id);
+}
+
+std::string Process::waitForLine(const std::string &prefix, core::Duration timeout)
+{
+    std::optional<std::string> rest;
+    const auto hasLine = [&] {
+        std::istringstream lines(output());
+        for (std::string line; std::getline(lines, line) && !lines.eof();) {
+            if (line.starts_with(prefix)) {
+                rest = line.substr(prefix.size());
+                return true;
+            }
+        }
+        return poll().has_value();
+    };
+    if (!waitUntil(hasLine, timeout) || !rest) {
+        fail("no line \"" + prefix + "\"");
+    }
+    return *rest;
+}
+
+std::uint16_t Process::waitForPort(const std::string &name, core::Duration timeout)
+{
+    const std::string prefix = name.empty() ? "listening " : "listening " + name + " ";
+    return static_cast<std::uint16_t>(std::stoul(waitForLine(prefix, timeout)));
+}
+
+void Process::terminate() const
+{
+    signal(SIGTERM);
+}
+
+void Process::kill() const
+{
+    signal(SIGKILL);
+}
+
+void Process::pause() const
+{
+    signal(SIGSTOP);
+}
+
+void Process::resume() const
+{
+    signal(SIGCONT);
+}
+
+ProcessEnd Process::wait(core::Duration timeout)
+{
+    if (!waitUntil([&] { return poll().has_value(); }, timeout)) {
+        fail("still runs");
+    }
+    return *m_end;
+}
+
+std::optional<ProcessEnd> Process::poll()
+{
+    int status = 0;
+    if (!m_end && waitpid(m_id, &status, WNOHANG) == m_id) {
+        m_end = endOf(status);
+        runningProcesses().remove(m_id);
+    }
+    return m_end;
+}
+
+ProcessUsage Process::usage() const
+{
+    std::ifstream stat("/proc/" + std::to_string(m_id) + "/stat");
+    std::string text((std::istreambuf_iterator<char>(stat)), {});
+    const std::size_t nameEnd = text.rfind(')');
+    if (nameEnd == std::string::npos) {
+        return {};
+    }
+    // Fields 14, 15 and 24 of proc(5); the first after the name is field 3.
+    std::istringstream rest(text.substr(nameEnd + 1));
+    std::vector<std::string> fields{std::istream_iterator<std::string>(rest), {}};
+    const double ticks = std::stod(fields.at(11)) + std::stod(fields.at(12));
+    const std::chrono::duration<double> seconds(ticks / static_cast<double>(sysconf(_SC_CLK_TCK)));
+    return {.processorTime = std::chrono::duration_cast<core::Duration>(seconds),
+            .residentBytes = std::stoul(fields.at(21)) * static_cast<std::size_t>(sysconf(_SC_PAGESIZE))};
+}
+
+std::string Process::output() const
+{
+    std::ifstream file(m_outputFile);
+    return {std::istreambuf_iterator<char>(file), {}};
+}
+
+void Process::signal(int number) const
+{
+    if (!m_end) {
+        ::kill(m_id, number);
+    }
+}
+
+void Process::fail(const std::string &what) const
+{
+    constexpr std::size_t MaxShown = 4000;
+    const std::string text = output();
+    const std::string shown = text.size() > MaxShown ? text.substr(text.size() - MaxShown) : text;
+    throw std::runtime_error(m_name + " (" + std::to_string(m_id) + "): " + what + "; output:\n" + shown);
+}
+
+bool waitUntil(const std::function<bool()> &condition, core::Duration timeout)
+{
+    const auto end = std::chrono::steady_clock::now() + timeout;
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() > end) {
+            return false;
+        }
+        std::this_thread::sleep_for(PollInterval);
+    }
+    return true;
+}
+
+std::uint16_t reservePort()
+{
+    const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(address);
+    auto *pointer = reinterpret_cast<sockaddr *>(&address);
+    const bool isBound = ::bind(descriptor, pointer, size) == 0 && ::getsockname(descriptor, pointer, &size) == 0;
+    ::close(descriptor);
+    if (!isBound) {
+        throw std::runtime_error("cannot reserve a port");
+    }
+    return ntohs(address.sin_port);
+}
+
+}
--- a/tests/support/section.cpp
+++ b/tests/support/section.cpp
@@ -39,7 +39,12 @@
 void section(const std::string &title, const std::function<void()> &body)
 {
     const OpenSection open(title);
-    body();
+    try {
+        body();
+    } catch (const std::exception &error) {
+        // CppUTest 4.0 lets the whole program end at an exception that is not its own.
+        FAIL(error.what());
+    }
 }
 
 std::string currentSection()
--- /dev/null
+++ b/tests/tools/common/endpoint_settings.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "berylspring/core/time.h"
+
+#include <cstdint>
+#include <string>
+
+namespace berylspring::tools {
+
+enum class LoadReporting {
+    On, ///< The real load.
+    Stuck, ///< The first report again and again.
+    Off,
+};
+
+/** @brief Options of berylspring-fakeendpoint. */
+struct EndpointSettings
+{
+    std::string service;
+    std::string address = "127.0.0.1";
+    std::string announcedAddress; ///< "IP:PORT" to announce instead of the own one, for a proxy in between.
+    std::uint16_t port = 0;
+    std::uint16_t controlPort = 0;
+    std::uint16_t nodeEndpointPort = 0; ///< 0: no announcement.
+    std::uint16_t nodeCallerPort = 0; ///< 0: no nested calls.
+    std::int64_t slots = 8;
+    core::Duration serviceTime{}; ///< Mean.
+    double jitter = 0; ///< The time of one request is uniform in mean x (1 - jitter .. 1 + jitter).
+    LoadReporting loadReporting = LoadReporting::On;
+    bool doesCrashExit = false;
+    bool isHeaderRecordOn = true;
+    [[nodiscard]] bool operator==(const EndpointSettings &) const = default;
+};
+
+/** @brief What PUT /control changes while the endpoint runs. */
+struct EndpointBehaviour
+{
+    core::Duration serviceTime{};
+    bool doesRefuse = false; ///< Every request gets 503 at once.
+    bool doesHang = false; ///< Every request waits until its client leaves.
+    [[nodiscard]] bool operator==(const EndpointBehaviour &) const = default;
+};
+
+}
--- /dev/null
+++ b/tests/tools/common/run_record.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "berylspring/core/sharded_map.h"
+#include "berylspring/http/messages.h"
+
+#include <atomic>
+#include <cstdint>
+#include <string>
+
+namespace berylspring::tools {
+
+/** @brief What an endpoint received and ran, for tests to read. */
+class RunRecord
+{
+public:
+    /** @param isHeaderRecordOn Whether header names and values are kept. */
+    explicit RunRecord(bool isHeaderRecordOn);
+
+    /** @brief A whole request has arrived. */
+    void received(const http::Request &request);
+    /** @brief Work on a request begins; from here on its effect counts. */
+    void ran(const http::Request &request);
+    void finished();
+    /** @brief The client went away before the answer. */
+    void cancelled();
+    void crashed();
+
+    /** @return JSON: effects and received by Idempotency-Key, runs by path, roots, headers and totals. */
+    [[nodiscard]] std::string json() const;
+
+private:
+    using Counts = core::ShardedMap<std::string, std::uint64_t>;
+
+    bool m_isHeaderRecordOn;
+    Counts m_effects; ///< Runs by Idempotency-Key.
+    Counts m_received; ///< Arrivals by Idempotency-Key.
+    Counts m_runs; ///< Runs by path.
+    Counts m_roots; ///< Runs by the query parameter root.
+    Counts m_headers; ///< Arrivals by "name: value".
+    std::atomic<std::uint64_t> m_arrivals{0};
+    std::atomic<std::uint64_t> m_started{0};
+    std::atomic<std::uint64_t> m_finished{0};
+    std::atomic<std::uint64_t> m_cancelled{0};
+    std::atomic<std::uint64_t> m_crashes{0};
+    std::atomic<bool> m_isHeaderRecordFull{false};
+};
+
+}
--- /dev/null
+++ b/tests/tools/common/slot_queue.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <mutex>
+#include <utility>
+
+#include <boost/asio/awaitable.hpp>
+
+namespace berylspring::tools {
+
+/** @brief Bounded number of slots with a queue of waiting coroutines in order of arrival. */
+class SlotQueue
+{
+public:
+    /** @brief Releases its slot when it is destroyed. */
+    class Slot
+    {
+    public:
+        explicit Slot(SlotQueue *queue) noexcept
+            : m_queue(queue)
+        {
+        }
+        Slot(Slot &&other) noexcept
+            : m_queue(std::exchange(other.m_queue, nullptr))
+        {
+        }
+        Slot(const Slot &) = delete;
+        Slot &operator=(const Slot &) = delete;
+        Slot &operator=(Slot &&) = delete;
+        ~Slot();
+
+    private:
+        SlotQueue *m_queue;
+    };
+
+    explicit SlotQueue(std::int64_t slots);
+
+    /** @brief Waits for a slot. A cancelled wait leaves the queue. Runs on the strand of its caller. */
+    boost::asio::awaitable<Slot> acquire();
+    /** @brief Changes the number of slots; running work is not interrupted. */
+    void resize(std::int64_t slots);
+
+    [[nodiscard]] std::int64_t running() const;
+    [[nodiscard]] std::int64_t waiting() const;
+
+private:
+    struct Waiter;
+    class Ticket;
+
+    void release();
+    void grantWaiting();
+
+    mutable std::mutex m_mutex;
+    std::int64_t m_slots;
+    std::int64_t m_running = 0;
+    std::deque<std::shared_ptr<Waiter>> m_waiting;
+};
+
+}
--- /dev/null
+++ b/tests/tools/common/tool_run.cpp
@@ -0,0 +1,61 @@
+#include "tools/common/tool_run.h"
+
+#include <csignal>
+
+#include <sys/resource.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <thread>
+#include <vector>
+
+namespace berylspring::tools {
+
+namespace asio = boost::asio;
+
+namespace {
+
+asio::awaitable<void> stopThenEnd(asio::io_context &context, const ToolHooks &hooks)
+{
+    co_await hooks.stop();
+    context.stop();
+}
+
+}
+
+int runTool(std::size_t threads, const ToolHooks &hooks)
+{
+    raiseFileLimit();
+    asio::io_context context(static_cast<int>(threads));
+    asio::signal_set signals(context, SIGTERM, SIGINT);
+    signals.async_wait([&](const boost::system::error_code &error, int) {
+        if (!error) {
+            asio::co_spawn(context, stopThenEnd(context, hooks), asio::detached);
+        }
+    });
+    if (!hooks.start(context.get_executor())) {
+        return 1;
+    }
+    std::vector<std::thread> others;
+    for (std::size_t i = 1; i < threads; ++i) {
+        others.emplace_back([&] { context.run(); });
+    }
+    context.run();
+    for (std::thread &thread : others) {
+        thread.join();
+    }
+    return 0;
+}
+
+void raiseFileLimit()
+{
+    rlimit limit{};
+    if (getrlimit(RLIMIT_NOFILE, &limit) == 0) {
+        limit.rlim_cur = limit.rlim_max;
+        setrlimit(RLIMIT_NOFILE, &limit);
+    }
+}
+
+}
