--- a/src/config/catalogue_json.cpp
+++ b/src/config/catalogue_json.cpp
@@ -73,9 +73,9 @@
 
 const json::object &objectOrEmpty(const json::value &value)
 {
-    static const json::object Empty;
+    static const json::object empty;
     const json::object *object = value.if_object();
-    return object == nullptr ? Empty : *object;
+    return object == nullptr ? empty : *object;
 }
 
 Result<CatalogueTables> withResourceFrom(const CatalogueTables &tables, const json::value &value)
@@ -117,7 +117,7 @@
 {
     JsonReader reader(objectOrEmpty(value));
     const std::string id = reader.name("id");
-    const core::Offset offset = reader.integer("offset", 1, MaxOffset - 1);
+    const core::Offset offset = reader.integer("offset", 0, MaxOffset - 1);
     const auto reason = static_cast<VoidReason>(reader.integer("reason", 0, VoidReasonCount - 1));
     if (auto error = reader.finish()) {
         return tl::unexpected(std::move(*error));
