--- a/tests/idempotency/model.cpp
+++ b/tests/idempotency/model.cpp
@@ -165,7 +165,7 @@
     }
     return std::any_of(other.pauses.begin(), other.pauses.end(), [&](const auto &pause) {
         return &observer != &other && pause.first + Detection + learns(observer, other, 2) <= now
-            && now < pause.second + learns(observer, other, 3);
+               && now < pause.second + learns(observer, other, 3);
     });
 }
 
@@ -176,8 +176,7 @@
     });
 }
 
-std::vector<core::HostId>
-Model::viewOf(const Host &observer, const core::DataCentreId &dataCentre, bool isRecent) const
+std::vector<core::HostId> Model::viewOf(const Host &observer, const core::DataCentreId &dataCentre, bool isRecent) const
 {
     const core::TimePoint now = m_clock.now();
     std::vector<core::HostId> view;
@@ -241,8 +240,7 @@
     co_return reply->result.value_or(tl::unexpected(wire::Error(wire::ErrorCode::Timeout, true)));
 }
 
-asio::awaitable<void>
-Model::deliver(Host &from, core::HostId to, wire::Message message, std::shared_ptr<Reply> reply)
+asio::awaitable<void> Model::deliver(Host &from, core::HostId to, wire::Message message, std::shared_ptr<Reply> reply)
 {
     Host *target = find(to);
     if (target == nullptr || target->left || target->died) {
--- a/tests/idempotency/one_name_through_faults.cpp
+++ b/tests/idempotency/one_name_through_faults.cpp
@@ -4,10 +4,10 @@
 #include <CppUTest/TestHarness.h>
 
 using namespace berylspring;
-using idempotency::test::Faults;
-using idempotency::test::Model;
 using berylspring::test::checkProperty;
 using berylspring::test::section;
+using idempotency::test::Faults;
+using idempotency::test::Model;
 
 namespace {
 
--- a/tests/integration/harness/operator_api.cpp
+++ b/tests/integration/harness/operator_api.cpp
@@ -77,7 +77,7 @@
     const auto isInForce = [&] {
         const auto response = send(port, "GET", "/v1/changes/" + std::to_string(change));
         last = describe(response);
-        return response && (*response)->status == 200 && numberOf(json::parse((*response)->body), "in_force") >= nodes;
+        return response && (*response)->status == 200 && numberOf(json::parse((*response)->body), "holding") >= nodes;
     };
     if (!waitUntil(isInForce)) {
         throw std::runtime_error("change " + std::to_string(change) + " is not in force on " + std::to_string(nodes)
--- /dev/null
+++ b/tests/integration/harness/scores.cpp
@@ -0,0 +1,159 @@
+#include "integration/harness/scores.h"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+
+namespace berylspring::test {
+
+namespace {
+
+constexpr auto RecoveryStep = std::chrono::milliseconds(100);
+constexpr auto RecoveryWindow = std::chrono::milliseconds(500);
+constexpr auto RecoveryHold = std::chrono::seconds(1);
+
+/** @brief Sums over the calls of one tenant that were due in a period. */
+struct TenantSum
+{
+    double asked = 0;
+    double complete = 0;
+    double limitRefusals = 0;
+    double notRun = 0;
+    double weight = 1;
+    double limitPerSecond = 0;
+};
+
+std::map<std::string, TenantSum> tenantSums(const std::vector<ScoredClass> &classes, Period period)
+{
+    std::map<std::string, TenantSum> sums;
+    for (const ScoredClass &scored : classes) {
+        TenantSum &sum = sums[scored.tenant];
+        sum.weight = scored.weight;
+        sum.limitPerSecond = scored.limitPerSecond;
+        for (const LoadSample &sample : scored.report.samples()) {
+            if (sample.due < period.begin || sample.due >= period.end) {
+                continue;
+            }
+            sum.asked += 1;
+            sum.complete += sample.isComplete ? 1 : 0;
+            const bool isRefused = !sample.isComplete && sample.outcome == core::Outcome::NotRun;
+            sum.notRun += isRefused ? 1 : 0;
+            sum.limitRefusals += isRefused && sample.reason == "limit-exceeded" ? 1 : 0;
+        }
+    }
+    return sums;
+}
+
+}
+
+double goodput(const std::vector<ScoredClass> &classes, Period period)
+{
+    double total = 0;
+    for (const ScoredClass &scored : classes) {
+        total += scored.report.goodput(period.begin, period.end);
+    }
+    return total;
+}
+
+std::optional<core::Duration>
+recoveryTime(const std::vector<ScoredClass> &classes, core::Duration from, core::Duration end, double goodputPerSecond)
+{
+    std::optional<core::Duration> goodSince;
+    for (core::Duration begin = from; begin + RecoveryWindow <= end; begin += RecoveryStep) {
+        if (goodput(classes, {begin, begin + RecoveryWindow}) < goodputPerSecond) {
+            goodSince.reset();
+            continue;
+        }
+        goodSince = goodSince.value_or(begin);
+        if (begin + RecoveryWindow - *goodSince >= RecoveryHold) {
+            return *goodSince - from;
+        }
+    }
+    return std::nullopt;
+}
+
+double worstServed(const std::vector<ScoredClass> &classes, Period period)
+{
+    std::vector<Demand> demands;
+    std::vector<double> complete;
+    double total = 0;
+    for (const auto &entry : tenantSums(classes, period)) {
+        const TenantSum &sum = entry.second;
+        demands.push_back({.asked = sum.asked, .weight = sum.weight});
+        complete.push_back(sum.complete);
+        total += sum.complete;
+    }
+    const std::vector<double> fair = fairShares(demands, total);
+    double worst = total > 0 ? 1 : 0;
+    for (std::size_t i = 0; i < fair.size(); ++i) {
+        worst = fair[i] > 0 ? std::min(worst, complete[i] / fair[i]) : worst;
+    }
+    return worst;
+}
+
+double worthServed(const std::vector<ScoredClass> &classes, Period period)
+{
+    double served = 0;
+    double asked = 0;
+    for (const ScoredClass &scored : classes) {
+        for (const LoadSample &sample : scored.report.samples()) {
+            if (sample.due >= period.begin && sample.due < period.end) {
+                asked += scored.worth;
+                served += sample.isComplete ? scored.worth : 0;
+            }
+        }
+    }
+    return asked > 0 ? served / asked : 0;
+}
+
+WrongRefusals wrongRefusals(const std::vector<ScoredClass> &classes, Period period)
+{
+    double asked = 0;
+    WrongRefusals refusals;
+    for (const auto &entry : tenantSums(classes, period)) {
+        const TenantSum &sum = entry.second;
+        if (sum.asked > sum.limitPerSecond * period.seconds()) {
+            continue;
+        }
+        asked += sum.asked;
+        refusals.ofLimit += sum.limitRefusals;
+        refusals.ofAll += sum.notRun;
+    }
+    return asked > 0 ? WrongRefusals{refusals.ofLimit / asked, refusals.ofAll / asked} : WrongRefusals{};
+}
+
+std::vector<double> fairShares(const std::vector<Demand> &demands, double total)
+{
+    std::vector<double> shares(demands.size(), 0);
+    std::vector<bool> isFull(demands.size(), false);
+    double left = total;
+    // Each round either fills somebody or is the last one.
+    for (std::size_t round = 0; round <= demands.size(); ++round) {
+        double weight = 0;
+        for (std::size_t i = 0; i < demands.size(); ++i) {
+            weight += isFull[i] ? 0 : demands[i].weight;
+        }
+        if (weight <= 0) {
+            break;
+        }
+        const double perWeight = left / weight;
+        bool hasFilled = false;
+        for (std::size_t i = 0; i < demands.size(); ++i) {
+            if (!isFull[i] && demands[i].asked <= perWeight * demands[i].weight) {
+                shares[i] = demands[i].asked;
+                left -= shares[i];
+                isFull[i] = true;
+                hasFilled = true;
+            }
+        }
+        if (!hasFilled) {
+            for (std::size_t i = 0; i < demands.size(); ++i) {
+                shares[i] = isFull[i] ? shares[i] : perWeight * demands[i].weight;
+            }
+            break;
+        }
+    }
+    return shares;
+}
+
+}
--- a/tests/limit/a_service_on_one_node.cpp
+++ b/tests/limit/a_service_on_one_node.cpp
@@ -56,8 +56,8 @@
     limit::LimitHooks hooks()
     {
         limit::LimitHooks result;
-        result.call = [](core::HostId, wire::Message, core::Duration)
-            -> boost::asio::awaitable<wire::Result<wire::Message>> {
+        result.call =
+            [](core::HostId, wire::Message, core::Duration) -> boost::asio::awaitable<wire::Result<wire::Message>> {
             co_return tl::make_unexpected(wire::Error(wire::ErrorCode::Unreachable, false));
         };
         result.liveHosts = [](const core::DataCentreId &) { return std::vector{self}; };
--- a/tests/limit/a_share_of_a_limit.cpp
+++ b/tests/limit/a_share_of_a_limit.cpp
@@ -103,7 +103,6 @@
         LONGS_EQUAL(1, resumed.epoch());
         CHECK(limit::Ownership::active(0).under(resumed).phase() == limit::OwnershipPhase::Idle);
     });
-    section("a pause that was noticed elsewhere breaks it as well", [&] {
-        LONGS_EQUAL(1, lease.observed(Start + 1s, Start + 1s, true, 1).epoch());
-    });
+    section("a pause that was noticed elsewhere breaks it as well",
+            [&] { LONGS_EQUAL(1, lease.observed(Start + 1s, Start + 1s, true, 1).epoch()); });
 }
