Add the benchmark: six load scenarios and the added latency, each with controls on and off

Change: berylspring-bench starts a fleet per scenario and mode, runs ordinary load, fault and ordinary load again, prints a table and writes JSON.

--- /dev/null
+++ b/tests/integration/harness/bench_scenario.cpp
@@ -0,0 +1,85 @@
+#include "integration/harness/bench_scenario.h"
+
+#include <stdexcept>
+
+#include <boost/json/object.hpp>
+
+namespace berylspring::test {
+
+namespace {
+
+constexpr double SlowFactor = 4; ///< A service at a quarter of its speed.
+
+void setDeepSpeed(Fleet &fleet, const Deployment &deployment, double factor)
+{
+    for (const std::size_t node : deployment.nodesOf("roster")) {
+        if (fleet.node(node).endpoint && !fleet.node(node).endpoint->poll()) {
+            fleet.controlEndpoint(node, {{"service_ms", deployment.size()->serviceMs * factor}});
+        }
+    }
+}
+
+void slowDown(Fleet &fleet, const Deployment &deployment)
+{
+    setDeepSpeed(fleet, deployment, SlowFactor);
+}
+
+void speedUp(Fleet &fleet, const Deployment &deployment)
+{
+    setDeepSpeed(fleet, deployment, 1);
+}
+
+void slowDownOne(Fleet &fleet, const Deployment &deployment)
+{
+    fleet.controlEndpoint(deployment.nodesOf("roster").front(),
+                          {{"service_ms", deployment.size()->serviceMs * SlowFactor}});
+}
+
+void restartDeepCold(Fleet &fleet, const Deployment &deployment)
+{
+    for (const std::size_t node : deployment.nodesOf("roster")) {
+        fleet.node(node).endpoint->kill();
+        fleet.startEndpoint(node);
+    }
+    slowDown(fleet, deployment);
+}
+
+void loseDataCentre(Fleet &fleet, const Deployment &)
+{
+    for (std::size_t i = 0; i < fleet.nodesPerDataCentre(); ++i) {
+        fleet.node(i).daemon->kill();
+        fleet.node(i).endpoint->kill();
+    }
+}
+
+}
+
+std::vector<std::string> scenarioNames()
+{
+    return {"surge", "deep-slow", "greedy-workspace", "stuck-report", "cold-start", "data-centre-loss", AddedLatency};
+}
+
+BenchScenario benchScenario(const std::string &name)
+{
+    if (name == "surge") {
+        return {.loadFactors = {{"", 3}}};
+    }
+    if (name == "deep-slow") {
+        return {.resends = 5, .resendDelay = std::chrono::milliseconds(20), .begin = slowDown, .end = speedUp};
+    }
+    if (name == "greedy-workspace") {
+        return {.loadFactors = {{"large-2", 5}}, .limitFactor = 1.3};
+    }
+    if (name == "stuck-report") {
+        return {.reportLoad = "stuck", .begin = slowDownOne, .end = speedUp};
+    }
+    if (name == "cold-start") {
+        return {.begin = restartDeepCold, .end = speedUp};
+    }
+    if (name == "data-centre-loss") {
+        return {.ordinaryLoad = 0.5, .resends = 2, .begin = loseDataCentre, .doesRecoverFromBegin = true};
+    }
+    throw std::invalid_argument("no scenario " + name);
+}
+
+}
--- /dev/null
+++ b/tests/tools/berylspring-bench.cpp
@@ -0,0 +1,132 @@
+#include "integration/harness/bench_run.h"
+#include "integration/harness/bench_scenario.h"
+#include "tools/common/tool_run.h"
+
+#include <fstream>
+#include <iomanip>
+#include <iostream>
+
+#include <boost/json.hpp>
+#include <boost/program_options.hpp>
+
+namespace po = boost::program_options;
+namespace json = boost::json;
+using namespace berylspring;
+
+namespace {
+
+struct Arguments
+{
+    std::string scenario;
+    std::string size;
+    std::string output;
+    double scale = 0;
+    double phaseSeconds = 0;
+};
+
+po::variables_map parse(int argc, char **argv, Arguments &arguments)
+{
+    po::options_description options("berylspring-bench");
+    auto add = options.add_options();
+    add("help", "print this text");
+    add("scenario", po::value(&arguments.scenario)->default_value("all"), "a name, or all");
+    add("sizes", po::value(&arguments.size)->default_value("abay"), "abay or ozolzars");
+    add("scale", po::value(&arguments.scale)->default_value(0.1), "factor for slots, 0.01 to 1");
+    add("phase-s", po::value(&arguments.phaseSeconds)->default_value(4), "length of each of three phases, 2 to 60");
+    add("output", po::value(&arguments.output), "file for the results as JSON");
+    po::variables_map values;
+    po::store(po::parse_command_line(argc, argv, options), values);
+    po::notify(values);
+    if (values.contains("help")) {
+        std::cout << options << "scenarios:";
+        for (const std::string &name : test::scenarioNames()) {
+            std::cout << ' ' << name;
+        }
+        std::cout << '\n';
+        std::exit(0);
+    }
+    if (arguments.scale < 0.01 || arguments.scale > 1 || arguments.phaseSeconds < 2 || arguments.phaseSeconds > 60) {
+        throw po::error("--scale is 0.01 to 1 and --phase-s 2 to 60");
+    }
+    return values;
+}
+
+std::string shown(const json::value &value)
+{
+    std::ostringstream text;
+    if (value.is_number()) {
+        text << std::setprecision(4) << value.to_number<double>();
+    } else {
+        text << (value.is_null() ? "-" : json::serialize(value));
+    }
+    return text.str();
+}
+
+void printTable(const std::string &scenario, const json::object &on, const json::object &off)
+{
+    constexpr int NameWidth = 36;
+    constexpr int ValueWidth = 14;
+    std::cout << '\n'
+              << std::left << std::setw(NameWidth) << scenario << std::right << std::setw(ValueWidth) << "controls on"
+              << std::setw(ValueWidth) << "off" << '\n';
+    for (const auto &entry : on) {
+        if (!entry.value().is_object()) {
+            const json::value *other = off.if_contains(entry.key());
+            std::cout << std::left << std::setw(NameWidth) << std::string(entry.key()) << std::right
+                      << std::setw(ValueWidth) << shown(entry.value()) << std::setw(ValueWidth)
+                      << (other == nullptr ? "-" : shown(*other)) << '\n';
+        }
+    }
+    std::cout << std::flush;
+}
+
+/** @return The result, or an object with the member error: one failed run does not hide the others. */
+json::object runOnce(const std::string &scenario, const test::BenchSettings &settings)
+{
+    try {
+        return test::runScenario(scenario, settings);
+    } catch (const std::exception &error) {
+        return {{"error", error.what()}};
+    }
+}
+
+}
+
+int main(int argc, char **argv)
+{
+    try {
+        Arguments arguments;
+        parse(argc, argv, arguments);
+        tools::raiseFileLimit();
+        json::object results;
+        for (const std::string &name : test::scenarioNames()) {
+            if (arguments.scenario != "all" && arguments.scenario != name) {
+                continue;
+            }
+            json::object pair;
+            for (const bool areControlsOn : {true, false}) {
+                const test::BenchSettings settings{.size = test::deploymentSize(arguments.size, arguments.scale),
+                                                   .phase = std::chrono::duration_cast<core::Duration>(
+                                                       std::chrono::duration<double>(arguments.phaseSeconds)),
+                                                   .areControlsOn = areControlsOn};
+                pair[areControlsOn ? "on" : "off"] = runOnce(name, settings);
+            }
+            printTable(name, pair["on"].as_object(), pair["off"].as_object());
+            results[name] = std::move(pair);
+        }
+        if (results.empty()) {
+            throw po::error("no scenario " + arguments.scenario);
+        }
+        if (!arguments.output.empty()) {
+            std::ofstream(arguments.output) << json::serialize(json::object{{"size", arguments.size},
+                                                                            {"scale", arguments.scale},
+                                                                            {"phase_s", arguments.phaseSeconds},
+                                                                            {"scenarios", results}})
+                                            << '\n';
+        }
+        return 0;
+    } catch (const std::exception &error) {
+        std::cerr << "berylspring-bench: " << error.what() << '\n';
+        return 1;
+    }
+}
