Let the probe share of shed requests reach the endpoint

Cause: the router excluded endpoints by the level heard through the membership, so the 1% of requests that entry shedding lets pass never went out and a lowered level was only learned by age. Change: shedding alone decides by level; a request that finds no endpoint because of shedding is refused as overloaded.

--- a/include/berylspring/node/dispatcher.h
+++ b/include/berylspring/node/dispatcher.h
@@ -44,7 +44,7 @@
     struct Attempts;
 
     [[nodiscard]] routing::RoutingDecision
-    chooseEndpoint(const wire::CallRequest &call, const Attempts &attempts, core::TimePoint now);
+    chooseEndpoint(const wire::CallRequest &call, Attempts &attempts, core::TimePoint now);
     [[nodiscard]] boost::asio::awaitable<wire::CallResponse> attempt(wire::CallRequest call, core::HostId host);
     [[nodiscard]] boost::asio::awaitable<wire::CallResponse> send(wire::CallRequest call, core::HostId host);
     [[nodiscard]] bool mayRetry(const wire::CallRequest &call, const core::Refusal &refusal, const Attempts &attempts);
--- a/include/berylspring/wire/messages.h
+++ b/include/berylspring/wire/messages.h
@@ -241,7 +241,7 @@
 struct QuarantineNoticeFields
 {
     core::Digest requestDigest;
-    core::Duration remaining{};
+    core::Duration remaining{}; ///< 0: it ran during a crash and is only suspected, so it runs alone next time.
     [[nodiscard]] bool operator==(const QuarantineNoticeFields &) const = default;
 };
 using QuarantineNotice = core::Immutable<QuarantineNoticeFields>;
--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -29,17 +29,10 @@
     return wire::CallResponse({.refusal = refusal});
 }
 
-bool hasReason(const routing::RoutingDecision &decision, routing::ExclusionReason reason)
-{
-    return std::any_of(decision.exclusions.begin(),
-                       decision.exclusions.end(),
-                       [&](const routing::Exclusion &exclusion) { return exclusion.reason == reason; });
-}
-
 /** @return Why no endpoint was chosen. */
-Refusal refusalOf(const routing::RoutingDecision &decision)
+Refusal refusalOf(const routing::RoutingDecision &decision, bool wasShed)
 {
-    if (hasReason(decision, routing::ExclusionReason::LevelNotAdmitted)) {
+    if (wasShed) {
         return Refusal(RefusalReason::Overloaded, Outcome::NotRun, "endpoints admit only higher priorities")
             .withRetryAfter(OverloadRetryAfter);
     }
@@ -85,6 +78,7 @@
     std::vector<core::HostId> hosts; ///< Tried so far.
     std::uint32_t retries = 0; ///< Spent here and by nested calls.
     bool mayHaveRun = false;
+    bool wasShed = false; ///< An endpoint was left out since it admits only higher priorities.
 };
 
 Dispatcher::Dispatcher(core::HostId self, core::DataCentreId dataCentre, bool areControlsOn, DispatcherHooks hooks)
@@ -107,7 +101,7 @@
         const routing::RoutingDecision decision = chooseEndpoint(call, attempts, now);
         Refusal refusal(RefusalReason::DeadlineExceeded, Outcome::NotRun, "no time is left for the request");
         if (remaining > core::Duration::zero() && !decision.host) {
-            refusal = refusalOf(decision);
+            refusal = refusalOf(decision, attempts.wasShed);
         } else if (remaining > core::Duration::zero()) {
             attempts.hosts.push_back(*decision.host);
             const wire::CallRequest sent =
@@ -135,7 +129,7 @@
 }
 
 routing::RoutingDecision
-Dispatcher::chooseEndpoint(const wire::CallRequest &call, const Attempts &attempts, core::TimePoint now)
+Dispatcher::chooseEndpoint(const wire::CallRequest &call, Attempts &attempts, core::TimePoint now)
 {
     const std::shared_ptr<const EndpointViews> endpoints = m_hooks.endpoints(call->service);
     routing::RoutingRequest request{call->service, m_dataCentre, call->priority, attempts.hosts};
@@ -143,6 +137,7 @@
         for (const routing::EndpointView &endpoint : *endpoints) {
             if (!m_shedding.admits({endpoint->host, call->service}, call->priority, now)) {
                 request.excludedHosts.push_back(endpoint->host);
+                attempts.wasShed = true;
             }
         }
     }
--- a/src/node/endpoint_views.cpp
+++ b/src/node/endpoint_views.cpp
@@ -17,7 +17,6 @@
                                                .isAlive = member.isLive(),
                                                .reportedLoad = static_cast<double>(endpoint->load),
                                                .heardAt = member.heardAt(),
-                                               .admittedLevel = endpoint->admittedLevel,
                                                .firstSeen = member.stateSince()}));
     }
     return views;
