Choose the rule of the concurrency limit and the use of reports by models

The limit halves itself on suspicion and keeps the cut only if latency falls with it. A trial that clearly fails ends after 30 samples. Routing takes the higher of the endpoint's report and the count in the last response.

--- a/include/berylspring/admission/concurrency_limit.h
+++ b/include/berylspring/admission/concurrency_limit.h
@@ -83,9 +83,10 @@
     std::uint32_t m_slots;
     double m_limit;
     std::optional<double> m_baseline; ///< Mean latency of an endpoint that is not saturated, seconds.
-    std::optional<double> m_errorLimit; ///< Limit at which the endpoint last refused.
+    std::optional<double> m_knee; ///< Limit at which the endpoint was last found overloaded.
     std::optional<Trial> m_trial;
     core::TimePoint m_lastTrial;
+    bool m_isSuspicious = false; ///< The last window was slow.
     Window m_window;
 };
 
--- a/src/admission/concurrency_limit.cpp
+++ b/src/admission/concurrency_limit.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cmath>
+#include <utility>
 
 namespace berylspring::admission {
 
@@ -13,23 +14,36 @@
 /** A window ends with enough samples for a steady mean, or after MaxWindow with at least FewestSamples. */
 constexpr core::Duration MinWindow = 50ms;
 constexpr core::Duration MaxWindow = 500ms;
-constexpr std::uint32_t MinSamples = 50;
+constexpr std::uint32_t MinSamples = 100;
 constexpr std::uint32_t FewestSamples = 10;
-/** With 400 samples the ratio of two means has a deviation of about 7%, half of what a trial has to tell apart. */
-constexpr std::uint32_t MinTrialSamples = 400;
-constexpr core::Duration MaxTrialWindow = 1500ms;
+/**
+ * A deep and short trial costs less than a shallow one, as the samples needed fall with the square of the cut. With
+ * 100 samples the ratio of two means has a deviation of about 10%; the trial tells ratios of 0.5 and 1 apart.
+ */
+constexpr std::uint32_t MinTrialSamples = 100;
+constexpr core::Duration MaxTrialWindow = 1000ms;
+/** A trial that fails this clearly after some samples ends early: it costs throughput, and a later one may follow. */
+constexpr std::uint32_t EarlySamples = 30;
+constexpr double ClearFailure = 0.9;
 
 constexpr double SaturatedShare = 0.8;
 constexpr double ErrorShare = 0.1;
 constexpr double ErrorCut = 0.9;
 /** Latency over the baseline from which a rule suspects queueing inside the endpoint. */
-constexpr double LatencyTolerance = 1.5;
+constexpr double LatencyTolerance = 1.4;
 constexpr double GrowthFactor = 1.1;
-constexpr double TrialCut = 0.7;
+/** Growth per window close to the limit at which the endpoint was last found overloaded. */
+constexpr double CarefulGrowth = 0.25;
+constexpr double CarefulShare = 0.8;
+constexpr double TrialCut = 0.5;
 /** A baseline that was learned under contention would hide it, so a trial is made now and then without suspicion. */
 constexpr core::Duration TrialInterval = 30s;
 constexpr double BaselineSmoothing = 0.1;
+/** A baseline that rises fast follows a slowly growing limit into contention. */
+constexpr double BaselineRise = 0.01;
 constexpr double GradientSmoothing = 0.2;
+/** After a cut, requests that began before it still show the previous limit: times of the mean latency to wait. */
+constexpr int SettlingLatencies = 1;
 constexpr double MinGradient = 0.5;
 constexpr double AimdCut = 0.9;
 
@@ -72,7 +86,7 @@
     ConcurrencyLimit next = *this;
     if (slots != m_slots) {
         next.m_slots = slots;
-        next.m_errorLimit.reset();
+        next.m_knee.reset();
         next.m_trial.reset();
         next.setLimit(m_limit * slots / m_slots);
         next.openWindow(now, core::Duration::zero());
@@ -105,8 +119,8 @@
     if (now >= m_window.countsFrom) {
         return false;
     }
-    if (now - sample.latency >= m_window.openedAt && ++m_window.startedInside >= limit()) {
-        // As many requests as fit have come and gone under the new limit: latency has fallen since the last window.
+    if (now - sample.latency >= m_window.openedAt && ++m_window.startedInside >= SettlingLatencies * limit()) {
+        // Enough requests have come and gone under the new limit: latency has fallen since the last window.
         m_window.countsFrom = now;
     }
     return true;
@@ -114,6 +128,10 @@
 
 bool ConcurrencyLimit::isWindowComplete(core::TimePoint now) const noexcept
 {
+    if (m_trial && m_window.samples % EarlySamples == 0
+        && m_window.meanLatency() >= ClearFailure * m_trial->latencyBefore) {
+        return true;
+    }
     const core::Duration length = now - m_window.countsFrom;
     const auto wanted = std::max(m_trial ? MinTrialSamples : MinSamples, 2 * limit());
     return (length >= MinWindow && m_window.samples >= wanted)
@@ -147,12 +165,12 @@
         break;
     }
     const bool wasCut = m_limit < before;
-    openWindow(now, wasCut ? durationOf(m_window.meanLatency()) : core::Duration::zero());
+    openWindow(now, wasCut ? durationOf(SettlingLatencies * m_window.meanLatency()) : core::Duration::zero());
 }
 
 void ConcurrencyLimit::cutAfterErrors()
 {
-    m_errorLimit = m_limit;
+    m_knee = m_limit;
     m_trial.reset();
     setLimit(m_limit * ErrorCut);
 }
@@ -166,10 +184,17 @@
         judgeTrial(now);
     } else if (!isSaturated()) {
         m_baseline = std::min(m_baseline.value_or(latency), latency);
-    } else if (!m_baseline || latency > LatencyTolerance * *m_baseline || now - m_lastTrial >= TrialInterval) {
+    } else if (!m_baseline || now - m_lastTrial >= TrialInterval) {
         beginTrial(now);
+    } else if (latency > LatencyTolerance * *m_baseline) {
+        // The first slow window may mix the times before and after a change; a trial needs a clean comparison.
+        if (std::exchange(m_isSuspicious, true)) {
+            beginTrial(now);
+        }
     } else {
-        *m_baseline += BaselineSmoothing * (latency - *m_baseline);
+        m_isSuspicious = false;
+        const double smoothing = latency < *m_baseline ? BaselineSmoothing : BaselineRise;
+        *m_baseline += smoothing * (latency - *m_baseline);
         grow();
     }
 }
@@ -178,6 +203,7 @@
 {
     m_trial = Trial{m_limit, m_window.meanLatency()};
     m_lastTrial = now;
+    m_isSuspicious = false;
     setLimit(m_limit * TrialCut);
     if (limit() == static_cast<std::uint32_t>(m_trial->limitBefore)) {
         // Nothing left to cut.
@@ -193,7 +219,11 @@
     // Where requests wait for each other inside the endpoint, latency falls like the limit and the cut costs no
     // throughput. Where something else is slow, latency stays and the cut costs throughput in proportion.
     if (isSaturated() && latency <= (1 + share) / 2 * m_trial->latencyBefore) {
-        beginTrial(now);
+        m_knee = m_trial->limitBefore;
+        m_trial.reset();
+        if (!m_baseline || latency > LatencyTolerance * *m_baseline) {
+            beginTrial(now);
+        }
         return;
     }
     setLimit(m_trial->limitBefore);
@@ -231,8 +261,8 @@
 
 void ConcurrencyLimit::grow()
 {
-    const bool isNearErrors = m_errorLimit && m_limit >= ErrorCut * *m_errorLimit;
-    setLimit(isNearErrors ? m_limit + 1 : std::max(m_limit * GrowthFactor, m_limit + 1));
+    const bool isNearKnee = m_knee && m_limit >= CarefulShare * *m_knee;
+    setLimit(isNearKnee ? m_limit + CarefulGrowth : std::max(m_limit * GrowthFactor, m_limit + 1));
 }
 
 void ConcurrencyLimit::setLimit(double limit) noexcept
--- a/src/routing/ranking.cpp
+++ b/src/routing/ranking.cpp
@@ -11,15 +11,8 @@
 /** Weight of an endpoint that has just appeared: it must get some requests to warm up. */
 constexpr double FirstWeight = 0.1;
 
-double discountedLoad(const Candidate &candidate, const RouterSettings &settings, core::TimePoint now)
+double discounted(double load, core::TimePoint at, const RouterSettings &settings, core::TimePoint now)
 {
-    const EndpointView &view = *candidate.view;
-    double load = view->reportedLoad;
-    core::TimePoint at = view->heardAt;
-    if (candidate.traffic != nullptr && candidate.traffic->reportedAt() > at) {
-        load = candidate.traffic->reportedLoad();
-        at = candidate.traffic->reportedAt();
-    }
     if (load <= 0 || settings.reportHalfLife <= core::Duration::zero()) {
         return 0;
     }
@@ -27,6 +20,21 @@
     return load * std::exp2(-age / static_cast<double>(settings.reportHalfLife.count()));
 }
 
+/**
+ * The endpoint's own report may be stuck at idle, however new it is. What its node counted for the last response is
+ * taken when it is higher.
+ */
+double discountedLoad(const Candidate &candidate, const RouterSettings &settings, core::TimePoint now)
+{
+    const EndpointView &view = *candidate.view;
+    const double reported = discounted(view->reportedLoad, view->heardAt, settings, now);
+    if (candidate.traffic == nullptr) {
+        return reported;
+    }
+    return std::max(reported,
+                    discounted(candidate.traffic->reportedLoad(), candidate.traffic->reportedAt(), settings, now));
+}
+
 double inFlightOf(const Candidate &candidate, const RouterSettings &settings, core::TimePoint now)
 {
     const double own = candidate.traffic != nullptr ? candidate.traffic->inFlight() : 0;
--- /dev/null
+++ b/tests/admission/a_level_rises_and_falls.cpp
@@ -0,0 +1,88 @@
+#include "berylspring/admission/admitted_level.h"
+#include "berylspring/admission/endpoint_gate.h"
+#include "berylspring/admission/entry_shedding.h"
+#include "support/section.h"
+
+#include <chrono>
+#include <memory>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace berylspring;
+using namespace std::chrono_literals;
+using admission::AdmittedLevel;
+using admission::EntryShedding;
+using test::section;
+
+namespace {
+
+const core::TimePoint startTime{1000h};
+
+}
+
+TEST_GROUP(ALevelRisesAndFalls){};
+
+// A level that falls at once lets all shed work in at the same moment and rises again.
+TEST(ALevelRisesAndFalls, atOnceAndStepByStep)
+{
+    const auto raised = AdmittedLevel().withPressure(3, startTime);
+    LONGS_EQUAL(3, raised.level(startTime));
+    LONGS_EQUAL(3, raised.level(startTime + 199ms));
+    LONGS_EQUAL(2, raised.level(startTime + 200ms));
+    LONGS_EQUAL(0, raised.level(startTime + 600ms));
+    section("new pressure holds it, lower pressure does not", [&] {
+        LONGS_EQUAL(3, raised.withPressure(3, startTime + 100ms).level(startTime + 299ms));
+        LONGS_EQUAL(2, raised.withPressure(1, startTime + 100ms).level(startTime + 200ms));
+        LONGS_EQUAL(1, raised.withPressure(1, startTime + 500ms).level(startTime + 600ms));
+    });
+}
+
+// Were the level raised above work that is still served, entry nodes would shed that work too.
+TEST(ALevelRisesAndFalls, neverAboveTheLowestWorkThatIsServed)
+{
+    admission::AdmissionSettings settings;
+    settings.maxQueueLength = 2;
+    admission::EndpointGate gate(settings, startTime);
+    CHECK(gate.setSlots(1, startTime).empty());
+    std::uint64_t id = 0;
+    const auto arrive = [&](core::PriorityLevel priority) {
+        admission::QueueEntryFields fields;
+        fields.id = ++id;
+        fields.priority = priority;
+        fields.deadline = startTime + 1h;
+        return gate.arrive(admission::QueueEntry(fields), false, startTime).verdict.kind;
+    };
+    for (int i = 0; i < 10; ++i) {
+        arrive(4);
+    }
+    section("overload by one level alone", [&] { LONGS_EQUAL(4, gate.state(startTime).admittedLevel); });
+    section("work below it finds no room, work above it does", [&] {
+        CHECK(arrive(3) == admission::Verdict::Kind::Refuse);
+        CHECK(arrive(5) == admission::Verdict::Kind::Wait);
+        LONGS_EQUAL(4, gate.state(startTime).admittedLevel);
+    });
+}
+
+TEST(ALevelRisesAndFalls, atTheEntryWithAProbeShare)
+{
+    auto next = std::make_shared<std::uint64_t>(0);
+    EntryShedding shedding([next] { return (*next)++; });
+    const admission::EndpointKey endpoint{core::HostId("h1"), core::ServiceId("visits")};
+    shedding.learn(endpoint, 3, startTime);
+    section("below the level one in a hundred goes on", [&] {
+        int sent = 0;
+        for (int i = 0; i < 1000; ++i) {
+            sent += shedding.admits(endpoint, 2, startTime) ? 1 : 0;
+        }
+        LONGS_EQUAL(10, sent);
+        CHECK(shedding.admits(endpoint, 3, startTime));
+    });
+    section("other endpoints are not concerned", [&] {
+        LONGS_EQUAL(0, shedding.level({core::HostId("h2"), endpoint.service}, startTime));
+    });
+    section("the knowledge ages out step by step", [&] {
+        LONGS_EQUAL(3, shedding.level(endpoint, startTime + 1s));
+        LONGS_EQUAL(2, shedding.level(endpoint, startTime + 1200ms));
+        LONGS_EQUAL(0, shedding.level(endpoint, startTime + 1600ms));
+    });
+}
--- /dev/null
+++ b/tests/admission/a_request_that_crashes.cpp
@@ -0,0 +1,150 @@
+#include "admission/harness.h"
+#include "berylspring/admission/quarantine.h"
+#include "berylspring/admission/request_digest.h"
+#include "support/section.h"
+
+#include <chrono>
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace berylspring;
+using namespace std::chrono_literals;
+using test::callNamed;
+using test::checkProperty;
+using test::Harness;
+using test::section;
+using Names = std::vector<std::string>;
+
+namespace {
+
+bool isRefusedFor(const std::shared_ptr<test::SentCall> &sent, core::RefusalReason reason)
+{
+    return sent->response && (*sent->response)->refusal && (*sent->response)->refusal->reason() == reason;
+}
+
+core::Digest digestOf(const wire::CallRequest &request)
+{
+    return admission::requestDigest(request->method, request->target, request->body, request->workspace);
+}
+
+}
+
+TEST_GROUP(ARequestThatCrashes){};
+
+// One request that crashes each endpoint that runs it could otherwise take a whole service down.
+TEST(ARequestThatCrashes, isStoppedAfterTwoCrashesWhileInnocentOnesGoOn)
+{
+    Harness harness;
+    harness.service().setSlots(3);
+    const auto crasher = callNamed("crasher");
+    section("the first crash takes an innocent request with it", [&] {
+        harness.send(crasher);
+        harness.send(callNamed("innocent"));
+        harness.finish("crasher", Harness::lost());
+        harness.finish("innocent", Harness::lost());
+    });
+    section("both run alone when they come again", [&] {
+        harness.send(callNamed("innocent"));
+        harness.send(callNamed("other"));
+        CHECK(harness.running() == Names{"innocent"});
+        harness.finish("innocent");
+        CHECK(harness.running() == Names{"other"});
+        harness.send(crasher);
+        CHECK(harness.running() == Names{"other"});
+        harness.finish("other");
+        CHECK(harness.running() == Names{"crasher"});
+    });
+    section("the second crash quarantines it and tells the peers", [&] {
+        harness.finish("crasher", Harness::lost());
+        LONGS_EQUAL(1, harness.notices.size());
+        CHECK(harness.notices.front()->requestDigest == digestOf(crasher));
+        CHECK(harness.notices.front()->remaining == 10min);
+        const auto again = harness.send(crasher);
+        CHECK(isRefusedFor(again, core::RefusalReason::Quarantined));
+        CHECK((*again->response)->refusal->outcome() == core::Outcome::NotRun);
+    });
+    section("the innocent one is cleared and runs with others", [&] {
+        harness.send(callNamed("innocent"));
+        harness.send(callNamed("other"));
+        CHECK((harness.running() == Names{"innocent", "other"}));
+    });
+    section("the quarantine ends", [&] {
+        harness.advance(10min);
+        harness.send(crasher);
+        CHECK((harness.running() == Names{"innocent", "other", "crasher"}));
+    });
+}
+
+TEST(ARequestThatCrashes, isKnownFromPeers)
+{
+    Harness harness;
+    harness.service().setSlots(2);
+    wire::QuarantineNoticeFields notice;
+    notice.requestDigest = digestOf(callNamed("quarantined"));
+    notice.remaining = 1min;
+    harness.service().addQuarantine(wire::QuarantineNotice(notice));
+    CHECK(isRefusedFor(harness.send(callNamed("quarantined")), core::RefusalReason::Quarantined));
+    harness.service().addSuspect(digestOf(callNamed("suspect")));
+    harness.send(callNamed("suspect"));
+    harness.send(callNamed("other"));
+    CHECK(harness.running() == Names{"suspect"});
+    harness.finish("suspect", Harness::lost());
+    LONGS_EQUAL(1, harness.notices.size());
+}
+
+TEST(ARequestThatCrashes, needsASentByteToBeSuspected)
+{
+    Harness harness;
+    harness.service().setSlots(2);
+    harness.send(callNamed("a"));
+    harness.finish("a", Harness::lost(false));
+    harness.send(callNamed("a"));
+    harness.send(callNamed("b"));
+    CHECK((harness.running() == Names{"a", "b"}));
+}
+
+TEST(ARequestThatCrashes, isNeverMistakenForAnInnocentOne)
+{
+    checkProperty(
+        "only the crasher is quarantined, after its first crash alone", [](const std::vector<bool> &together) {
+            const core::TimePoint now{1000h};
+            admission::Quarantine quarantine(10min, 1min);
+            const auto crasher = core::sha256("crasher");
+            const auto innocent = core::sha256("innocent");
+            int aloneCrashes = 0;
+            bool isSuspect = false;
+            for (const bool runsInnocent : together) {
+                if (quarantine.state(crasher, now) == admission::QuarantineState::Quarantined) {
+                    break;
+                }
+                const bool isInnocentSuspect = quarantine.state(innocent, now) == admission::QuarantineState::Suspect;
+                const bool ranAlone = isSuspect || isInnocentSuspect || !runsInnocent;
+                quarantine.crashed(crasher, ranAlone, now);
+                aloneCrashes += ranAlone && isSuspect ? 1 : 0;
+                if (isInnocentSuspect) {
+                    quarantine.answered(innocent, now);
+                } else if (!ranAlone) {
+                    quarantine.crashed(innocent, false, now);
+                }
+                isSuspect = true;
+                RC_ASSERT(quarantine.state(innocent, now) != admission::QuarantineState::Quarantined);
+            }
+            RC_ASSERT(aloneCrashes <= 1);
+            RC_ASSERT((quarantine.state(crasher, now) == admission::QuarantineState::Quarantined)
+                      == (together.size() >= 2U));
+        });
+}
+
+TEST(ARequestThatCrashes, hasADigestWithoutAmbiguity)
+{
+    checkProperty("different parts give different digests", [](const std::string &a, const std::string &b) {
+        const core::WorkspaceId workspace("w");
+        RC_PRE(!a.empty());
+        RC_ASSERT(admission::requestDigest(a, b, "", workspace) != admission::requestDigest("", a + b, "", workspace));
+        RC_ASSERT(admission::requestDigest("GET", a + b, "", workspace)
+                  != admission::requestDigest("GET", b, a, workspace));
+    });
+}
--- a/tests/routing/a_request_finds_its_endpoint.cpp
+++ b/tests/routing/a_request_finds_its_endpoint.cpp
@@ -126,6 +126,17 @@
     CHECK(routing::loadShare(candidate, {}, startTime + 10s) < 1e-6);
 }
 
+// A report that is stuck at idle must not draw all traffic to a slow endpoint.
+TEST(ARequestFindsItsEndpoint, trustsTheHigherOfTwoReports)
+{
+    const auto stuck = endpoint("stuck");
+    auto traffic = routing::EndpointTraffic().withStarted();
+    traffic = traffic.withFinished(RoutingResult::Ok, 5ms, 8, startTime - 250ms);
+    DOUBLES_EQUAL(0.4, routing::loadShare({&stuck, &traffic}, {}, startTime), 1e-9);
+    const auto busy = endpoint("busy").with(&routing::EndpointViewFields::reportedLoad, 9.0);
+    DOUBLES_EQUAL(0.9, routing::loadShare({&busy, &traffic}, {}, startTime), 1e-9);
+}
+
 // A cold endpoint that gets a full share at once fails its first callers.
 TEST(ARequestFindsItsEndpoint, warmsUpANewEndpoint)
 {
--- /dev/null
+++ b/tests/routing/cluster_model.h
@@ -0,0 +1,191 @@
+#pragma once
+
+#include "berylspring/routing/router.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <queue>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace berylspring::test {
+
+/** @brief Endpoints of one service and the entry nodes that route to them; times in seconds. */
+struct ClusterSettings
+{
+    routing::RouterSettings router;
+    int endpoints = 6;
+    int entries = 6;
+    std::uint32_t slots = 30;
+    double serviceTime = 0.020; ///< Mean.
+    double load = 0.9; ///< Offered requests relative to all slots.
+    double reportInterval = 0.2;
+    bool isFirstSlow = false; ///< The first endpoint serves at a tenth of the speed.
+    bool isFirstStuckAtIdle =
+        false; ///< The first endpoint reports no load; what its node counts for each response is right.
+    double length = 20;
+    std::uint64_t seed = 1;
+};
+
+/** @brief Discrete-event model without real time: each endpoint serves its slots and queues the rest. */
+class ClusterModel
+{
+public:
+    explicit ClusterModel(const ClusterSettings &settings)
+        : m_settings(settings)
+        , m_random(settings.seed)
+        , m_servers(static_cast<std::size_t>(settings.endpoints))
+    {
+        for (int i = 0; i < settings.entries; ++i) {
+            auto generator = std::make_shared<std::mt19937_64>(settings.seed * 1000 + static_cast<std::uint64_t>(i));
+            m_routers.push_back(std::make_unique<routing::Router>(
+                routing::RouterHooks{[generator] { return (*generator)(); }}, settings.router));
+        }
+        for (int i = 0; i < settings.endpoints; ++i) {
+            routing::EndpointViewFields fields;
+            fields.host = core::HostId("h" + std::to_string(i));
+            fields.service = m_service;
+            fields.slots = settings.slots;
+            fields.heardAt = at(0);
+            fields.firstSeen = at(0) - std::chrono::hours(1);
+            m_views.emplace_back(fields);
+        }
+    }
+
+    void run()
+    {
+        double nextArrival = 0;
+        double nextReport = 0;
+        const double rate = m_settings.load * m_settings.endpoints * m_settings.slots / m_settings.serviceTime;
+        while (m_now < m_settings.length) {
+            const double nextEnd = m_ends.empty() ? m_settings.length : m_ends.top().at;
+            m_now = std::min({nextArrival, nextReport, nextEnd});
+            if (m_now == nextReport) {
+                report();
+                nextReport += m_settings.reportInterval;
+            } else if (m_now == nextArrival) {
+                arrive();
+                nextArrival += exponential() / rate;
+            } else {
+                end();
+            }
+        }
+        std::sort(m_latencies.begin(), m_latencies.end());
+    }
+    /** @return Latency in seconds that this share of the finished requests did not exceed. */
+    [[nodiscard]] double latencyQuantile(double share) const
+    {
+        return m_latencies[static_cast<std::size_t>(share * static_cast<double>(m_latencies.size() - 1))];
+    }
+    /** @return Share of all requests that the first endpoint got. */
+    [[nodiscard]] double shareOfFirst() const
+    {
+        return static_cast<double>(m_sentToFirst) / static_cast<double>(m_sent);
+    }
+
+private:
+    struct Job
+    {
+        std::size_t entry = 0;
+        double sentAt = 0;
+    };
+    struct Server
+    {
+        std::uint32_t running = 0;
+        std::deque<Job> waiting;
+    };
+    struct End
+    {
+        double at = 0;
+        std::size_t server = 0;
+        Job job;
+        [[nodiscard]] bool operator<(const End &other) const
+        {
+            return at > other.at;
+        }
+    };
+
+    static core::TimePoint at(double seconds)
+    {
+        return core::TimePoint{std::chrono::hours(2)}
+               + std::chrono::duration_cast<core::Duration>(std::chrono::duration<double>(seconds));
+    }
+    double exponential()
+    {
+        return std::exponential_distribution<double>(1)(m_random);
+    }
+    [[nodiscard]] std::uint32_t loadOf(std::size_t server) const
+    {
+        return m_servers[server].running + static_cast<std::uint32_t>(m_servers[server].waiting.size());
+    }
+    void report()
+    {
+        for (std::size_t i = 0; i < m_servers.size(); ++i) {
+            const bool isStuck = i == 0 && m_settings.isFirstStuckAtIdle;
+            m_views[i] = m_views[i]
+                             .with(&routing::EndpointViewFields::reportedLoad, isStuck ? 0.0 : double(loadOf(i)))
+                             .with(&routing::EndpointViewFields::heardAt, at(m_now));
+        }
+    }
+    void arrive()
+    {
+        const std::size_t entry = m_random() % m_routers.size();
+        const routing::RoutingRequest request{m_service, {}, 0, {}};
+        const auto decision = m_routers[entry]->choose(request, m_views, at(m_now));
+        const std::size_t server = std::stoul(decision.host->value().substr(1));
+        m_routers[entry]->started(m_service, *decision.host, at(m_now));
+        ++m_sent;
+        m_sentToFirst += server == 0 ? 1 : 0;
+        const Job job{entry, m_now};
+        if (m_servers[server].running < m_settings.slots) {
+            start(server, job);
+        } else {
+            m_servers[server].waiting.push_back(job);
+        }
+    }
+    void start(std::size_t server, const Job &job)
+    {
+        constexpr double SlowFactor = 10;
+        const double factor = server == 0 && m_settings.isFirstSlow ? SlowFactor : 1;
+        ++m_servers[server].running;
+        m_ends.push(End{m_now + factor * m_settings.serviceTime * (0.3 + 0.7 * exponential()), server, job});
+    }
+    void end()
+    {
+        const End ended = m_ends.top();
+        m_ends.pop();
+        Server &server = m_servers[ended.server];
+        --server.running;
+        const double latency = m_now - ended.job.sentAt;
+        m_latencies.push_back(latency);
+        m_routers[ended.job.entry]->finished(m_service,
+                                             m_views[ended.server]->host,
+                                             routing::RoutingResult::Ok,
+                                             at(latency) - at(0),
+                                             loadOf(ended.server),
+                                             at(m_now));
+        if (!server.waiting.empty()) {
+            const Job next = server.waiting.front();
+            server.waiting.pop_front();
+            start(ended.server, next);
+        }
+    }
+
+    ClusterSettings m_settings;
+    core::ServiceId m_service{"visits"};
+    std::mt19937_64 m_random;
+    std::vector<std::unique_ptr<routing::Router>> m_routers;
+    std::vector<routing::EndpointView> m_views;
+    std::vector<Server> m_servers;
+    std::priority_queue<End> m_ends;
+    std::vector<double> m_latencies;
+    double m_now = 0;
+    std::uint64_t m_sent = 0;
+    std::uint64_t m_sentToFirst = 0;
+};
+
+}
