--- a/tests/tools/berylspring-fakelog.cpp
+++ b/tests/tools/berylspring-fakelog.cpp
@@ -1,10 +1,9 @@
 // Stand-in for the platform's log service, with faults that tests switch on by PUT /control.
-
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <deque>
 #include <iostream>
-#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -277,7 +276,7 @@
 {
     const std::uint64_t from = numberParameter(url, "from", 0);
     const std::uint64_t limit = std::min<std::uint64_t>(numberParameter(url, "limit", MaxPageRecords), MaxPageRecords);
-    const Clock::time_point until = Clock::now() + std::chrono::milliseconds(numberParameter(url, "wait_ms", 0));
+    const auto until = Clock::now() + std::chrono::milliseconds(numberParameter(url, "wait_ms", 0));
     const StreamPtr stream = log.stream(name);
     while (from >= stream->end() && Clock::now() < until && !log.control().isRefusing) {
         co_await Stream::waitForChange(stream, until);
@@ -312,10 +311,10 @@
     if (request.method() == http::verb::post) {
         co_return handleAppend(log, request, *name);
     }
-    if (request.method() == http::verb::get) {
-        co_return co_await handleRead(log, request, *name, url);
+    if (request.method() != http::verb::get) {
+        co_return problem(request, http::status::method_not_allowed, "method");
     }
-    co_return problem(request, http::status::method_not_allowed, "method");
+    co_return co_await handleRead(log, request, *name, url);
 }
 
 asio::awaitable<std::optional<Response>> handleSafely(FakeLog &log, const Request &request)
@@ -364,7 +363,7 @@
     }
 }
 
-int run(const std::string &address, std::uint16_t port)
+void run(const std::string &address, std::uint16_t port)
 {
     asio::io_context context(1);
     FakeLog log(context.get_executor());
@@ -374,7 +373,6 @@
     signals.async_wait([&](const boost::system::error_code &, int) { context.stop(); });
     asio::co_spawn(context, acceptLoop(log, acceptor), asio::detached);
     context.run();
-    return 0;
 }
 
 }
@@ -389,12 +387,11 @@
             "port", options::value<std::uint16_t>()->default_value(0), "TCP port, 0 for a free one");
         options::variables_map values;
         options::store(options::parse_command_line(argc, argv, description), values);
-        options::notify(values);
         if (values.count("help") > 0) {
             std::cout << description;
             return 0;
         }
-        return run(values["address"].as<std::string>(), values["port"].as<std::uint16_t>());
+        run(values["address"].as<std::string>(), values["port"].as<std::uint16_t>());
     } catch (const std::exception &error) {
         std::cerr << "berylspring-fakelog: " << error.what() << '\n';
         return 2;
