--- a/tests/limit/a_share_of_a_limit.cpp
+++ b/tests/limit/a_share_of_a_limit.cpp
@@ -62,8 +62,8 @@
     section("lent tokens leave, and their room stays closed while they travel", [&] {
         auto lender = fullBucket({1000, 10});
         DOUBLES_EQUAL(10, lender.lend(other, 0, 20, Start).tokens, 1e-9);
-        LONGS_EQUAL(0, lender.grant(1, Start + 32ms).tokens);
-        CHECK(lender.grant(10, Start + 60ms).tokens > 0);
+        LONGS_EQUAL(0, lender.grant(1, Start + limit::TokenLoanDuration + 2ms).tokens);
+        CHECK(lender.grant(10, Start + 2 * limit::TokenLoanDuration).tokens > 0);
     });
 }
 
