End a double ownership and ask only the host that knows the owner

Change: a host answers that there was no owner only if it would be the owner itself in its view; an owner that is not first in its own view for a lease time drops its bucket.

--- a/src/limit/owner_side.cpp
+++ b/src/limit/owner_side.cpp
@@ -65,10 +65,16 @@
 {
     using wire::GrantStatus;
     slot.ownership = slot.ownership.under(node.lease);
+    // An owner that is no longer first goes on until the new one asks for the bucket, but not for longer than a
+    // lease: after a split, two owners would never ask each other.
+    slot.notFirstSince =
+        isFirst(slot, workspace, node) ? core::TimePoint::max() : std::min(slot.notFirstSince, node.now);
+    if (node.now - slot.notFirstSince >= LeaseDuration) {
+        slot.ownership = Ownership();
+    }
     if (slot.ownership.phase() != OwnershipPhase::Active) {
         slot.bucket.reset();
     } else if (node.isLeaseValid()) {
-        // An owner that is no longer first goes on until the new one asks for the bucket.
         slot.bucket->changeShare(limit.share(m_settings.dataCentres.size()), node.now);
         return {GrantStatus::Granted, {}, false};
     }
@@ -264,7 +270,12 @@
         return wire::HandoverReply(std::move(reply));
     }
     const bool isWaiting = slot.ownership.phase() == OwnershipPhase::Waiting && node.now < slot.ownership.until();
-    if (slot.isStarting || isWaiting || node.now < plan.readyAt || node.now < slot.lastActive + LoanWait) {
+    // A live host that this one takes for the owner may be unknown to the other side.
+    std::vector<core::HostId> others = node.view->live();
+    std::erase(others, to);
+    const bool isPredecessor = core::rendezvousFirst(workspace.value(), others) == m_settings.self;
+    if (!isPredecessor || slot.isStarting || isWaiting || node.now < plan.readyAt
+        || node.now < slot.lastActive + LoanWait) {
         return wire::Refused(wire::RefusedFields{"what an earlier owner granted may still be in use"});
     }
     slot.bucket.reset();
--- a/src/limit/owner_side.h
+++ b/src/limit/owner_side.h
@@ -40,6 +40,7 @@
         std::optional<core::HostId> yieldedTo;
         std::shared_ptr<const ViewHistory> orderView; ///< View from which isFirst was computed.
         bool isFirst = false;
+        core::TimePoint notFirstSince = core::TimePoint::max();
     };
     struct Shard
     {
