--- a/include/berylspring/membership/membership_service.h
+++ b/include/berylspring/membership/membership_service.h
@@ -29,7 +29,9 @@
 {
 public:
     /** @param executor Runs the receiving and the timer, on a strand of its own. */
-    MembershipService(boost::asio::any_io_executor executor, const MembershipSettings &settings, MembershipHooks hooks);
+    MembershipService(const boost::asio::any_io_executor &executor,
+                      const MembershipSettings &settings,
+                      MembershipHooks hooks);
     /** @brief Stops without a word to the other members; see leave(). */
     ~MembershipService();
     MembershipService(const MembershipService &) = delete;
--- a/src/membership/membership_service.cpp
+++ b/src/membership/membership_service.cpp
@@ -9,7 +9,7 @@
 
 namespace berylspring::membership {
 
-MembershipService::MembershipService(boost::asio::any_io_executor executor,
+MembershipService::MembershipService(const boost::asio::any_io_executor &executor,
                                      const MembershipSettings &settings,
                                      MembershipHooks hooks)
     : m_state(std::make_shared<detail::ServiceState>(executor, settings, std::move(hooks)))
