--- a/include/berylspring/wire/fwd.h
+++ b/include/berylspring/wire/fwd.h
@@ -7,5 +7,10 @@
 class PeerPool;
 class PeerServer;
 class DatagramCodec;
+struct OpenedDatagram;
+struct PeerAddress;
+struct PeerOptions;
+struct PeerPoolCounters;
+struct PeerServerCounters;
 
 }
--- a/include/berylspring/wire/peer_server.h
+++ b/include/berylspring/wire/peer_server.h
@@ -47,7 +47,7 @@
     /**
      * @param address IP number to listen on.
      * @param port Port, or 0 for a free one.
-     * @return The port; Unreachable when the address can't be used.
+     * @return The port; Unreachable when the address can't be used, or when the server listens already.
      */
     [[nodiscard]] Result<std::uint16_t> listen(const std::string &address, std::uint16_t port);
 
--- a/src/wire/link.cpp
+++ b/src/wire/link.cpp
@@ -86,17 +86,16 @@
 
 void Link::start(std::uint64_t number, EncodedFrame frame, core::TimePoint deadline, Waiter waiter)
 {
-    bool mustWrite = false;
-    const auto error = enqueue(number, std::move(frame), deadline, waiter, mustWrite);
+    auto writing = Writing::NotNeeded;
+    const auto error = enqueue(number, std::move(frame), deadline, waiter, writing);
     if (error) {
         waiter->complete(tl::unexpected(*error), Resume::Posted);
-    } else if (mustWrite) {
-        write();
     }
+    beginWriting(writing);
 }
 
 std::optional<Error>
-Link::enqueue(std::uint64_t number, EncodedFrame frame, core::TimePoint deadline, Waiter &waiter, bool &mustWrite)
+Link::enqueue(std::uint64_t number, EncodedFrame frame, core::TimePoint deadline, Waiter &waiter, Writing &writing)
 {
     const std::scoped_lock lock(m_mutex);
     const auto now = currentTime();
@@ -112,7 +111,7 @@
     m_pending.add(number, deadline, std::move(waiter));
     m_lastUse = now;
     armTimer();
-    mustWrite = claimWriting(now);
+    writing = claimWriting(now, m_pending.size());
     return std::nullopt;
 }
 
@@ -120,7 +119,7 @@
 {
     std::optional<Waiter> waiter;
     bool isUnsent = false;
-    bool mustWrite = false;
+    auto writing = Writing::NotNeeded;
     {
         const std::scoped_lock lock(m_mutex);
         waiter = m_pending.remove(number);
@@ -130,19 +129,17 @@
         isUnsent = m_queue.withdraw(number);
         if (!isUnsent) {
             queueCancel(number);
-            mustWrite = claimWriting(currentTime());
+            writing = claimWriting(currentTime(), m_pending.size());
         }
     }
     (*waiter)->complete(tl::unexpected(Error(ErrorCode::Cancelled, !isUnsent, "call was cancelled")), Resume::Posted);
-    if (mustWrite) {
-        write();
-    }
+    beginWriting(writing);
 }
 
-void Link::send(EncodedFrame frame)
+void Link::send(EncodedFrame frame, std::size_t inFlight)
 {
     bool isFull = false;
-    bool mustWrite = false;
+    auto writing = Writing::NotNeeded;
     {
         const std::scoped_lock lock(m_mutex);
         if (m_stage == Stage::Closed) {
@@ -151,13 +148,12 @@
         const auto now = currentTime();
         m_lastUse = now;
         isFull = !m_queue.push(0, std::move(frame));
-        mustWrite = !isFull && claimWriting(now);
+        writing = claimWriting(now, inFlight);
     }
     if (isFull) {
         close(Error(ErrorCode::ConnectionLost, true, "peer does not read its answers"));
-    } else if (mustWrite) {
-        write();
     }
+    beginWriting(writing);
 }
 
 void Link::close(const std::optional<Error> &error)
--- a/src/wire/link.h
+++ b/src/wire/link.h
@@ -76,8 +76,12 @@
     [[nodiscard]] static boost::asio::awaitable<Result<Message>>
     request(Pointer self, const Message &message, core::TimePoint deadline);
 
-    /** @brief Queues a frame, for example an answer. */
-    void send(EncodedFrame frame);
+    /**
+     * @brief Queues an answer.
+     * @param frame The answer.
+     * @param inFlight Requests of this connection that still run; decides between a short delay and few writes.
+     */
+    void send(EncodedFrame frame, std::size_t inFlight);
 
     /** @brief Ends the connection. Requests that wait fail. */
     void close(const std::optional<Error> &error);
@@ -97,6 +101,11 @@
         Open,
         Closed,
     };
+    enum class Writing {
+        NotNeeded, ///< Nothing to write, or another thread writes.
+        Now,
+        Posted, ///< After what this thread is doing, so that one write takes several frames.
+    };
     template<typename Value>
     using Awaitable = boost::asio::awaitable<Value>;
     using Waiter = std::unique_ptr<ReplyWaiter>;
@@ -116,13 +125,14 @@
     void start(std::uint64_t number, EncodedFrame frame, core::TimePoint deadline, Waiter waiter);
     /** @return Why the request can't be queued; otherwise the waiter is taken. */
     [[nodiscard]] std::optional<Error>
-    enqueue(std::uint64_t number, EncodedFrame frame, core::TimePoint deadline, Waiter &waiter, bool &mustWrite);
+    enqueue(std::uint64_t number, EncodedFrame frame, core::TimePoint deadline, Waiter &waiter, Writing &writing);
     void cancel(std::uint64_t number);
     [[nodiscard]] Result<void> processFrames();
     [[nodiscard]] Result<void> process(Envelope envelope, Resume resume);
     [[nodiscard]] Result<void> processAsClient(Envelope &&envelope, Resume resume);
     [[nodiscard]] Result<void> processAsServer(Envelope &&envelope, Resume resume);
 
+    void beginWriting(Writing writing);
     void write();
     void waitUntilWritable();
     void onTimer();
@@ -130,7 +140,7 @@
     [[nodiscard]] Hello makeHello() const;
 
     // Called with the mutex held.
-    [[nodiscard]] bool claimWriting(core::TimePoint now);
+    [[nodiscard]] Writing claimWriting(core::TimePoint now, std::size_t inFlight);
     [[nodiscard]] std::optional<Error> tick(core::TimePoint now);
     [[nodiscard]] bool isIdle(core::TimePoint now) const;
     void queueCancel(std::uint64_t number);
--- a/src/wire/link_io.cpp
+++ b/src/wire/link_io.cpp
@@ -23,6 +23,9 @@
 
 constexpr auto AsTuple = asio::as_tuple(asio::use_awaitable);
 
+// With more requests in flight a write per frame costs more time than the wait for further frames.
+constexpr std::size_t MaxInFlightWithoutCoalescing = 4;
+
 Error lostBy(const boost::system::error_code &error)
 {
     return {ErrorCode::ConnectionLost, true, error.message()};
@@ -78,14 +81,23 @@
     });
 }
 
-bool Link::claimWriting(core::TimePoint now)
+Link::Writing Link::claimWriting(core::TimePoint now, std::size_t inFlight)
 {
     if (m_stage != Stage::Open || m_isWriting || m_queue.isEmpty()) {
-        return false;
+        return Writing::NotNeeded;
     }
     m_isWriting = true;
     m_lastProgress = now;
-    return true;
+    return inFlight > MaxInFlightWithoutCoalescing ? Writing::Posted : Writing::Now;
+}
+
+void Link::beginWriting(Writing writing)
+{
+    if (writing == Writing::Now) {
+        write();
+    } else if (writing == Writing::Posted) {
+        asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->write(); });
+    }
 }
 
 void Link::queueCancel(std::uint64_t number)
@@ -117,7 +129,7 @@
     std::vector<std::pair<Waiter, bool>> expired;
     std::optional<Error> failure;
     bool isIdleNow = false;
-    bool mustWrite = false;
+    auto writing = Writing::NotNeeded;
     {
         const std::scoped_lock lock(m_mutex);
         if (m_stage == Stage::Closed) {
@@ -136,15 +148,13 @@
             isIdleNow = isIdle(now);
             m_nextTick = now + m_options->heartbeat;
         }
-        mustWrite = claimWriting(now);
+        writing = claimWriting(now, m_pending.size());
         armTimer();
     }
     for (auto &[waiter, maybeSent] : expired) {
         waiter->complete(tl::unexpected(Error(ErrorCode::Timeout, maybeSent, "no answer in time")), Resume::Posted);
     }
-    if (mustWrite) {
-        write();
-    }
+    beginWriting(writing);
     if (failure || isIdleNow) {
         close(failure);
     }
--- a/src/wire/link_opening.cpp
+++ b/src/wire/link_opening.cpp
@@ -232,7 +232,7 @@
 
 void Link::open(const Hello &peer)
 {
-    bool mustWrite = false;
+    auto writing = Writing::NotNeeded;
     {
         const std::scoped_lock lock(m_mutex);
         if (m_stage == Stage::Closed) {
@@ -243,12 +243,10 @@
         m_peer = peer;
         m_lastUse = now;
         m_silence = m_silence.heard(now);
-        mustWrite = claimWriting(now);
+        writing = claimWriting(now, m_pending.size());
     }
     m_hooks.onOpen(shared_from_this());
-    if (mustWrite) {
-        write();
-    }
+    beginWriting(writing);
 }
 
 }
--- a/src/wire/peer_server.cpp
+++ b/src/wire/peer_server.cpp
@@ -74,9 +74,13 @@
 
     Result<std::uint16_t> listen(const std::string &address, std::uint16_t port)
     {
+        if (isListening.exchange(true)) {
+            return tl::unexpected(Error(ErrorCode::Unreachable, false, "server was told to listen before"));
+        }
         boost::system::error_code error;
         const auto ip = asio::ip::make_address(address, error);
         if (error) {
+            isListening = false;
             return tl::unexpected(listenError(error));
         }
         const asio::ip::tcp::endpoint endpoint(ip, port);
@@ -93,6 +97,7 @@
         if (error) {
             boost::system::error_code ignored;
             acceptor.close(ignored);
+            isListening = false;
             return tl::unexpected(listenError(error));
         }
         const std::uint16_t boundPort = acceptor.local_endpoint().port();
@@ -155,7 +160,7 @@
         case RunningRequests::Added::Yes:
             break;
         case RunningRequests::Added::TooMany:
-            sendAnswer(link, key, Refused(RefusedFields{"too many requests on one connection"}));
+            sendAnswer(link, running->size(), key, Refused(RefusedFields{"too many requests on one connection"}));
             return;
         case RunningRequests::Added::Duplicate:
             link->close(Error(ErrorCode::Malformed, false, "request number is in use"));
@@ -188,7 +193,10 @@
                                                                                Message answer) {
             running->remove(key.number);
             if (request->finish()) {
-                self->sendAnswer(link, key, failure ? Refused(RefusedFields{describe(failure)}) : std::move(answer));
+                self->sendAnswer(link,
+                                 running->size(),
+                                 key,
+                                 failure ? Refused(RefusedFields{describe(failure)}) : std::move(answer));
             }
         };
         auto answering = answer(shared_from_this(), (*link->peer())->host, std::move(message));
@@ -203,7 +211,7 @@
         co_return answer;
     }
 
-    void sendAnswer(const Link::Pointer &link, const RequestKey &key, const Message &answer) const
+    void sendAnswer(const Link::Pointer &link, std::size_t inFlight, const RequestKey &key, const Message &answer) const
     {
         auto frame = detail::encode(key, answer, options->maxFrameBytes);
         if (!frame) {
@@ -211,7 +219,7 @@
             frame = detail::encode(key, refused, options->maxFrameBytes);
         }
         if (frame) {
-            link->send(std::move(*frame));
+            link->send(std::move(*frame), inFlight);
         }
     }
 
@@ -239,6 +247,7 @@
     PeerHandler handler;
     Acceptor acceptor; ///< Used on its strand only, once it listens.
     core::ShardedMap<std::uint64_t, Session> sessions;
+    std::atomic<bool> isListening{false};
     std::atomic<bool> isClosed{false};
     std::atomic<std::uint64_t> accepted{0};
     std::atomic<std::uint64_t> failed{0};
--- a/tests/wire/a_datagram_and_its_sender.cpp
+++ b/tests/wire/a_datagram_and_its_sender.cpp
@@ -107,9 +107,8 @@
             (void)wire::detail::decodeDatagram(any::text());
         });
     });
-    section("the own host id", [this] {
-        checkRefused(receiver.seal(smallDatagram()).value(), wire::ErrorCode::NotAuthenticated);
-    });
+    section("the own host id",
+            [this] { checkRefused(receiver.seal(smallDatagram()).value(), wire::ErrorCode::NotAuthenticated); });
 }
 
 TEST(ADatagramAndItsSender, isAcceptedOnce)
--- a/tests/wire/a_message_on_its_way.cpp
+++ b/tests/wire/a_message_on_its_way.cpp
@@ -195,8 +195,8 @@
             std::vector<std::uint8_t> stream;
             for (int count = *rc::gen::inRange(0, 6); count > 0; --count) {
                 const auto size = *rc::gen::inRange(1, 20'000);
-                const Envelope envelope{
-                    RequestKey{}, wire::Message(wire::Refused(wire::RefusedFields{std::string(size, 'x')}))};
+                const Envelope envelope{RequestKey{},
+                                        wire::Message(wire::Refused(wire::RefusedFields{std::string(size, 'x')}))};
                 sent.push_back(bytesOf(envelope));
                 stream.insert(stream.end(), sent.back().begin(), sent.back().end());
             }
--- a/tests/wire/a_peer_that_misbehaves.cpp
+++ b/tests/wire/a_peer_that_misbehaves.cpp
@@ -90,7 +90,7 @@
     }
 
     template<typename Body>
-    void beside(Body &&body)
+    void beside(Body && body)
     {
         boost::asio::co_spawn(context, body, boost::asio::detached);
     }
@@ -228,9 +228,7 @@
     section("another host at the address gets no call", [this] {
         auto acceptor = listenAsServer();
         wire::PeerPool pool(context.get_executor(), test::peerOptions("client"), addresses.book());
-        beside([&]() -> awaitable<void> {
-            (void)co_await ScriptedPeer::accept(acceptor, fleetSecret, "other", 1);
-        });
+        beside([&]() -> awaitable<void> { (void)co_await ScriptedPeer::accept(acceptor, fleetSecret, "other", 1); });
         story([&]() -> awaitable<void> {
             const auto reply = co_await pool.call(serverHost, refused("x"), Forever);
             checkError(reply, wire::ErrorCode::Unreachable, false);
--- a/tests/wire/generators.h
+++ b/tests/wire/generators.h
@@ -107,8 +107,7 @@
 
 inline core::Refusal refusal()
 {
-    const core::Refusal plain(
-        enumerator(core::RefusalReason::Cancelled), enumerator(core::Outcome::Unknown), text());
+    const core::Refusal plain(enumerator(core::RefusalReason::Cancelled), enumerator(core::Outcome::Unknown), text());
     return value<bool>() ? plain.withRetryAfter(duration()) : plain;
 }
 
@@ -144,10 +143,9 @@
 
 inline wire::RecordBatch recordBatch()
 {
-    return wire::RecordBatch(
-        wire::RecordBatchFields{optional(text), value<std::uint64_t>(), list([] {
-                                    return wire::LogEntry{value<std::uint64_t>(), text()};
-                                })});
+    return wire::RecordBatch(wire::RecordBatchFields{optional(text), value<std::uint64_t>(), list([] {
+                                                         return wire::LogEntry{value<std::uint64_t>(), text()};
+                                                     })});
 }
 
 /** @param index Index of the alternative in wire::Message. */
@@ -160,25 +158,41 @@
         [] { return callRequest(); },
         [] { return callResponse(); },
         [] { return HomeRequest(HomeRequestFields{callRequest()}); },
-        [] { return GrantRequest(GrantRequestFields{name<core::WorkspaceId>(), value<std::uint32_t>()}); },
         [] {
-            return GrantReply(GrantReplyFields{
-                enumerator(GrantStatus::NotOwner), value<std::uint32_t>(), duration(), duration()});
+            return GrantRequest(GrantRequestFields{name<core::WorkspaceId>(), value<std::uint32_t>()});
+        },
+        [] {
+            return GrantReply(
+                GrantReplyFields{enumerator(GrantStatus::NotOwner), value<std::uint32_t>(), duration(), duration()});
         },
         [] {
             return LoanRequest(
                 LoanRequestFields{name<core::WorkspaceId>(), name<core::DataCentreId>(), number(), number()});
         },
-        [] { return LoanReply(LoanReplyFields{value<bool>(), number(), number(), number(), duration()}); },
+        [] {
+            return LoanReply(LoanReplyFields{value<bool>(), number(), number(), number(), duration()});
+        },
         [] { return HandoverRequest(HandoverRequestFields{name<core::WorkspaceId>()}); },
-        [] { return HandoverReply(HandoverReplyFields{value<bool>(), number(), list(loanRecord)}); },
-        [] { return ClaimRequest(ClaimRequestFields{claimRecord(), value<bool>()}); },
-        [] { return ClaimReply(ClaimReplyFields{value<bool>(), optional(claimRecord)}); },
+        [] {
+            return HandoverReply(HandoverReplyFields{value<bool>(), number(), list(loanRecord)});
+        },
+        [] {
+            return ClaimRequest(ClaimRequestFields{claimRecord(), value<bool>()});
+        },
+        [] {
+            return ClaimReply(ClaimReplyFields{value<bool>(), optional(claimRecord)});
+        },
         [] { return ClaimHandover(ClaimHandoverFields{list(claimRecord)}); },
-        [] { return RecordPull(RecordPullFields{value<std::uint64_t>(), value<std::uint32_t>()}); },
+        [] {
+            return RecordPull(RecordPullFields{value<std::uint64_t>(), value<std::uint32_t>()});
+        },
         [] { return recordBatch(); },
-        [] { return Tombstone(TombstoneFields{name<core::KeyId>(), digest(), text()}); },
-        [] { return QuarantineNotice(QuarantineNoticeFields{digest(), duration()}); },
+        [] {
+            return Tombstone(TombstoneFields{name<core::KeyId>(), digest(), text()});
+        },
+        [] {
+            return QuarantineNotice(QuarantineNoticeFields{digest(), duration()});
+        },
     };
     static_assert(std::variant_size_v<Message> == 18, "add a maker for each new message");
     return makers.at(index)();
@@ -207,9 +221,8 @@
     fields.state = enumerator(wire::MemberState::Left);
     fields.version = value<std::uint64_t>();
     fields.appliedOffset = value<std::uint64_t>();
-    fields.endpoint = optional([] {
-        return endpointState().with(&wire::EndpointStateFields::service, core::ServiceId("dispatch"));
-    });
+    fields.endpoint =
+        optional([] { return endpointState().with(&wire::EndpointStateFields::service, core::ServiceId("dispatch")); });
     return wire::MemberUpdate(fields);
 }
 
