Let a handed-over record stop a claim that is not dispatched yet

Cause: the model found names that ran twice when a leaving host handed its record to a home or standby that had just claimed the name: the record was dropped in favour of the claim, and the leaving host no longer counted as gone. Change: an own claim in state Claimed gives way to a handed-over record, the earlier of two claims wins on a standby, and a home asks its standbys again when a recent host has left since.

--- a/include/berylspring/idempotency/claim.h
+++ b/include/berylspring/idempotency/claim.h
@@ -79,7 +79,10 @@
     /** @brief What is left when the claim is taken back without telling a caller anything: an earlier release. */
     [[nodiscard]] std::optional<Claim> withdrawn() const;
 
-    /** @return Whether this record of a name is the better one to keep than the other. */
+    /**
+     * @return Whether this record of a name is the better one to keep than the other: the later one of the same
+     * process, else the one that says more, else the earlier one.
+     */
     [[nodiscard]] bool isAheadOf(const Claim &other) const noexcept;
 
     [[nodiscard]] bool operator==(const Claim &) const = default;
--- a/include/berylspring/idempotency/home_order.h
+++ b/include/berylspring/idempotency/home_order.h
@@ -63,6 +63,8 @@
     [[nodiscard]] core::HostId home() const;
     /** @return Live hosts after the home, by descending rank. */
     [[nodiscard]] std::vector<core::HostId> standbys() const;
+    /** @return Whether a host that was recent in the earlier order has left by plan, or is forgotten, since. */
+    [[nodiscard]] bool hasLostSince(const HomeOrder &earlier) const;
 
     /**
      * @param accepted Hosts that hold the claim, the home included, and how long each has kept claims.
--- a/src/idempotency/claim.cpp
+++ b/src/idempotency/claim.cpp
@@ -131,6 +131,9 @@
     if (m_state == wire::ClaimState::Released && other.m_state == wire::ClaimState::Released) {
         return m_created > other.m_created;
     }
+    if (m_state == other.m_state && m_owner != other.m_owner) {
+        return m_created < other.m_created;
+    }
     return weight(m_state) > weight(other.m_state);
 }
 
--- a/src/idempotency/claim_table.cpp
+++ b/src/idempotency/claim_table.cpp
@@ -202,7 +202,13 @@
     const Claim *known = live(shard, record->name, now);
     if (known == nullptr) {
         put(shard, record->name, offered);
-    } else if (!isOwnUnfinished(*known) && offered.isAheadOf(*known)) {
+        return;
+    }
+    // An own claim that is not dispatched yet gives way, so that markDispatched() fails and the name is judged again.
+    const bool isOwn = isOwnUnfinished(*known);
+    const bool givesWay =
+        isOwn && known->state() == wire::ClaimState::Claimed && !offered.owner().isSameProcess(known->owner());
+    if (givesWay || (!isOwn && offered.isAheadOf(*known))) {
         put(shard, record->name, offered.withNotRunSince(std::max(offered.notRunSince(), known->notRunSince())));
     }
 }
--- a/src/idempotency/home_order.cpp
+++ b/src/idempotency/home_order.cpp
@@ -42,6 +42,13 @@
     return m_live.empty() ? m_live : std::vector<core::HostId>(m_live.begin() + 1, m_live.end());
 }
 
+bool HomeOrder::hasLostSince(const HomeOrder &earlier) const
+{
+    return std::any_of(earlier.m_recent.begin(), earlier.m_recent.end(), [&](const core::HostId &host) {
+        return std::find(m_recent.begin(), m_recent.end(), host) == m_recent.end();
+    });
+}
+
 std::size_t HomeOrder::asked() const
 {
     std::size_t young = 0;
--- a/src/idempotency/replication.cpp
+++ b/src/idempotency/replication.cpp
@@ -85,7 +85,7 @@
         : m_state(state)
         , m_claim(claim)
     {
-        m_accepted.emplace(state.settings.self, state.memory());
+        acceptSelfOnly();
     }
 
     /** @return The hosts to ask next, or nothing when the replication is decided. */
@@ -95,6 +95,11 @@
             m_result.kind = Replicated::Kind::NotHome;
             return {};
         }
+        // A host that left may have handed its record to a standby after that accepted the claim: ask again.
+        if (m_order && order.hasLostSince(*m_order)) {
+            acceptSelfOnly();
+        }
+        m_order = order;
         const auto memoryOf = [&](const core::HostId &host) {
             const auto since = m_state.keepsSince.find(host);
             return since ? std::optional<core::Duration>(now - *since) : std::nullopt;
@@ -139,6 +144,12 @@
     }
 
 private:
+    void acceptSelfOnly()
+    {
+        m_accepted.clear();
+        m_accepted.emplace(m_state.settings.self, m_state.memory());
+    }
+
     /** Without a record in the reply the refusal can't be explained and counts as a claim of another home. */
     void noteExisting(const std::optional<wire::ClaimRecord> &existing, core::TimePoint now)
     {
@@ -152,6 +163,7 @@
 
     const State &m_state;
     const Claim &m_claim;
+    std::optional<HomeOrder> m_order; ///< Of the last round.
     std::map<core::HostId, core::Duration> m_accepted;
     Replicated m_result;
 };
