Don't count a host that just joined as the standby

Change: a standby that has kept claims for less than 10 s holds the claim, but the next one is asked as well. Conclusion: in the steady state a claim still costs one round trip.

--- a/include/berylspring/idempotency/home_order.h
+++ b/include/berylspring/idempotency/home_order.h
@@ -46,6 +46,11 @@
     static constexpr std::size_t Holders = 2;
     /** Hosts that started within this time of each other count as started together: a fleet starts at one moment. */
     static constexpr core::Duration StartSpread = std::chrono::seconds(5);
+    /**
+     * A host that joined within this time may be unknown to other nodes. It holds the claim but does not count as the
+     * standby: a node that knows neither it nor the home would become home with a standby that has no record.
+     */
+    static constexpr core::Duration ViewSpread = std::chrono::seconds(10);
 
     /**
      * @param claimName Name to be placed.
--- a/src/idempotency/home_order.cpp
+++ b/src/idempotency/home_order.cpp
@@ -64,12 +64,14 @@
 ClaimStep HomeOrder::next(const Accepted &accepted, const MemoryOf &memoryOf) const
 {
     std::optional<core::HostId> firstOld;
+    std::size_t settled = 0;
     const std::size_t end = asked();
-    for (std::size_t i = 0; i < end && (!firstOld || i < Holders); ++i) {
+    for (std::size_t i = 0; i < end && (!firstOld || settled < Holders); ++i) {
         const auto found = accepted.find(m_live[i]);
         if (found == accepted.end()) {
             return ask(i, end, !firstOld, memoryOf);
         }
+        settled += i == 0 || found->second >= ViewSpread ? 1U : 0U;
         if (!firstOld && found->second >= m_retention && !wasAway(m_live[i])) {
             firstOld = m_live[i];
         }
--- a/tests/idempotency/one_name_on_three_hosts.cpp
+++ b/tests/idempotency/one_name_on_three_hosts.cpp
@@ -96,6 +96,11 @@
         CHECK(order.next({{ranked[0], Old}}, nothingIsKnown) == (ClaimStep{ClaimStep::Kind::Ask, {ranked[1]}}));
         CHECK(order.next({{ranked[0], Old}, {ranked[1], Young}}, nothingIsKnown).kind == ClaimStep::Kind::Proceed);
     });
+    section("a standby that other nodes may not know yet is not enough", [&] {
+        const auto order = orderOf(ranked, ranked);
+        const auto step = order.next({{ranked[0], Old}, {ranked[1], 1s}}, nothingIsKnown);
+        CHECK(step == (ClaimStep{ClaimStep::Kind::Ask, {ranked[2]}}));
+    });
     section("a home that joined lately asks until one knows the whole retention", [&] {
         const auto order = orderOf(ranked, ranked);
         const auto first = order.next({{ranked[0], Young}}, nothingIsKnown);
