--- a/tests/idempotency/one_name_in_a_small_fleet.cpp
+++ b/tests/idempotency/one_name_in_a_small_fleet.cpp
@@ -70,7 +70,7 @@
     send(const core::HostId &entry, const std::string &key, NameOrigin origin = NameOrigin::Caller)
     {
         auto result = std::make_shared<std::optional<wire::CallResponse>>();
-        auto onEnd = [result](const std::exception_ptr &, wire::CallResponse response) { *result = response; };
+        auto onEnd = [result](const std::exception_ptr &, const wire::CallResponse &response) { *result = response; };
         auto &signal = signals.emplace_back(std::make_unique<asio::cancellation_signal>());
         asio::co_spawn(context,
                        nodes[entry]->run(request(key), origin),
@@ -215,7 +215,7 @@
     std::vector<std::shared_ptr<std::optional<wire::CallResponse>>> results;
     const std::vector<core::HostId> entries(fleet.live.begin(), fleet.live.end());
     for (int send = 0; send < Names * SendsPerName; ++send) {
-        const auto entry = entries[static_cast<std::size_t>(send) % entries.size()];
+        const auto &entry = entries[static_cast<std::size_t>(send) % entries.size()];
         results.push_back(fleet.send(entry, "east/" + std::to_string(send / SendsPerName)));
     }
     {
--- a/tests/idempotency/one_name_through_faults.cpp
+++ b/tests/idempotency/one_name_through_faults.cpp
@@ -5,7 +5,6 @@
 
 using namespace berylspring;
 using berylspring::test::checkProperty;
-using berylspring::test::section;
 using idempotency::test::Faults;
 using idempotency::test::Model;
 
