--- a/include/berylspring/idempotency/home_order.h
+++ b/include/berylspring/idempotency/home_order.h
@@ -46,6 +46,11 @@
     static constexpr std::size_t Holders = 2;
     /** Hosts that started within this time of each other count as started together: a fleet starts at one moment. */
     static constexpr core::Duration StartSpread = std::chrono::seconds(5);
+    /**
+     * A host that joined within this time may be unknown to other nodes. It holds the claim but does not count as the
+     * standby: a node that knows neither it nor the home would become home with a standby that has no record.
+     */
+    static constexpr core::Duration ViewSpread = std::chrono::seconds(10);
 
     /**
      * @param claimName Name to be placed.
@@ -63,6 +68,8 @@
     [[nodiscard]] core::HostId home() const;
     /** @return Live hosts after the home, by descending rank. */
     [[nodiscard]] std::vector<core::HostId> standbys() const;
+    /** @return Whether a host that was recent in the earlier order has left by plan, or is forgotten, since. */
+    [[nodiscard]] bool hasLostSince(const HomeOrder &earlier) const;
 
     /**
      * @param accepted Hosts that hold the claim, the home included, and how long each has kept claims.
--- a/src/idempotency/home_order.cpp
+++ b/src/idempotency/home_order.cpp
@@ -42,6 +42,13 @@
     return m_live.empty() ? m_live : std::vector<core::HostId>(m_live.begin() + 1, m_live.end());
 }
 
+bool HomeOrder::hasLostSince(const HomeOrder &earlier) const
+{
+    return std::any_of(earlier.m_recent.begin(), earlier.m_recent.end(), [&](const core::HostId &host) {
+        return std::find(m_recent.begin(), m_recent.end(), host) == m_recent.end();
+    });
+}
+
 std::size_t HomeOrder::asked() const
 {
     std::size_t young = 0;
@@ -57,12 +64,14 @@
 ClaimStep HomeOrder::next(const Accepted &accepted, const MemoryOf &memoryOf) const
 {
     std::optional<core::HostId> firstOld;
+    std::size_t settled = 0;
     const std::size_t end = asked();
-    for (std::size_t i = 0; i < end && (!firstOld || i < Holders); ++i) {
+    for (std::size_t i = 0; i < end && (!firstOld || settled < Holders); ++i) {
         const auto found = accepted.find(m_live[i]);
         if (found == accepted.end()) {
             return ask(i, end, !firstOld, memoryOf);
         }
+        settled += i == 0 || found->second >= ViewSpread ? 1U : 0U;
         if (!firstOld && found->second >= m_retention && !wasAway(m_live[i])) {
             firstOld = m_live[i];
         }
