--- a/tests/tools/berylspring-bench.cpp
+++ b/tests/tools/berylspring-bench.cpp
@@ -69,13 +69,18 @@
     std::cout << '\n'
               << std::left << std::setw(NameWidth) << scenario << std::right << std::setw(ValueWidth) << "controls on"
               << std::setw(ValueWidth) << "off" << '\n';
-    for (const auto &entry : on) {
-        if (!entry.value().is_object()) {
-            const json::value *other = off.if_contains(entry.key());
-            std::cout << std::left << std::setw(NameWidth) << std::string(entry.key()) << std::right
-                      << std::setw(ValueWidth) << shown(entry.value()) << std::setw(ValueWidth)
-                      << (other == nullptr ? "-" : shown(*other)) << '\n';
+    json::object names = on;
+    names.insert(off.begin(), off.end()); // A run that failed lacks figures; insert() keeps names that are there.
+    for (const auto &entry : names) {
+        if (entry.value().is_object()) {
+            continue;
         }
+        std::cout << std::left << std::setw(NameWidth) << std::string(entry.key()) << std::right;
+        for (const json::object *result : {&on, &off}) {
+            const json::value *value = result->if_contains(entry.key());
+            std::cout << std::setw(ValueWidth) << (value == nullptr ? "-" : shown(*value));
+        }
+        std::cout << '\n';
     }
     std::cout << std::flush;
 }
