Reserve ports below the range of outgoing connections and report daemons that ended

Cause: a reserved port could be taken by an outgoing connection before the daemon bound it, and a port free for TCP may be taken for UDP. Change: reservePort() tries TCP and UDP below the ephemeral range; the proxy tries again when only UDP is taken; the benchmark reports daemons_ended.

--- a/tests/integration/harness/bench_run.cpp
+++ b/tests/integration/harness/bench_run.cpp
@@ -4,7 +4,7 @@
 #include "integration/harness/scores.h"
 
 #include <algorithm>
-#include <atomic>
+#include <csignal>
 #include <exception>
 #include <sstream>
 #include <thread>
@@ -228,6 +228,19 @@
     result["failures"] = std::move(failures);
 }
 
+/** @return The daemons that ended although the scenario did not kill them, with signal and status. */
+json::object endedDaemons(Fleet &fleet)
+{
+    json::object ended;
+    for (std::size_t i = 0; i < fleet.size(); ++i) {
+        const auto end = fleet.node(i).daemon->poll();
+        if (end && end->signal != SIGKILL) {
+            ended[fleet.node(i).host] = {{"signal", end->signal}, {"status", end->exitStatus}};
+        }
+    }
+    return ended;
+}
+
 /** @return Effects of a non-idempotent request beyond the first, over all endpoints that run. */
 std::uint64_t doubleRuns(Fleet &fleet)
 {
@@ -287,6 +300,9 @@
     addScores(planned.scored, scenario, settings.phase, result);
     addTotals(planned.scored, result);
     result["double_runs"] = doubleRuns(fleet);
+    json::object ended = endedDaemons(fleet);
+    result["daemons_ended"] = ended.size();
+    result["ended"] = std::move(ended);
     result["loaded_cores_per_node"] = nullptr;
     if (after.nodes == before.nodes) {
         const double nodeSeconds =
--- a/tests/integration/harness/process.cpp
+++ b/tests/integration/harness/process.cpp
@@ -5,6 +5,7 @@
 #include <exception>
 #include <fstream>
 #include <mutex>
+#include <random>
 #include <set>
 #include <sstream>
 #include <stdexcept>
@@ -98,6 +99,18 @@
     return id;
 }
 
+bool isFree(int socketType, std::uint16_t port)
+{
+    const int descriptor = ::socket(AF_INET, socketType | SOCK_CLOEXEC, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(port);
+    const bool isBound = ::bind(descriptor, reinterpret_cast<sockaddr *>(&address), sizeof(address)) == 0;
+    ::close(descriptor);
+    return isBound;
+}
+
 ProcessEnd endOf(int status)
 {
     return WIFEXITED(status) ? ProcessEnd{.exitStatus = WEXITSTATUS(status)}
@@ -265,18 +278,19 @@
 
 std::uint16_t reservePort()
 {
-    const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof(address);
-    auto *pointer = reinterpret_cast<sockaddr *>(&address);
-    const bool isBound = ::bind(descriptor, pointer, size) == 0 && ::getsockname(descriptor, pointer, &size) == 0;
-    ::close(descriptor);
-    if (!isBound) {
-        throw std::runtime_error("cannot reserve a port");
+    // Below the range that the kernel gives to outgoing connections, so that none of them takes the port meanwhile.
+    constexpr int LowestPort = 12'000;
+    constexpr int HighestPort = 32'000;
+    constexpr int MaxTries = 200;
+    static std::mt19937 generator{std::random_device{}()};
+    std::uniform_int_distribution<int> ports(LowestPort, HighestPort);
+    for (int attempt = 0; attempt < MaxTries; ++attempt) {
+        const auto port = static_cast<std::uint16_t>(ports(generator));
+        if (isFree(SOCK_STREAM, port) && isFree(SOCK_DGRAM, port)) {
+            return port;
+        }
     }
-    return ntohs(address.sin_port);
+    throw std::runtime_error("cannot reserve a port");
 }
 
 }
--- a/tests/tools/common/fault_route.cpp
+++ b/tests/tools/common/fault_route.cpp
@@ -221,19 +221,34 @@
 }
 
 std::uint16_t FaultRoute::listen(std::uint16_t port)
+{
+    // A free TCP port may be taken for UDP.
+    constexpr int MaxTries = 20;
+    error_code error;
+    for (int attempt = 0; attempt < MaxTries; ++attempt) {
+        bindTcp(port);
+        const std::uint16_t bound = m_acceptor.local_endpoint().port();
+        const udp::endpoint datagramEndpoint(asio::ip::address_v4::loopback(), bound);
+        m_datagrams->open(datagramEndpoint.protocol());
+        m_datagrams->bind(datagramEndpoint, error);
+        if (!error) {
+            asio::co_spawn(m_strand, acceptLoop(shared_from_this()), asio::detached);
+            asio::co_spawn(m_strand, datagramLoop(shared_from_this()), asio::detached);
+            return bound;
+        }
+        m_acceptor.close();
+        m_datagrams->close();
+    }
+    throw boost::system::system_error(error);
+}
+
+void FaultRoute::bindTcp(std::uint16_t port)
 {
     const tcp::endpoint endpoint(asio::ip::address_v4::loopback(), port);
     m_acceptor.open(endpoint.protocol());
     m_acceptor.set_option(asio::socket_base::reuse_address(true));
     m_acceptor.bind(endpoint);
     m_acceptor.listen();
-    const std::uint16_t bound = m_acceptor.local_endpoint().port();
-    const udp::endpoint datagramEndpoint(asio::ip::address_v4::loopback(), bound);
-    m_datagrams->open(datagramEndpoint.protocol());
-    m_datagrams->bind(datagramEndpoint);
-    asio::co_spawn(m_strand, acceptLoop(shared_from_this()), asio::detached);
-    asio::co_spawn(m_strand, datagramLoop(shared_from_this()), asio::detached);
-    return bound;
 }
 
 void FaultRoute::setFaults(const FaultState &state)
--- a/tests/tools/common/fault_route.h
+++ b/tests/tools/common/fault_route.h
@@ -64,6 +64,7 @@
     class Connection;
     class DatagramPeer;
 
+    void bindTcp(std::uint16_t port);
     /** @return How many of the bytes may pass now. */
     std::size_t admit(Direction direction, std::size_t bytes);
     [[nodiscard]] bool isDatagramLost(Direction direction);
