--- a/Makefile
+++ b/Makefile
@@ -22,8 +22,10 @@
 test: build
 	@scripts/run-tests $(BUILD)
 
-demo: build
-	@scripts/demo $(BUILD)
+# Needs fewer programs than the tests.
+demo: configure
+	@cmake --build $(BUILD) -j $(JOBS) --target berylspring-demo
+	@$(BUILD)/tests/berylspring-demo
 
 format:
 	@clang-format -i $(SOURCES)
--- a/tests/integration/harness/fleet.cpp
+++ b/tests/integration/harness/fleet.cpp
@@ -97,6 +97,11 @@
     return text.str();
 }
 
+std::string Fleet::operatorToken()
+{
+    return OperatorToken;
+}
+
 void Fleet::restartDaemon(std::size_t index)
 {
     FleetNode &node = m_nodes.at(index);
--- a/tests/integration/harness/fleet.h
+++ b/tests/integration/harness/fleet.h
@@ -46,6 +46,8 @@
     Fleet(const Fleet &) = delete;
     Fleet &operator=(const Fleet &) = delete;
 
+    /** @return Token that the operator ports of all nodes accept. */
+    [[nodiscard]] static std::string operatorToken();
     [[nodiscard]] std::size_t size() const noexcept
     {
         return m_nodes.size();
