--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -35,10 +35,9 @@
         return known->state;
     }
     auto state = heard->state;
-        // Also a death in an incarnation that was not known here: otherwise the order of the news would decide.
+    // Also a death in an incarnation that was not known here: otherwise the order of the news would decide.
     const bool isNewsOfDeath = heard->incarnation > known->incarnation || isLiveState(known->state);
     if (state == wire::MemberState::Dead && source == RecordSource::Other && isNewsOfDeath) {
-
         state = wire::MemberState::Suspect;
     }
     return heard->incarnation > known->incarnation ? state : std::max(known->state, state);
