--- a/include/berylspring/membership/membership_service.h
+++ b/include/berylspring/membership/membership_service.h
@@ -45,7 +45,10 @@
     /** @brief Announces to all live members that this one left, and stops. */
     [[nodiscard]] boost::asio::awaitable<void> leave();
 
-    /** @return All members at one moment; the cheapest way to read many. */
+    /**
+     * @return All members at one moment; the cheapest way to read many. Keep the pointer in a variable while the lists
+     * of the snapshot are read: a range-for over `snapshot()->members()` would release it before the first step.
+     */
     [[nodiscard]] std::shared_ptr<const MemberSnapshot> snapshot() const;
     /** @return All known members, this one and dead ones included. */
     [[nodiscard]] std::vector<Member> members() const;
--- a/src/membership/swim_protocol.cpp
+++ b/src/membership/swim_protocol.cpp
@@ -243,7 +243,8 @@
     noteSender(sender, now, actions);
     if (request->target == sender->host) {
         std::vector<core::HostId> hosts;
-        for (const auto &member : snapshot(now)->members()) {
+        const auto members = snapshot(now);
+        for (const auto &member : members->members()) {
             if (!isSelf(member.host()) && member.host() != sender->host) {
                 hosts.push_back(member.host());
             }
--- a/src/membership/swim_protocol_sending.cpp
+++ b/src/membership/swim_protocol_sending.cpp
@@ -57,7 +57,8 @@
 void SwimProtocol::pushToAll(core::TimePoint now)
 {
     std::vector<core::HostId> receivers;
-    for (const auto &member : snapshot(now)->liveMembers()) {
+    const auto members = snapshot(now);
+    for (const auto &member : members->liveMembers()) {
         if (!isSelf(member.host())) {
             receivers.push_back(member.host());
         }
--- a/tests/membership/model_network.cpp
+++ b/tests/membership/model_network.cpp
@@ -213,7 +213,8 @@
 std::set<std::string> ModelNetwork::view(const std::string &host)
 {
     std::set<std::string> hosts;
-    for (const auto &member : of(host).snapshot(now())->liveMembers()) {
+    const auto snapshot = of(host).snapshot(now());
+    for (const auto &member : snapshot->liveMembers()) {
         hosts.insert(member.host().value());
     }
     return hosts;
