--- a/tests/idempotency/one_name_through_faults.cpp
+++ b/tests/idempotency/one_name_through_faults.cpp
@@ -50,3 +50,33 @@
         RC_ASSERT(violationOf(seed, faults) == "");
     });
 }
+
+// Schedules that broke the promise during development: takeover by a host that was away, a home that was alone, a
+// handover that nobody took or that came during a claim, a standby that others did not know.
+TEST(OneNameThroughFaults, runsAtMostOnceInSchedulesThatOnceFailed)
+{
+    const auto expectNoViolation = [](std::uint64_t seed, const Faults &faults) {
+        STRCMP_EQUAL("", violationOf(seed, faults).c_str());
+    };
+    Faults faults;
+    faults.hasPauses = true;
+    expectNoViolation(59, faults);
+    faults.hasDelay = true;
+    expectNoViolation(284, faults);
+    faults.hasStops = true;
+    faults.hasPartition = true;
+    expectNoViolation(172, faults);
+    expectNoViolation(792, faults);
+    faults.hasViews = true;
+    expectNoViolation(1449, faults);
+    faults = {};
+    faults.hasPauses = true;
+    faults.hasKills = true;
+    faults.hasStops = true;
+    expectNoViolation(1059, faults);
+    faults = {};
+    faults.hasPauses = true;
+    faults.hasViews = true;
+    faults.hasJoins = true;
+    expectNoViolation(3023, faults);
+}
