--- a/tests/limit/any_schedule_of_faults.cpp
+++ b/tests/limit/any_schedule_of_faults.cpp
@@ -85,7 +85,7 @@
     return rc::gen::construct<Step>(rc::gen::inRange(0, static_cast<int>(Fault::Count)),
                                     rc::gen::inRange(0, 9),
                                     rc::gen::inRange(0, 7500),
-                                    rc::gen::inRange(1, 4000));
+                                    rc::gen::inRange(1, 6500));
 }
 
 /** @brief Sends more than the rate to random hosts, sometimes all to one, all the time. */
