--- a/tests/tools-checks/scores_of_a_load.cpp
+++ b/tests/tools-checks/scores_of_a_load.cpp
@@ -69,6 +69,16 @@
         const auto refusals = test::wrongRefusals({steady("a", 4s, {1s, 2s})}, {0s, 4s});
         DOUBLES_EQUAL(0.25, refusals.ofLimit, 1e-9);
     });
+    section("resends count for the declared rate", [] {
+        test::ScoredClass resending = steady("a", 4s, {1s, 2s});
+        std::vector<test::LoadSample> samples = resending.report.samples();
+        for (test::LoadSample &sample : samples) {
+            sample.attempts = 2;
+        }
+        resending.report = test::LoadReport("a", samples);
+        resending.limitPerSecond = 150;
+        DOUBLES_EQUAL(0, test::wrongRefusals({resending}, {0s, 4s}).ofLimit, 1e-9);
+    });
     section("calls above the declared rate are not counted", [] {
         test::ScoredClass greedy = steady("a", 4s, {1s, 2s});
         greedy.limitPerSecond = 50;
