Send streamed responses, keep claims of stopped and new nodes safe, probe less often

Cause: (1) the watch of changes ended at once: operator|| of Asio flattens the variant in awaitable<Reply>, so a streamed reply had the index of a client that left. (2) The codec lost the memory member of ClaimRequest. (3) A new node counted itself as the home of claims before it knew the others, and a stopping node left even when nobody took its claims. (5) A named request refused by its limit said not-run although an earlier send may have run. Change: the reply goes into a variable, with a test; the member is encoded; nodes take claims and buckets 1 s after they hear others (3 s alone); stop leaves only after a handover; such a refusal says unknown; probes inside a data centre every 400 ms instead of 200 ms; dead members are kept 11 min, longer than claims.

--- a/include/berylspring/membership/timing.h
+++ b/include/berylspring/membership/timing.h
@@ -12,7 +12,7 @@
 /** @brief Interval of SwimProtocol::tick(). */
 inline constexpr core::Duration TickInterval = 50ms;
 
-inline constexpr core::Duration LocalProbeInterval = 200ms;
+inline constexpr core::Duration LocalProbeInterval = 400ms;
 inline constexpr core::Duration RemoteProbeInterval = 1s;
 
 /** @brief Wait for the ack of a direct probe before others are asked, and for theirs, inside the data centre. */
@@ -22,8 +22,11 @@
 inline constexpr std::size_t IndirectProbeCount = 3;
 
 inline constexpr core::Duration SuspicionTime = 1500ms;
-/** @brief How long dead and left members are remembered, so that late updates do not revive them. */
-inline constexpr core::Duration DeadRetention = 60s;
+/**
+ * @brief How long dead and left members are remembered, so that late updates do not revive them. Claims are kept for
+ * 10 min from requests that may run for 1 min, and their homes must know who may have held them.
+ */
+inline constexpr core::Duration DeadRetention = 11min;
 
 /** @brief A tick that is later than this counts against the local health and moves the open deadlines. */
 inline constexpr core::Duration LateTickTolerance = 50ms;
--- a/src/http/operator_api.cpp
+++ b/src/http/operator_api.cpp
@@ -156,9 +156,10 @@
         if (!from) {
             co_return problemResponse(400, "invalid", "from is not a change number");
         }
-        co_return StreamedResponse{
-            .contentType = "application/jsonl",
-            .write = [this, from = *from](ChunkWriter writer) { return watch(from, std::move(writer)); }};
+        StreamedResponse stream;
+        stream.contentType = "application/jsonl";
+        stream.write = [this, from = *from](ChunkWriter writer) { return watch(from, std::move(writer)); };
+        co_return Reply(std::move(stream));
     }
     co_return problemResponse(404, "not-found", "no such path");
 }
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -214,18 +214,18 @@
         }
         const bool keepAlive = parser.get().keep_alive();
         Request request = detail::fromBeast(parser.release());
+        // The answer goes into a variable, since operator|| flattens the variant of an awaitable<Reply>.
+        std::optional<Reply> reply;
         using asio::experimental::awaitable_operators::operator||;
-        auto outcome = co_await (answer(std::move(request)) || waitForDisconnect(session));
-        if (outcome.index() != 0) {
+        co_await (answer(std::move(request), reply) || waitForDisconnect(session));
+        if (!reply) {
             co_return false;
         }
-        const bool staysOpen = keepAlive && !m_isStopping;
-        Reply reply = std::get<0>(std::move(outcome));
-        if (auto *streamed = std::get_if<StreamedResponse>(&reply)) {
+        if (auto *streamed = std::get_if<StreamedResponse>(&*reply)) {
             co_await writeStream(session, *streamed);
             co_return false;
         }
-        co_await write(session, std::get<Response>(reply), staysOpen);
+        co_await write(session, std::get<Response>(*reply), staysOpen);
         session.isBusy = false;
         co_return staysOpen;
     }
@@ -251,17 +251,17 @@
         co_return error;
     }
 
-    asio::awaitable<Reply> answer(Request request)
+    asio::awaitable<void> answer(Request request, std::optional<Reply> &reply)
     {
         try {
-            co_return co_await m_handler(std::move(request));
+            reply = co_await m_handler(std::move(request));
         } catch (const boost::system::system_error &error) {
             if (error.code() == asio::error::operation_aborted) {
                 throw;
             }
-            co_return Reply(problemResponse(500, "internal-error", error.what()));
+            reply = problemResponse(500, "internal-error", error.what());
         } catch (const std::exception &error) {
-            co_return Reply(problemResponse(500, "internal-error", error.what()));
+            reply = problemResponse(500, "internal-error", error.what());
         }
     }
 
--- a/src/node/entry.cpp
+++ b/src/node/entry.cpp
@@ -94,7 +94,9 @@
     if (!(*plan)->isNested && !(*plan)->workspace.isEmpty()) {
         const auto admitted = co_await m_hooks.admit((*plan)->workspace);
         if (!admitted) {
-            co_return refused(admitted.error());
+            // An earlier send of the same name may have run, and only its home knows.
+            const bool isNamed = !(*plan)->isIdempotent && request->idempotencyKey;
+            co_return refused(isNamed ? admitted.error().withOutcome(Outcome::Unknown) : admitted.error());
         }
     }
     LentAllowance allowance(m_inFlight, request, (*plan)->retries);
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -151,10 +151,16 @@
     using asio::experimental::awaitable_operators::operator||;
     asio::steady_timer deadline(co_await asio::this_coro::executor, m_settings->stopTimeout);
     const auto outcome = co_await (finishWork() || deadline.async_wait(asio::use_awaitable));
-    if (outcome.index() != 0) {
+    const bool isInTime = outcome.index() == 0;
+    if (!isInTime) {
         telemetry::log(telemetry::Severity::Error, "stop timed out, requests are cut");
     }
-    co_await m_membership->leave();
+    // A node whose claims nobody took must count as dead, so that their names are answered as unknown.
+    if (isInTime && std::get<0>(outcome)) {
+        co_await m_membership->leave();
+    } else {
+        telemetry::log(telemetry::Severity::Warning, "claims were not handed over");
+    }
     m_config.stop();
     m_limits.stop();
     m_operatorServer.close();
@@ -164,14 +170,14 @@
     telemetry::log(telemetry::Severity::Info, "stopped");
 }
 
-asio::awaitable<void> Node::Implementation::finishWork()
+asio::awaitable<bool> Node::Implementation::finishWork()
 {
     // The caller port stays open until the endpoint is idle, since its running requests make nested calls through it.
     co_await admission()->idle();
     m_callerServer.stopAccepting();
     co_await m_callerServer.idle();
     co_await m_limits.handOver();
-    co_await m_idempotency.handOver();
+    co_return co_await m_idempotency.handOver();
 }
 
 std::shared_ptr<admission::AdmissionService> Node::Implementation::admission() const
--- a/src/node/node_handlers.cpp
+++ b/src/node/node_handlers.cpp
@@ -145,7 +145,8 @@
     if (!own) {
         return;
     }
-    for (const membership::Member &member : m_membership->snapshot()->providers((*own)->service)) {
+    const std::shared_ptr<const membership::MemberSnapshot> members = m_membership->snapshot();
+    for (const membership::Member &member : members->providers((*own)->service)) {
         if (member.host() != m_settings->host) {
             asio::co_spawn(m_executor, tell(member.host(), wire::Message(notice)), asio::detached);
         }
@@ -163,10 +164,12 @@
     const wire::Message pull(wire::RecordPull({.from = from, .limit = WatchPageRecords}));
     const wire::Message answer = co_await m_config.handle(m_settings->host, pull);
     const auto *batch = std::get_if<wire::RecordBatch>(&answer);
+    http::ChangePage page;
+    page.next = from;
     if (batch == nullptr) {
-        co_return http::ChangePage{.next = from};
+        co_return page;
     }
-    http::ChangePage page{.next = std::max(from, (*batch)->next)};
+    page.next = std::max(from, (*batch)->next);
     const std::shared_ptr<const config::Catalogue> catalogue = m_config.catalogue();
     for (const wire::LogEntry &entry : (*batch)->records) {
         if (auto change = acceptedChange(entry, *catalogue)) {
--- a/src/node/node_hooks.cpp
+++ b/src/node/node_hooks.cpp
@@ -18,6 +18,11 @@
 /** Readers of the log in each data centre; more would add reads without making changes arrive sooner. */
 constexpr std::size_t ReadersPerDataCentre = 3;
 
+/** The membership sends a new node the whole table in this time once it has heard a member. */
+constexpr core::Duration JoinTime = std::chrono::seconds(1);
+/** A node that hears nobody for this time is alone. */
+constexpr core::Duration LonelyJoinTime = std::chrono::seconds(3);
+
 std::size_t rankOf(const core::HostId &host, std::string_view key, std::vector<core::HostId> hosts)
 {
     const std::vector<core::HostId> order = core::rendezvousOrder(key, std::move(hosts));
@@ -94,16 +99,18 @@
         return rankOf(m_settings->host, "log-reader", liveHosts(m_settings->dataCentre)) < ReadersPerDataCentre;
     };
     hooks.snapshotRank = [this] {
+        const std::shared_ptr<const membership::MemberSnapshot> members = m_membership->snapshot();
         std::vector<core::HostId> hosts;
-        for (const membership::Member &member : m_membership->snapshot()->liveMembers()) {
+        for (const membership::Member &member : members->liveMembers()) {
             hosts.push_back(member.host());
         }
         const std::size_t rank = rankOf(m_settings->host, "snapshot", std::move(hosts));
         return rank < 2 ? static_cast<int>(rank) : -1;
     };
     hooks.peers = [this] {
+        const std::shared_ptr<const membership::MemberSnapshot> members = m_membership->snapshot();
         std::vector<core::HostId> hosts;
-        for (const membership::Member &member : m_membership->snapshot()->liveMembers()) {
+        for (const membership::Member &member : members->liveMembers()) {
             if (member.host() != m_settings->host) {
                 hosts.push_back(member.host());
             }
@@ -227,16 +234,23 @@
     return m_membership->snapshot()->liveHosts(dataCentre);
 }
 
-/** Hosts that may own buckets and claims: a node that stops hands its own over and takes no new ones. */
+/** Hosts that may own buckets and claims. A node takes none before it knows the others, nor while it stops. */
 std::vector<core::HostId> Node::Implementation::claimHosts(const core::DataCentreId &dataCentre) const
 {
     std::vector<core::HostId> hosts = liveHosts(dataCentre);
-    if (m_isStopping) {
+    if (m_isStopping || !hasJoined()) {
         std::erase(hosts, m_settings->host);
     }
     return hosts;
 }
 
+bool Node::Implementation::hasJoined() const
+{
+    const core::Duration age = now() - m_startedAt;
+    const bool hasHeardOthers = m_membership->lastPeerAck() > m_startedAt;
+    return age >= LonelyJoinTime || (hasHeardOthers && age >= JoinTime);
+}
+
 core::Duration Node::Implementation::sinceOutsideContact() const
 {
     core::TimePoint last = m_startedAt;
--- a/src/node/node_parts.h
+++ b/src/node/node_parts.h
@@ -60,7 +60,7 @@
     void drainEndpoint();
     void publishEndpoint();
     boost::asio::awaitable<void> publishLoop();
-    boost::asio::awaitable<void> finishWork();
+    boost::asio::awaitable<bool> finishWork();
     void tellProviders(wire::QuarantineNotice notice);
     boost::asio::awaitable<void> tell(core::HostId host, wire::Message message);
 
@@ -68,6 +68,7 @@
     [[nodiscard]] std::shared_ptr<admission::AdmissionService> makeAdmission();
     [[nodiscard]] std::vector<core::HostId> liveHosts(const core::DataCentreId &dataCentre) const;
     [[nodiscard]] std::vector<core::HostId> claimHosts(const core::DataCentreId &dataCentre) const;
+    [[nodiscard]] bool hasJoined() const;
     [[nodiscard]] core::Duration sinceOutsideContact() const;
     [[nodiscard]] static core::TimePoint now()
     {
--- a/src/wire/envelope_decode.cpp
+++ b/src/wire/envelope_decode.cpp
@@ -254,7 +254,7 @@
 
     [[nodiscard]] ClaimRequest read(const schema::ClaimRequest &value)
     {
-        return ClaimRequest(ClaimRequestFields{read(*value.record()), value.is_release()});
+        return ClaimRequest(ClaimRequestFields{read(*value.record()), value.is_release(), duration(value.memory_ns())});
     }
 
     [[nodiscard]] ClaimReply read(const schema::ClaimReply &value)
--- a/src/wire/envelope_encode.cpp
+++ b/src/wire/envelope_encode.cpp
@@ -229,7 +229,7 @@
     }
     Offset<schema::ClaimRequest> write(const ClaimRequest &value)
     {
-        return schema::CreateClaimRequest(m_builder, write(value->record), value->isRelease);
+        return schema::CreateClaimRequest(m_builder, write(value->record), value->isRelease, value->memory.count());
     }
     Offset<schema::ClaimReply> write(const ClaimReply &value)
     {
--- a/tests/http/a_server_and_its_client.cpp
+++ b/tests/http/a_server_and_its_client.cpp
@@ -1,4 +1,5 @@
 #include "berylspring/http/client.h"
+#include "berylspring/http/line_stream.h"
 #include "berylspring/http/server.h"
 #include "support/section.h"
 
@@ -49,12 +50,16 @@
     }
     http::Client client(http::ClientOptions options = {})
     {
-        return {m_pool.get_executor(), "127.0.0.1:" + std::to_string(m_port), options};
+        return {m_pool.get_executor(), address(), options};
     }
     http::Server &server()
     {
         return m_server;
     }
+    [[nodiscard]] std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(m_port);
+    }
     asio::thread_pool &pool()
     {
         return m_pool;
@@ -67,6 +72,12 @@
 private:
     asio::awaitable<http::Reply> answer(http::Request request)
     {
+        if (request->target == "/lines") {
+            http::StreamedResponse stream;
+            stream.contentType = "text/plain";
+            stream.write = [](http::ChunkWriter writer) { return writeLines(std::move(writer)); };
+            co_return http::Reply(std::move(stream));
+        }
         if (request->target == "/never") {
             asio::steady_timer timer(co_await asio::this_coro::executor, asio::steady_timer::time_point::max());
             boost::system::error_code error;
@@ -81,6 +92,13 @@
             http::Response({.status = 200, .headers = {{"X-Method", request->method}}, .body = request->body}));
     }
 
+    static asio::awaitable<void> writeLines(http::ChunkWriter writer)
+    {
+        for (const char *piece : {"one\ntw", "o\n", "three\n"}) {
+            co_await writer(piece);
+        }
+    }
+
     std::atomic<int> m_cancelled{0};
     asio::thread_pool m_pool{3};
     http::Server m_server;
@@ -157,3 +175,21 @@
     CHECK(response.error().code() == http::ErrorCode::Unreachable);
     CHECK_FALSE(response.error().maybeSent());
 }
+
+TEST(AServerAndItsClient, exchangeAStreamLineByLine)
+{
+    // Guards against a streamed reply that is taken for a client that has left, and then never written.
+    EchoServer server;
+    std::vector<std::string> lines;
+    const http::LineReader keep = [&lines](std::string_view line) {
+        lines.emplace_back(line);
+        return true;
+    };
+    const http::Request request({.method = "GET", .target = "/lines"});
+    const auto status =
+        asio::co_spawn(server.pool(), http::readLines(server.address(), request, keep), asio::use_future).get();
+    CHECK(status.has_value());
+    LONGS_EQUAL(200, *status);
+    const std::vector<std::string> expected{"one", "two", "three"};
+    CHECK(lines == expected);
+}
--- a/tests/wire/generators.h
+++ b/tests/wire/generators.h
@@ -181,7 +181,7 @@
             return HandoverReply(HandoverReplyFields{value<bool>(), number(), list(loanRecord)});
         },
         [] {
-            return ClaimRequest(ClaimRequestFields{claimRecord(), value<bool>()});
+            return ClaimRequest(ClaimRequestFields{claimRecord(), value<bool>(), duration()});
         },
         [] {
             return ClaimReply(
