Kill children when a signal ends the test program

Cause: SIGTERM of ctest, timeout or a person left daemons behind. Change: the ids of running children stand in an array of atomics that a signal handler may read.

--- a/tests/integration/harness/process.cpp
+++ b/tests/integration/harness/process.cpp
@@ -1,12 +1,13 @@
 #include "integration/harness/process.h"
 
+#include <array>
+#include <atomic>
 #include <csignal>
 #include <cstdlib>
 #include <exception>
 #include <fstream>
 #include <mutex>
 #include <random>
-#include <set>
 #include <sstream>
 #include <stdexcept>
 #include <thread>
@@ -29,37 +30,52 @@
 
 constexpr auto PollInterval = std::chrono::milliseconds(10);
 
-/** @brief Processes that still run; killed by id when the test program exits without unwinding its stack. */
+/** @brief Processes that still run; killed by id when the test program ends without unwinding its stack. */
 class RunningProcesses
 {
 public:
     void add(pid_t id)
     {
-        const std::scoped_lock lock(m_mutex);
-        m_ids.insert(id);
+        for (std::atomic<pid_t> &place : m_ids) {
+            pid_t none = 0;
+            if (place.compare_exchange_strong(none, id)) {
+                return;
+            }
+        }
     }
     void remove(pid_t id)
     {
-        const std::scoped_lock lock(m_mutex);
-        m_ids.erase(id);
+        for (std::atomic<pid_t> &place : m_ids) {
+            pid_t expected = id;
+            place.compare_exchange_strong(expected, 0);
+        }
     }
-    void killAll()
+    /** @brief Safe in a signal handler. */
+    void killAll() const
     {
-        const std::scoped_lock lock(m_mutex);
-        for (const pid_t id : m_ids) {
-            ::kill(id, SIGKILL);
+        for (const std::atomic<pid_t> &place : m_ids) {
+            if (place > 0) {
+                ::kill(place, SIGKILL);
+            }
         }
     }
 
 private:
-    std::mutex m_mutex;
-    std::set<pid_t> m_ids;
+    static constexpr std::size_t MaxProcesses = 1024;
+    std::array<std::atomic<pid_t>, MaxProcesses> m_ids{};
 };
 
 RunningProcesses &runningProcesses()
 {
-    static auto *processes = new RunningProcesses;
-    return *processes;
+    static RunningProcesses processes;
+    return processes;
+}
+
+void killAllAndEnd(int number)
+{
+    runningProcesses().killAll();
+    std::signal(number, SIG_DFL);
+    std::raise(number);
 }
 
 /** @brief Ends all children when the test program ends without unwinding its stack. */
@@ -69,6 +85,8 @@
     std::call_once(isInstalled, [] {
         static const std::terminate_handler previous = std::get_terminate();
         std::atexit([] { runningProcesses().killAll(); });
+        std::signal(SIGTERM, killAllAndEnd);
+        std::signal(SIGINT, killAllAndEnd);
         std::set_terminate([] {
             runningProcesses().killAll();
             previous();
