Stop daemons from crashing when a caller leaves as its endpoint answers

Cause: co_spawn() with use_awaitable of Asio 1.81 hands a cancellation to the other executor by a raw pointer; when the exchange had just ended, the pointer dangled. Ruled out: the connection pool (each connection has one exchange at a time). Change: async::awaitOn() runs work on another strand without forwarding the cancellation; the HTTP client and the waiters of the limit use it. Further: stopAccepting() closes idle connections after its grace (a new expiry did not end the read that waited, so a stop took up to 30 s); a taken UDP port is tried again with another number; controls.enabled = off turns limits off, too.

--- /dev/null
+++ b/include/berylspring/async/await_on.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include <exception>
+#include <functional>
+#include <memory>
+#include <utility>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/error.hpp>
+#include <boost/asio/experimental/concurrent_channel.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace berylspring::async {
+
+namespace detail {
+
+/** @brief How the work ended. */
+template<typename Value>
+struct Outcome
+{
+    std::exception_ptr exception;
+    Value value{};
+};
+
+/** @brief Asks the work to end when the waiting coroutine goes away before it has. */
+class CancelGuard
+{
+public:
+    CancelGuard(boost::asio::any_io_executor executor, std::function<void()> cancel)
+        : m_executor(std::move(executor))
+        , m_cancel(std::move(cancel))
+    {
+    }
+    ~CancelGuard()
+    {
+        if (m_cancel) {
+            boost::asio::post(m_executor, std::move(m_cancel));
+        }
+    }
+    CancelGuard(const CancelGuard &) = delete;
+    CancelGuard &operator=(const CancelGuard &) = delete;
+
+    void release() noexcept
+    {
+        m_cancel = nullptr;
+    }
+
+private:
+    boost::asio::any_io_executor m_executor;
+    std::function<void()> m_cancel;
+};
+
+}
+
+/**
+ * @brief Runs a coroutine on another executor and waits for its value.
+ *
+ * Asio 1.81's co_spawn() with use_awaitable hands a cancellation to the other executor by a raw pointer that dangles
+ * when the work ends first; this function does not forward the cancellation but calls `cancel` instead.
+ *
+ * @param executor Where the work runs, usually a strand.
+ * @param work The coroutine; its value must be default-constructible.
+ * @param cancel Called on the executor when the waiting coroutine is cancelled; makes the work end soon.
+ * @return The value of the work; its exception is passed on.
+ */
+template<typename Value>
+boost::asio::awaitable<Value>
+awaitOn(boost::asio::any_io_executor executor, boost::asio::awaitable<Value> work, std::function<void()> cancel)
+{
+    namespace asio = boost::asio;
+    using Channel = asio::experimental::concurrent_channel<void(boost::system::error_code,
+                                                                std::shared_ptr<detail::Outcome<Value>>)>;
+    auto channel = std::make_shared<Channel>(co_await asio::this_coro::executor, 1);
+    detail::CancelGuard guard(executor, std::move(cancel));
+    asio::co_spawn(executor, std::move(work), [channel](std::exception_ptr exception, Value value) {
+        auto outcome = std::make_shared<detail::Outcome<Value>>();
+        outcome->exception = std::move(exception);
+        outcome->value = std::move(value);
+        channel->try_send(boost::system::error_code(), std::move(outcome));
+    });
+    const std::shared_ptr<detail::Outcome<Value>> outcome = co_await channel->async_receive(asio::use_awaitable);
+    guard.release();
+    if (outcome->exception) {
+        std::rethrow_exception(outcome->exception);
+    }
+    co_return std::move(outcome->value);
+}
+
+}
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -1,8 +1,10 @@
 #include "berylspring/http/client.h"
 
+#include "berylspring/async/await_on.h"
 #include "http/address.h"
 #include "http/beast_convert.h"
 
+#include <functional>
 #include <mutex>
 #include <vector>
 
@@ -34,7 +36,7 @@
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
 };
-using ConnectionPointer = std::unique_ptr<Connection>;
+using ConnectionPointer = std::shared_ptr<Connection>;
 
 /** @brief Whether an idle connection was not closed by the server, as far as can be seen now. */
 bool isUsable(Connection &connection)
@@ -64,7 +66,7 @@
 
 }
 
-class Client::Implementation
+class Client::Implementation : public std::enable_shared_from_this<Client::Implementation>
 {
 public:
     Implementation(asio::any_io_executor executor, std::string address, ClientOptions options)
@@ -76,45 +78,60 @@
 
     asio::awaitable<Result<Response>> send(Request request, core::Duration timeout)
     {
-        const auto deadline = std::chrono::steady_clock::now() + timeout;
-        Result<ConnectionPointer> connection = takeIdle();
-        if (!*connection) {
-            connection = co_await connect(std::min(timeout, m_options.connectTimeout));
-        }
+        ConnectionPointer connection = takeIdle();
         if (!connection) {
-            co_return tl::unexpected(connection.error());
+            connection = std::make_shared<Connection>(asio::make_strand(m_executor));
         }
-        (*connection)->stream.expires_at(deadline);
-        // The stream's timer runs on the connection's strand, so its exchanges do, too.
-        const asio::any_io_executor strand = (*connection)->stream.get_executor();
-        co_return co_await asio::co_spawn(
-            strand, exchange(std::move(*connection), std::move(request)), asio::use_awaitable);
+        // The stream's timer runs on the connection's strand, so all its operations do, too.
+        const asio::any_io_executor strand = connection->stream.get_executor();
+        std::function<void()> cancel = [connection] { connection->stream.close(); };
+        auto work = exchange(shared_from_this(), connection, std::move(request), timeout);
+        co_return co_await async::awaitOn<Result<Response>>(strand, std::move(work), std::move(cancel));
     }
 
 private:
-    asio::awaitable<Result<ConnectionPointer>> connect(core::Duration timeout)
+    static asio::awaitable<Result<Response>> exchange(std::shared_ptr<Implementation> self,
+                                                      ConnectionPointer connection,
+                                                      Request request,
+                                                      core::Duration timeout)
+    {
+        const auto deadline = std::chrono::steady_clock::now() + timeout;
+        if (!connection->stream.socket().is_open()) {
+            const Result<void> connected = co_await self->connect(*connection, timeout);
+            if (!connected) {
+                co_return tl::unexpected(connected.error());
+            }
+        }
+        connection->stream.expires_at(deadline);
+        bool keepAlive = false;
+        Result<Response> response = co_await self->transfer(*connection, std::move(request), keepAlive);
+        if (response && keepAlive) {
+            self->giveBack(std::move(connection));
+        }
+        co_return response;
+    }
+
+    asio::awaitable<Result<void>> connect(Connection &connection, core::Duration timeout)
     {
         const auto endpoint = detail::parseAddress(m_address);
         if (!endpoint) {
             co_return tl::unexpected(endpoint.error());
         }
-        auto connection = std::make_unique<Connection>(asio::make_strand(m_executor));
-        connection->stream.expires_after(timeout);
         error_code error;
-        co_await connection->stream.async_connect(*endpoint, asio::redirect_error(asio::use_awaitable, error));
+        connection.stream.expires_after(std::min(timeout, m_options.connectTimeout));
+        co_await connection.stream.async_connect(*endpoint, asio::redirect_error(asio::use_awaitable, error));
         if (error) {
             co_return tl::unexpected(Error(ErrorCode::Unreachable, false, m_address + ": " + error.message()));
         }
-        connection->stream.socket().set_option(tcp::no_delay(true), error);
-        co_return std::move(connection);
+        connection.stream.socket().set_option(tcp::no_delay(true), error);
+        co_return Result<void>();
     }
 
-    asio::awaitable<Result<Response>> exchange(ConnectionPointer connection, Request request)
+    asio::awaitable<Result<Response>> transfer(Connection &connection, Request request, bool &keepAlive)
     {
         error_code error;
         const detail::BeastRequest message = detail::toBeast(request, m_address);
-        co_await beast::http::async_write(
-            connection->stream, message, asio::redirect_error(asio::use_awaitable, error));
+        co_await beast::http::async_write(connection.stream, message, asio::redirect_error(asio::use_awaitable, error));
         if (error) {
             co_return tl::unexpected(Error(codeOf(error), true, error.message()));
         }
@@ -122,16 +139,12 @@
         parser.body_limit(m_options.bodyLimitBytes);
         parser.skip(request->method == "HEAD");
         co_await beast::http::async_read(
-            connection->stream, connection->buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+            connection.stream, connection.buffer, parser, asio::redirect_error(asio::use_awaitable, error));
         if (error) {
             co_return tl::unexpected(Error(codeOf(error), true, error.message()));
         }
-        const bool keepAlive = parser.get().keep_alive();
-        Response response = detail::fromBeast(parser.release());
-        if (keepAlive) {
-            giveBack(std::move(connection));
-        }
-        co_return response;
+        keepAlive = parser.get().keep_alive();
+        co_return detail::fromBeast(parser.release());
     }
 
     /** @return An open connection, or null. */
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -117,10 +117,8 @@
             error_code ignored;
             self->m_acceptor.close(ignored);
         });
-        forEachSession([grace = m_options.stopGrace](Session &session) {
-            if (!session.isBusy) {
-                session.stream.expires_after(grace);
-            }
+        m_sessions.forEach([&](std::uint64_t, const std::shared_ptr<Session> &session) {
+            asio::co_spawn(session->stream.get_executor(), closeIdle(session, m_options.stopGrace), asio::detached);
         });
     }
 
@@ -172,6 +170,16 @@
         }
     }
 
+    /** A new expiry would not end the read that already waits, so an idle connection is closed. */
+    static asio::awaitable<void> closeIdle(std::shared_ptr<Session> session, core::Duration grace)
+    {
+        asio::steady_timer timer(co_await asio::this_coro::executor, grace);
+        co_await timer.async_wait(asio::use_awaitable);
+        if (!session->isBusy) {
+            session->stream.cancel();
+        }
+    }
+
     /** Out of file descriptors: accepting again at once would fail at once. */
     static asio::awaitable<void> pauseAfterAcceptError()
     {
@@ -225,6 +233,7 @@
             co_await writeStream(session, *streamed);
             co_return false;
         }
+        const bool staysOpen = keepAlive && !m_isStopping;
         co_await write(session, std::get<Response>(*reply), staysOpen);
         session.isBusy = false;
         co_return staysOpen;
--- a/src/limit/entry_side.cpp
+++ b/src/limit/entry_side.cpp
@@ -1,5 +1,6 @@
 #include "entry_side.h"
 
+#include "berylspring/async/await_on.h"
 #include "berylspring/core/rendezvous.h"
 #include "berylspring/limit/tuning.h"
 
@@ -107,7 +108,8 @@
         co_return Admission();
     }
     ++m_totals.held;
-    co_await asio::co_spawn(waiter->strand, wait(waiter), asio::use_awaitable);
+    std::function<void()> cancel = [waiter] { waiter->signal.cancel(); };
+    co_await async::awaitOn<bool>(waiter->strand, wait(waiter), std::move(cancel));
     const core::TimePoint now = m_hooks.now();
     const std::scoped_lock lock(shard.mutex);
     std::erase(shard.slots[workspace].waiters, waiter);
@@ -118,11 +120,12 @@
     co_return refuse(waiter->retryAfter.value_or(hold));
 }
 
-asio::awaitable<void> EntrySide::wait(WaiterPointer waiter)
+asio::awaitable<bool> EntrySide::wait(WaiterPointer waiter)
 {
     if (!waiter->isWoken) {
         co_await waiter->signal.async_wait(asio::as_tuple(asio::use_awaitable));
     }
+    co_return waiter->isWoken;
 }
 
 void EntrySide::wake(const WaiterPointer &waiter)
--- a/src/limit/entry_side.h
+++ b/src/limit/entry_side.h
@@ -101,7 +101,7 @@
     void handOut(Slot &slot, core::TimePoint now);
     void refuseLate(Slot &slot, core::TimePoint now, core::Duration wait);
     static void wake(const WaiterPointer &waiter);
-    [[nodiscard]] static boost::asio::awaitable<void> wait(WaiterPointer waiter);
+    [[nodiscard]] static boost::asio::awaitable<bool> wait(WaiterPointer waiter);
 
     std::shared_ptr<LimitContext> m_context;
     const LimitSettings &m_settings;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -19,6 +19,8 @@
 
 namespace asio = boost::asio;
 
+constexpr int FreePortAttempts = 10;
+
 /** Grows with each start of the host as long as its clock does not go back between starts. */
 std::uint64_t makeBootId()
 {
@@ -72,10 +74,6 @@
                   const auto member = m_membership->find(host);
                   return member ? std::optional<wire::PeerAddress>({member->address(), member->port()}) : std::nullopt;
               })
-    , m_peerServer(
-          m_executor,
-          peerOptions(),
-          [this](core::HostId from, wire::Message message) { return handlePeer(std::move(from), std::move(message)); })
     , m_log(makeLog(m_executor, m_settings->logAddress))
     , m_config(m_executor, {.snapshotInterval = m_settings->snapshotInterval}, configHooks())
     , m_limits(m_executor, {m_settings->host, m_settings->dataCentre, m_settings->dataCentres}, limitHooks())
@@ -104,19 +102,12 @@
 Result<NodePorts> Node::Implementation::start()
 {
     const auto failed = [](const auto &error) { return tl::unexpected(Error(ErrorCode::StartFailed, error.detail())); };
-    NodePorts ports;
-    const auto peer = m_peerServer.listen(m_settings->address, m_settings->peerPort);
-    if (!peer) {
-        return failed(peer.error());
-    }
-    ports.peer = *peer;
-    membership::MembershipSettings settings = membershipSettings();
-    settings.port = *peer;
-    m_membership = std::make_unique<membership::MembershipService>(m_executor, settings, membershipHooks());
-    const auto members = m_membership->start();
-    if (!members) {
-        return failed(members.error());
+    const Result<std::uint16_t> peerPort = startPeers();
+    if (!peerPort) {
+        return tl::unexpected(peerPort.error());
     }
+    NodePorts ports;
+    ports.peer = *peerPort;
     const auto caller = m_callerServer.listen(m_settings->address, m_settings->callerPort);
     const auto endpoint = m_endpointServer.listen(m_settings->address, m_settings->endpointPort);
     const auto operators = m_operatorServer.listen(m_settings->address, m_settings->operatorPort);
@@ -143,6 +134,33 @@
     return ports;
 }
 
+Result<std::uint16_t> Node::Implementation::startPeers()
+{
+    // A free TCP port may be taken for UDP, and both must have the same number.
+    const int attempts = m_settings->peerPort == 0 ? FreePortAttempts : 1;
+    std::string detail;
+    for (int attempt = 0; attempt < attempts; ++attempt) {
+        m_peerServer = std::make_unique<wire::PeerServer>(
+            m_executor, peerOptions(), [this](core::HostId from, wire::Message message) {
+                return handlePeer(std::move(from), std::move(message));
+            });
+        const auto port = m_peerServer->listen(m_settings->address, m_settings->peerPort);
+        if (!port) {
+            detail = port.error().detail();
+            continue;
+        }
+        membership::MembershipSettings settings = membershipSettings();
+        settings.port = *port;
+        m_membership = std::make_unique<membership::MembershipService>(m_executor, settings, membershipHooks());
+        const auto started = m_membership->start();
+        if (started) {
+            return *port;
+        }
+        detail = started.error().detail();
+    }
+    return tl::unexpected(Error(ErrorCode::StartFailed, detail));
+}
+
 asio::awaitable<void> Node::Implementation::stop()
 {
     m_isStopping = true;
@@ -165,7 +183,7 @@
     m_limits.stop();
     m_operatorServer.close();
     m_endpointServer.close();
-    m_peerServer.close();
+    m_peerServer->close();
     m_peers.close();
     telemetry::log(telemetry::Severity::Info, "stopped");
 }
--- a/src/node/node_hooks.cpp
+++ b/src/node/node_hooks.cpp
@@ -129,6 +129,9 @@
     hooks.call = m_peers.asPeerCall();
     hooks.liveHosts = [this](const core::DataCentreId &dataCentre) { return claimHosts(dataCentre); };
     hooks.limitOf = [this](const core::WorkspaceId &workspace) -> std::optional<limit::WorkspaceLimit> {
+        if (!m_settings->areControlsOn) {
+            return std::nullopt;
+        }
         const std::shared_ptr<const config::Catalogue> catalogue = m_config.catalogue();
         const config::Limit *limit = catalogue->findLimit(workspace);
         if (limit == nullptr) {
--- a/src/node/node_parts.h
+++ b/src/node/node_parts.h
@@ -35,6 +35,8 @@
     boost::asio::awaitable<void> stop();
 
 private:
+    [[nodiscard]] Result<std::uint16_t> startPeers();
+
     // Hooks of the services, in node_hooks.cpp.
     wire::PeerOptions peerOptions() const;
     membership::MembershipSettings membershipSettings() const;
@@ -88,7 +90,7 @@
     EndpointViewCache m_endpointViews;
     wire::DatagramCodec m_datagrams;
     wire::PeerPool m_peers;
-    wire::PeerServer m_peerServer;
+    std::unique_ptr<wire::PeerServer> m_peerServer; ///< Made by start(), when a port is free.
     std::unique_ptr<membership::MembershipService> m_membership; ///< Made by start(), when its port is known.
     platform::LogHooks m_log;
     config::ConfigService m_config;
