Do not block a thread in the watch for a caller's leave

Cause: while a handler runs, the server waits for readability of the connection and peeks at it. With several threads the readiness notice may belong to bytes that another thread has read meanwhile. The socket was blocking for Asio, so the peek then waited in poll() until the caller sent more, and held its thread and the strand of the connection. The answer was never written, and with two threads the node lost half of its threads. Found as a PUT to the operator port that hung for 30 s; the stacks of three hanging daemons show waitForDisconnect() in poll().

Change: the socket is non-blocking, and a peek without bytes waits again. A new test sends many requests whose handlers suspend.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -66,14 +66,23 @@
         core::Refusal(core::RefusalReason::BadRequest, core::Outcome::NotRun, "malformed request: " + error.message()));
 }
 
-/** @brief Returns when the client has closed its side; bytes of a further request do not count. */
+/**
+ * @brief Returns when the client has closed its side; bytes of a further request do not count.
+ *
+ * With several threads, a wait may end for bytes that were read meanwhile. The socket is non-blocking, because the
+ * look at it would otherwise hold its thread and the strand of the connection until the client sends more.
+ */
 asio::awaitable<void> waitForDisconnect(Session &session)
 {
     error_code error;
     tcp::socket &socket = session.stream.socket();
-    co_await socket.async_wait(tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
-    char byte = 0;
-    const std::size_t count = error ? 0 : socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+    socket.non_blocking(true, error);
+    std::size_t count = 0;
+    do {
+        co_await socket.async_wait(tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
+        char byte = 0;
+        count = error ? 0 : socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+    } while (error == asio::error::would_block);
     if (!error && count > 0) {
         asio::steady_timer never(co_await asio::this_coro::executor, asio::steady_timer::time_point::max());
         co_await never.async_wait(asio::use_awaitable);
--- a/tests/http/a_server_and_its_client.cpp
+++ b/tests/http/a_server_and_its_client.cpp
@@ -77,6 +77,10 @@
                 throw;
             }
         }
+        if (request->target == "/soon") {
+            asio::steady_timer timer(co_await asio::this_coro::executor, 200us);
+            co_await timer.async_wait(asio::use_awaitable);
+        }
         co_return http::Reply(
             http::Response({.status = 200, .headers = {{"X-Method", request->method}}, .body = request->body}));
     }
@@ -114,6 +118,28 @@
     });
 }
 
+// Guards against a thread that blocks in the watch for the client's leave: the notice of the request's bytes may reach
+// the watch on one thread after another thread has read them.
+TEST(AServerAndItsClient, exchangeWhileSeveralThreadsReadConnections)
+{
+    EchoServer server;
+    http::Client client = server.client();
+    constexpr int Rounds = 1500;
+    constexpr int Parallel = 20;
+    for (int round = 0; round < Rounds; ++round) {
+        std::vector<std::future<http::Result<http::Response>>> answers;
+        for (int i = 0; i < Parallel; ++i) {
+            const http::Request request({.method = "POST", .target = "/soon", .body = std::to_string(i)});
+            answers.push_back(asio::co_spawn(server.pool(), client.send(request, Patience), asio::use_future));
+        }
+        for (int i = 0; i < Parallel; ++i) {
+            const auto answer = answers[static_cast<std::size_t>(i)].get();
+            CHECK(answer.has_value());
+            CHECK((*answer)->body == std::to_string(i));
+        }
+    }
+}
+
 TEST(AServerAndItsClient, refuseWhatIsTooLarge)
 {
     EchoServer server({.headerLimitBytes = 1024, .bodyLimitBytes = 1000});
