Do not say not-run when the limit refuses a resend of a caller's name

Cause: an entry node that refused a request over its workspace's rate answered `not-run`, also for a non-idempotent request with the caller's own Idempotency-Key. `not-run` holds for all sends of a name, but an earlier send may have run through another node, and only the home knows of it.

Change: the limit's refusal of such a request has the outcome `unknown`, as an unreachable home already has. Status 429, reason and Retry-After stay; requests without a key of the caller still get `not-run`.

Conclusion: refusals of the entry before the limit (key, workspace, configuration, deadline) still say `not-run` for a caller's name.

--- a/src/node/entry.cpp
+++ b/src/node/entry.cpp
@@ -16,6 +16,16 @@
     return wire::CallResponse({.refusal = refusal});
 }
 
+/**
+ * `not-run` holds for all sends of a name. Other nodes may have passed on earlier sends of a caller's name, and only
+ * its home knows.
+ */
+Refusal refusalBeforeHome(const Refusal &refusal, const http::CallerRequest &request, const CallPlan &plan)
+{
+    const bool mayHaveOtherSends = !plan->isIdempotent && request->idempotencyKey;
+    return mayHaveOtherSends ? refusal.withOutcome(Outcome::Unknown) : refusal;
+}
+
 /** @brief Lends a nested call a part of its parent's retry allowance. */
 class LentAllowance
 {
@@ -94,7 +104,7 @@
     if (!(*plan)->isNested && !(*plan)->workspace.isEmpty()) {
         const auto admitted = co_await m_hooks.admit((*plan)->workspace);
         if (!admitted) {
-            co_return refused(admitted.error());
+            co_return refused(refusalBeforeHome(admitted.error(), request, *plan));
         }
     }
     LentAllowance allowance(m_inFlight, request, (*plan)->retries);
