Test a planned stop of a node and of an endpoint under load

Change: Two data centres with two nodes each serve 200 calls per second for 12 s. One daemon and the endpoint of another node get SIGTERM while they work. The test checks that no call ends as unknown, that long requests at both are answered, that the drained endpoint starts nothing later than 2 s after its drain, and that both end with status 0.

--- /dev/null
+++ b/tests/integration/a_planned_stop_cuts_no_request.cpp
@@ -0,0 +1,137 @@
+#include "integration/harness/fleet.h"
+#include "integration/harness/paced_load.h"
+#include "support/section.h"
+
+#include <future>
+#include <iostream>
+#include <thread>
+
+#include <boost/json.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace berylspring;
+using namespace std::chrono_literals;
+using test::section;
+
+namespace {
+
+constexpr std::size_t DrainedNode = 1;
+constexpr std::size_t StoppedNode = 3;
+/** A drain reaches every entry node in under this time (design page, 6.2). */
+constexpr auto DrainTarget = 2s;
+
+test::Call callOf(std::string method, std::string target)
+{
+    return test::Call({.method = std::move(method), .target = std::move(target), .key = "key-tenant", .timeout = 25s});
+}
+
+/** @brief Calls with a long work time, of which at least one runs at a chosen endpoint. */
+class LongCalls
+{
+public:
+    LongCalls(test::Fleet &fleet, std::size_t entry, std::size_t endpoint, std::string path)
+        : m_fleet(fleet)
+    {
+        const bool isPlaced = test::waitUntil([&, path] {
+            m_results.push_back(std::async(std::launch::async, [&fleet, entry, path] {
+                return fleet.call(entry, callOf("POST", path + "?work_ms=8000"));
+            }));
+            const auto hasRun = [&] { return m_fleet.record(endpoint).at("runs").as_object().contains(path); };
+            return test::waitUntil(hasRun, 100ms);
+        });
+        CHECK_TEXT(isPlaced, "no long call reached the endpoint");
+    }
+
+    void checkAllComplete()
+    {
+        for (std::future<test::CallResult> &future : m_results) {
+            const test::CallResult result = future.get();
+            STRCMP_EQUAL("", result->reason.c_str());
+            CHECK(result.isComplete());
+        }
+    }
+
+private:
+    test::Fleet &m_fleet;
+    std::vector<std::future<test::CallResult>> m_results;
+};
+
+std::uint64_t startedAt(test::Fleet &fleet, std::size_t endpoint)
+{
+    return fleet.record(endpoint).at("started").to_number<std::uint64_t>();
+}
+
+void checkNothingLost(const test::LoadReport &report)
+{
+    for (const auto &[failure, count] : report.failures()) {
+        std::cout << report.name() << ": " << count << " of " << report.samples().size() << " " << failure << "\n";
+    }
+    LONGS_EQUAL(0, report.notSent());
+    LONGS_EQUAL(0, report.mismatches());
+    LONGS_EQUAL(0, report.count(core::Outcome::Unknown));
+}
+
+}
+
+TEST_GROUP(APlannedStopCutsNoRequest){};
+
+// Guards against requests that are cut, or sent to an endpoint for too long, when a node or an endpoint is stopped.
+TEST(APlannedStopCutsNoRequest, ofANodeAndOfAnEndpointUnderLoad)
+{
+    section("two data centres with two endpoints of one service each", [] {
+        const test::EndpointConfig endpoint{.service = "front", .moreOptions = {"--no-header-record"}};
+        test::Fleet fleet(test::FleetConfig({.dataCentres = {"dc-a", "dc-b"}, .endpoints = {endpoint, endpoint}}));
+        fleet.addWorkspace("tenant", 2000, 500);
+        fleet.addRoute("front", {{"prefix", "/front"}, {"service", "front"}}, 3);
+        fleet.waitUntilServing({"/front"}, "key-tenant");
+
+        const auto loadOf = [&](const std::string &name, const std::string &method, std::vector<std::size_t> nodes) {
+            return test::LoadClass{.name = name,
+                                   .ratePerSecond = 25.0 * static_cast<double>(nodes.size()),
+                                   .duration = 12s, // Beyond the long calls, so that the caller port closes under load.
+                                   .makeCall = [method](std::uint64_t) { return callOf(method, "/front/steady"); },
+                                   .chooseClient = [&fleet, nodes](std::uint64_t number) -> http::Client & {
+                                       return fleet.calls().client(fleet.node(nodes[number % nodes.size()]).callerPort);
+                                   }};
+        };
+        const std::vector<test::LoadClass> classes{loadOf("GET at nodes that stay", "GET", {0, 1, 2}),
+                                                   loadOf("POST at nodes that stay", "POST", {0, 1, 2}),
+                                                   loadOf("GET at the node that stops", "GET", {StoppedNode}),
+                                                   loadOf("POST at the node that stops", "POST", {StoppedNode})};
+        LongCalls atEndpoint(fleet, DrainedNode, DrainedNode, "/front/at-the-drained-endpoint");
+        LongCalls throughNode(fleet, StoppedNode, StoppedNode, "/front/through-the-stopped-node");
+        auto load = std::async(std::launch::async, [&] { return test::runLoad(fleet.calls(), classes); });
+
+        section("an endpoint drains and a node stops while both work", [&] {
+            const std::uint64_t before = startedAt(fleet, DrainedNode);
+            CHECK(test::waitUntil([&] { return startedAt(fleet, DrainedNode) > before + 10; }));
+            fleet.node(StoppedNode).daemon->terminate();
+            fleet.node(DrainedNode).endpoint->terminate();
+            const auto drained = std::chrono::steady_clock::now();
+
+            section("the endpoint starts nothing later than 2 s after its drain", [&] {
+                std::this_thread::sleep_until(drained + DrainTarget);
+                const std::uint64_t atTarget = startedAt(fleet, DrainedNode);
+                std::this_thread::sleep_for(1s);
+                CHECK_TEXT(load.wait_for(0s) == std::future_status::timeout, "the load ended too early to show this");
+                LONGS_EQUAL(atTarget, startedAt(fleet, DrainedNode));
+            });
+        });
+        section("long requests that were running are answered completely", [&] {
+            atEndpoint.checkAllComplete();
+            throughNode.checkAllComplete();
+        });
+        section("the node and the endpoint end with status 0", [&] {
+            LONGS_EQUAL(0, fleet.node(StoppedNode).daemon->wait(60s).exitStatus);
+            LONGS_EQUAL(0, fleet.node(DrainedNode).endpoint->wait(60s).exitStatus);
+        });
+        section("no call that was sent is lost", [&] {
+            const std::vector<test::LoadReport> reports = load.get();
+            for (const test::LoadReport &report : reports) {
+                checkNothingLost(report);
+            }
+        });
+        section("every node that stays serves", [&] { fleet.waitUntilServing({"/front"}, "key-tenant"); });
+    });
+}
