Send streamed responses

Cause: operator|| of Asio flattens a variant, so the result of "answer || waitForDisconnect" is variant<Response, StreamedResponse, monostate>. Index 1, a streamed response, was taken for a disconnect, and the server closed the connection. GET /v1/watch never sent anything. Change: The server tests for the alternatives by type. A test of the server reads a streamed response. Before: curl of /v1/watch on a daemon ended with an empty reply (52).

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -216,16 +216,16 @@
         Request request = detail::fromBeast(parser.release());
         using asio::experimental::awaitable_operators::operator||;
         auto outcome = co_await (answer(std::move(request)) || waitForDisconnect(session));
-        if (outcome.index() != 0) {
+        // The operator adds its alternative to those of Reply instead of nesting them.
+        if (std::holds_alternative<std::monostate>(outcome)) {
             co_return false;
         }
         const bool staysOpen = keepAlive && !m_isStopping;
-        Reply reply = std::get<0>(std::move(outcome));
-        if (auto *streamed = std::get_if<StreamedResponse>(&reply)) {
+        if (auto *streamed = std::get_if<StreamedResponse>(&outcome)) {
             co_await writeStream(session, *streamed);
             co_return false;
         }
-        co_await write(session, std::get<Response>(reply), staysOpen);
+        co_await write(session, std::get<Response>(outcome), staysOpen);
         session.isBusy = false;
         co_return staysOpen;
     }
--- a/tests/http/a_server_and_its_client.cpp
+++ b/tests/http/a_server_and_its_client.cpp
@@ -77,10 +77,21 @@
                 throw;
             }
         }
+        if (request->target == "/stream") {
+            co_return http::StreamedResponse{.contentType = "text/plain", .write = [](http::ChunkWriter writer) {
+                                                 return writeTwoLines(std::move(writer));
+                                             }};
+        }
         co_return http::Reply(
             http::Response({.status = 200, .headers = {{"X-Method", request->method}}, .body = request->body}));
     }
 
+    static asio::awaitable<void> writeTwoLines(http::ChunkWriter writer)
+    {
+        co_await writer("one\n");
+        co_await writer("two\n");
+    }
+
     std::atomic<int> m_cancelled{0};
     asio::thread_pool m_pool{3};
     http::Server m_server;
@@ -114,6 +125,17 @@
     });
 }
 
+// Guards against a streamed response that is taken for the end of the connection, so that nothing is sent.
+TEST(AServerAndItsClient, streamTheLinesOfAResponse)
+{
+    EchoServer server;
+    http::Client client = server.client();
+    const auto response = server.send(client, http::Request({.method = "GET", .target = "/stream"}));
+    CHECK(response.has_value());
+    LONGS_EQUAL(200, (*response)->status);
+    STRCMP_EQUAL("one\ntwo\n", (*response)->body.c_str());
+}
+
 TEST(AServerAndItsClient, refuseWhatIsTooLarge)
 {
     EchoServer server({.headerLimitBytes = 1024, .bodyLimitBytes = 1000});
