--- /dev/null
+++ b/tests/integration/members_that_die_are_noticed.cpp
@@ -0,0 +1,149 @@
+#include "integration/harness/fleet.h"
+#include "support/section.h"
+
+#include <chrono>
+#include <functional>
+#include <iostream>
+#include <map>
+#include <set>
+#include <thread>
+
+#include <boost/json.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace berylspring;
+using namespace std::chrono_literals;
+using test::section;
+
+namespace {
+
+constexpr auto DetectionTarget = 5s; ///< A dead member is out of use.
+constexpr std::size_t NodesPerDataCentre = 4;
+constexpr auto QuietTime = 5s; ///< Without a new fault.
+constexpr auto SampleInterval = 50ms;
+
+/** @return The state of each host as one node lists it. */
+std::map<std::string, std::string> statesAt(test::Fleet &fleet, std::size_t node)
+{
+    const auto answer = fleet.operators().send(fleet.node(node).operatorPort, "GET", "/v1/nodes");
+    if (!answer || (*answer)->status != 200) {
+        throw std::runtime_error("no list of nodes from " + fleet.node(node).host);
+    }
+    std::map<std::string, std::string> states;
+    const auto body = boost::json::parse((*answer)->body);
+    for (const auto &item : body.at("items").as_array()) {
+        states[std::string(item.at("host").as_string())] = std::string(item.at("state").as_string());
+    }
+    return states;
+}
+
+bool isListed(const std::map<std::string, std::string> &states, const std::string &host)
+{
+    const auto entry = states.find(host);
+    return entry != states.end() && (entry->second == "alive" || entry->second == "suspect");
+}
+
+/** @return "A lists B as STATE" for each live host that one of the nodes does not list as a member in use. */
+std::set<std::string> wronglyDead(test::Fleet &fleet, const std::vector<std::size_t> &live)
+{
+    std::set<std::string> wrong;
+    for (const std::size_t node : live) {
+        const auto states = statesAt(fleet, node);
+        for (const std::size_t other : live) {
+            const std::string &host = fleet.node(other).host;
+            if (!isListed(states, host)) {
+                const auto entry = states.find(host);
+                wrong.insert(fleet.node(node).host + " lists " + host + " as "
+                             + (entry == states.end() ? "gone" : entry->second));
+            }
+        }
+    }
+    return wrong;
+}
+
+/** @return Whether none of the nodes lists one of the hosts as a member in use. */
+bool isNoticed(test::Fleet &fleet, const std::vector<std::size_t> &live, const std::set<std::string> &hosts)
+{
+    for (const std::size_t node : live) {
+        const auto states = statesAt(fleet, node);
+        for (const std::string &host : hosts) {
+            if (isListed(states, host)) {
+                return false;
+            }
+        }
+    }
+    return true;
+}
+
+void sampleWhileQuiet(const std::function<void()> &check)
+{
+    const auto end = std::chrono::steady_clock::now() + QuietTime;
+    while (std::chrono::steady_clock::now() < end) {
+        check();
+        std::this_thread::sleep_for(SampleInterval);
+    }
+}
+
+std::string joined(const std::set<std::string> &lines)
+{
+    std::string text;
+    for (const std::string &line : lines) {
+        text += line + "\n";
+    }
+    return text;
+}
+
+}
+
+TEST_GROUP(MembersThatDieAreNoticed){};
+
+// Guards against a dead member that stays in use and against a live one that is ejected because the machine is busy.
+TEST(MembersThatDieAreNoticed, andNoOthers)
+{
+    section("twelve nodes in three data centres started at once", [] {
+        test::Fleet fleet(test::FleetConfig({.dataCentres = {"dc-a", "dc-b", "dc-c"},
+                                             .endpoints = std::vector<test::EndpointConfig>(NodesPerDataCentre)}));
+        section("find each other",
+                [&] { CHECK(test::waitUntil([&] { return wronglyDead(fleet, fleet.running()).empty(); })); });
+        section("and list no live node as dead while nothing fails", [&] {
+            sampleWhileQuiet([&] { STRCMP_EQUAL("", joined(wronglyDead(fleet, fleet.running())).c_str()); });
+        });
+        section("a third of them is killed, a seed among them", [&] {
+            std::set<std::string> killed;
+            const auto killedAt = std::chrono::steady_clock::now();
+            for (const std::size_t node : {1U, 4U, 7U, 10U}) {
+                fleet.node(node).daemon->kill();
+                killed.insert(fleet.node(node).host);
+            }
+            for (const std::size_t node : {1U, 4U, 7U, 10U}) {
+                fleet.node(node).daemon->wait();
+            }
+            const std::vector<std::size_t> live = fleet.running();
+            LONGS_EQUAL(8, live.size());
+            section("the others list exactly the killed ones as dead or gone within the target", [&] {
+                std::set<std::string> wrong;
+                core::Duration lastMissed{};
+                const bool areNoticed = test::waitUntil([&] {
+                    const auto sampledAt = std::chrono::steady_clock::now();
+                    wrong.merge(wronglyDead(fleet, live));
+                    const bool isDone = isNoticed(fleet, live, killed);
+                    // The begin of a sample, since one that shows a killed node may itself take long on a busy machine.
+                    lastMissed = isDone ? lastMissed : sampledAt - killedAt;
+                    return isDone;
+                });
+                CHECK(areNoticed);
+                std::cout << "\nkilled nodes were last listed " << std::chrono::duration<double>(lastMissed).count()
+                          << " s after the first kill\n";
+                STRCMP_EQUAL("", joined(wrong).c_str());
+                CHECK(lastMissed < DetectionTarget);
+            });
+            section("and no live node is listed as dead afterwards", [&] {
+                sampleWhileQuiet([&] {
+                    STRCMP_EQUAL("", joined(wronglyDead(fleet, live)).c_str());
+                    CHECK(isNoticed(fleet, live, killed));
+                });
+            });
+        });
+    });
+}
