Test the withdrawal of a key that is in use everywhere

Change: Three callers at each of four nodes call on kept connections while their key is withdrawn with the log up, stalled by 3 s and refusing. The last accepted use must be sent within 1 s, 2 s and 2 s of the moment at which the withdrawal is sent, no key comes back, and no key text is in the records of the endpoints, the output of the daemons or their metrics.

--- /dev/null
+++ b/tests/integration/a_key_is_withdrawn.cpp
@@ -0,0 +1,232 @@
+#include "integration/harness/fleet.h"
+#include "support/section.h"
+
+#include <algorithm>
+#include <atomic>
+#include <iostream>
+#include <thread>
+
+#include <boost/json.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace berylspring;
+using namespace std::chrono_literals;
+using test::section;
+
+namespace {
+
+constexpr auto Target = 2s;
+constexpr auto TargetWithLog = 1s;
+/** How long callers go on after a withdrawal, to see uses that come back. */
+constexpr auto WatchTime = 4s;
+
+struct Use
+{
+    core::TimePoint sentAt;
+    core::TimePoint answeredAt;
+    bool isAccepted = false;
+    std::string reason;
+};
+
+/** Enough for a call to a node every few milliseconds, the resolution of the measured time. */
+constexpr std::size_t CallersPerNode = 3;
+constexpr auto Pause = 5ms;
+
+/** @brief Callers at every node that call again and again with a key, on connections that are kept. */
+class Callers
+{
+public:
+    Callers(test::Fleet &fleet, const std::string &key)
+        : m_uses(fleet.size() * CallersPerNode)
+    {
+        const test::Call call({.target = "/front/use", .key = key, .timeout = 20s});
+        for (std::size_t i = 0; i < m_uses.size(); ++i) {
+            m_threads.emplace_back([this, &fleet, i, call] {
+                while (!m_isStopping) {
+                    m_uses[i].push_back(useOnce(fleet, i % fleet.size(), call));
+                    ++m_count;
+                    std::this_thread::sleep_for(Pause);
+                }
+            });
+        }
+    }
+    ~Callers()
+    {
+        stop();
+    }
+    Callers(const Callers &) = delete;
+    Callers &operator=(const Callers &) = delete;
+
+    void stop()
+    {
+        m_isStopping = true;
+        for (std::thread &thread : m_threads) {
+            thread.join();
+        }
+        m_threads.clear();
+    }
+    [[nodiscard]] std::uint64_t count() const
+    {
+        return m_count;
+    }
+    /** @return The uses of each caller, where caller i is at node i % number of nodes; only after stop(). */
+    [[nodiscard]] const std::vector<std::vector<Use>> &uses() const
+    {
+        return m_uses;
+    }
+
+private:
+    static Use useOnce(test::Fleet &fleet, std::size_t node, const test::Call &call)
+    {
+        Use use{.sentAt = std::chrono::steady_clock::now()};
+        const test::CallResult result = fleet.call(node, call);
+        use.answeredAt = std::chrono::steady_clock::now();
+        use.isAccepted = result.isComplete();
+        use.reason = result->reason;
+        return use;
+    }
+
+    std::vector<std::vector<Use>> m_uses;
+    std::vector<std::thread> m_threads;
+    std::atomic<bool> m_isStopping{false};
+    std::atomic<std::uint64_t> m_count{0};
+};
+
+struct Withdrawal
+{
+    core::TimePoint sentAt;
+    unsigned status = 0;
+    std::string state;
+};
+
+Withdrawal withdraw(test::Fleet &fleet, std::size_t node, const std::string &name)
+{
+    Withdrawal withdrawal{.sentAt = std::chrono::steady_clock::now()};
+    const auto response = fleet.operators().send(fleet.node(node).operatorPort, "DELETE", "/v1/keys/" + name);
+    CHECK(response.has_value());
+    withdrawal.status = (*response)->status;
+    if (withdrawal.status == 200) {
+        withdrawal.state = boost::json::parse((*response)->body).at("state").as_string().c_str();
+    }
+    return withdrawal;
+}
+
+/** @return The time from the withdrawal to the last accepted use of one caller, or zero. */
+core::Duration lastAccepted(const std::vector<Use> &uses, const Withdrawal &withdrawal)
+{
+    core::Duration last{};
+    bool isRefused = false;
+    std::size_t before = 0;
+    for (const Use &use : uses) {
+        if (use.isAccepted) {
+            CHECK_TEXT(!isRefused, "the key was accepted again after a refusal");
+            before += use.answeredAt < withdrawal.sentAt ? 1 : 0;
+            last = std::max(last, core::Duration(use.sentAt - withdrawal.sentAt));
+        } else if (use.sentAt > withdrawal.sentAt) {
+            STRCMP_EQUAL("key-invalid", use.reason.c_str());
+            isRefused = true;
+        }
+    }
+    CHECK(before > 0);
+    CHECK(isRefused);
+    return last;
+}
+
+void checkUses(const Callers &callers, const Withdrawal &withdrawal, core::Duration target, const std::string &name)
+{
+    core::Duration last{};
+    for (const std::vector<Use> &uses : callers.uses()) {
+        last = std::max(last, lastAccepted(uses, withdrawal));
+    }
+    std::cout << name << ": last accepted use sent " << std::chrono::duration<double, std::milli>(last).count()
+              << " ms after the withdrawal\n";
+    CHECK(last < target);
+}
+
+/** Withdraws a key at a node while callers use it everywhere. */
+Withdrawal withdrawInUse(test::Fleet &fleet, std::size_t node, const std::string &name, core::Duration target)
+{
+    Callers callers(fleet, "key-" + name);
+    CHECK(test::waitUntil([&] { return callers.count() >= 20 * fleet.size(); }));
+    Withdrawal withdrawal = withdraw(fleet, node, name);
+    std::this_thread::sleep_until(withdrawal.sentAt + WatchTime);
+    callers.stop();
+    checkUses(callers, withdrawal, target, name);
+    return withdrawal;
+}
+
+}
+
+TEST_GROUP(AKeyIsWithdrawn){};
+
+// Guards against a key that is still accepted after its withdrawal, and against key text that leaves the entry node.
+TEST(AKeyIsWithdrawn, whileItIsInUseEverywhere)
+{
+    section("two data centres and callers with keys at every node", [] {
+        test::Fleet fleet(test::FleetConfig(
+            {.dataCentres = {"dc-a", "dc-b"}, .endpoints = {{.service = "front"}, {.service = "front"}}}));
+        const std::vector<std::string> names{"withdrawn-up", "withdrawn-slow", "withdrawn-down"};
+        for (const std::string &name : names) {
+            fleet.addWorkspace(name, 2000, 500);
+        }
+        fleet.addRoute("front", {{"prefix", "/front"}, {"service", "front"}}, 3);
+        for (const std::string &name : names) {
+            fleet.waitUntilServing({"/front"}, "key-" + name);
+        }
+        section("the last use is within 1 s of the withdrawal while the log answers", [&] {
+            const Withdrawal withdrawal = withdrawInUse(fleet, 0, names[0], TargetWithLog);
+            LONGS_EQUAL(200, withdrawal.status);
+            STRCMP_EQUAL("recorded", withdrawal.state.c_str());
+        });
+        section("the last use is within 2 s of the withdrawal while the log is slow", [&] {
+            fleet.controlLog({{"stall_ms", 3000}});
+            const Withdrawal withdrawal = withdrawInUse(fleet, 3, names[1], Target);
+            LONGS_EQUAL(200, withdrawal.status);
+            fleet.controlLog({{"stall_ms", 0}});
+        });
+        section("the last use is within 2 s of the withdrawal while the log refuses", [&] {
+            fleet.controlLog({{"refuse", true}});
+            const Withdrawal withdrawal = withdrawInUse(fleet, 1, names[2], Target);
+            LONGS_EQUAL(200, withdrawal.status);
+            STRCMP_EQUAL("announced", withdrawal.state.c_str());
+            fleet.controlLog({{"refuse", false}});
+        });
+        section("every withdrawal is recorded when the log answers again", [&] {
+            for (std::size_t i = 0; i < fleet.size(); ++i) {
+                for (const std::string &name : names) {
+                    CHECK(test::waitUntil([&] {
+                        const auto response =
+                            fleet.operators().send(fleet.node(i).operatorPort, "GET", "/v1/keys/" + name);
+                        return response && (*response)->status == 404;
+                    }));
+                }
+            }
+        });
+        section("no withdrawn key is accepted at any node afterwards", [&] {
+            for (std::size_t i = 0; i < fleet.size(); ++i) {
+                for (const std::string &name : names) {
+                    const test::CallResult result =
+                        fleet.call(i, test::Call({.target = "/front", .key = "key-" + name}));
+                    STRCMP_EQUAL("key-invalid", result->reason.c_str());
+                }
+            }
+        });
+        section("no endpoint has received the text of a key", [&] {
+            for (std::size_t i = 0; i < fleet.size(); ++i) {
+                const boost::json::object record = fleet.record(i);
+                CHECK_FALSE(record.at("headers_full").as_bool());
+                CHECK_FALSE(record.at("headers").as_object().empty());
+                CHECK(boost::json::serialize(record).find("key-withdrawn") == std::string::npos);
+            }
+        });
+        section("no daemon has written the text of a key", [&] {
+            for (std::size_t i = 0; i < fleet.size(); ++i) {
+                const std::string output = fleet.node(i).daemon->output();
+                CHECK_FALSE(output.empty());
+                CHECK(output.find("key-withdrawn") == std::string::npos);
+                CHECK(fleet.metrics(i).find("key-withdrawn") == std::string::npos);
+            }
+        });
+    });
+}
