--- a/tests/integration/harness/operator_api.h
+++ b/tests/integration/harness/operator_api.h
@@ -15,6 +15,10 @@
 {
 public:
     OperatorApi(HttpCalls &calls, std::string token);
+    [[nodiscard]] const std::string &token() const noexcept
+    {
+        return m_token;
+    }
 
     /** @brief Sends any operator request with the token and returns the answer as it is. */
     http::Result<http::Response> send(std::uint16_t port,
