--- a/tests/integration/a_booking_runs_once.cpp
+++ b/tests/integration/a_booking_runs_once.cpp
@@ -399,7 +399,7 @@
         int number = 0;
         for (const std::string chain : {"/front/b;/front/c;", "/front/b;/front/c;/front/d;"}) {
             for (const std::string leaf : {"fail:503", "fail:500", "crash:1"}) {
-                section("the last of " + chain + " answers " + leaf, [&] {
+                section(std::string("the last of ").append(chain).append(" answers ").append(leaf), [&] {
                     for (int root = 0; root < 5; ++root) {
                         // Endpoints that crashed in the last round restart, and every root needs one that runs it.
                         fleet.waitUntilServing({"/front", "/deep"}, Key);
