Probe every 300 ms, and close idle connections of a stopping server by a timer

The coroutine that closed idle connections kept its session alive while its context was destroyed: the fake endpoint ended by a signal on SIGTERM in the tools' test. Conclusion: control traffic at 300 ms is measured next.

--- a/include/berylspring/membership/timing.h
+++ b/include/berylspring/membership/timing.h
@@ -12,7 +12,7 @@
 /** @brief Interval of SwimProtocol::tick(). */
 inline constexpr core::Duration TickInterval = 50ms;
 
-inline constexpr core::Duration LocalProbeInterval = 400ms;
+inline constexpr core::Duration LocalProbeInterval = 300ms;
 inline constexpr core::Duration RemoteProbeInterval = 1s;
 
 /** @brief Wait for the ack of a direct probe before others are asked, and for theirs, inside the data centre. */
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -38,9 +38,11 @@
 {
     explicit Session(tcp::socket socket)
         : stream(std::move(socket))
+        , idleTimer(stream.get_executor())
     {
     }
     beast::tcp_stream stream;
+    asio::steady_timer idleTimer; ///< Closes an idle connection after the grace of a stop.
     beast::flat_buffer buffer;
     /** A request is being read or answered. Written and read on the connection's strand only. */
     bool isBusy = false;
@@ -126,17 +128,24 @@
             error_code ignored;
             self->m_acceptor.close(ignored);
         });
-        m_sessions.forEach([&](std::uint64_t, const std::shared_ptr<Session> &session) {
-            asio::co_spawn(session->stream.get_executor(), closeIdle(session, m_options.stopGrace), asio::detached);
+        forEachSession([grace = m_options.stopGrace](const std::shared_ptr<Session> &session) {
+            // A new expiry of the stream would not end the read that already waits.
+            session->idleTimer.expires_after(grace);
+            session->idleTimer.async_wait([weak = std::weak_ptr<Session>(session)](const error_code &error) {
+                const std::shared_ptr<Session> idle = weak.lock();
+                if (!error && idle && !idle->isBusy) {
+                    idle->stream.cancel();
+                }
+            });
         });
     }
 
     void close()
     {
         stopAccepting();
-        forEachSession([](Session &session) {
+        forEachSession([](const std::shared_ptr<Session> &session) {
             error_code ignored;
-            session.stream.socket().close(ignored);
+            session->stream.socket().close(ignored);
         });
     }
 
@@ -155,7 +164,7 @@
     void forEachSession(Action action)
     {
         m_sessions.forEach([&](std::uint64_t, const std::shared_ptr<Session> &session) {
-            asio::post(session->stream.get_executor(), [session, action] { action(*session); });
+            asio::post(session->stream.get_executor(), [session, action] { action(session); });
         });
     }
 
@@ -179,16 +188,6 @@
         }
     }
 
-    /** A new expiry would not end the read that already waits, so an idle connection is closed. */
-    static asio::awaitable<void> closeIdle(std::shared_ptr<Session> session, core::Duration grace)
-    {
-        asio::steady_timer timer(co_await asio::this_coro::executor, grace);
-        co_await timer.async_wait(asio::use_awaitable);
-        if (!session->isBusy) {
-            session->stream.cancel();
-        }
-    }
-
     /** Out of file descriptors: accepting again at once would fail at once. */
     static asio::awaitable<void> pauseAfterAcceptError()
     {
