Say unknown for refused resends whose name may have run; be ready only after joining

Cause: a resend that is refused before the limit (withdrawn key, route gone, node without configuration) said not-run although an earlier send may have run. A node reported ready before it knew the other members, and refused limited workspaces.

--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -254,7 +254,7 @@
 
 ExitCode runCommand(const Options &options, std::ostream &out, std::ostream &err)
 {
-    static const std::map<std::string, std::function<ExitCode(Run &)>> Commands{
+    static const std::map<std::string, std::function<ExitCode(Run &)>> commands{
         {"get", &Run::get},
         {"list", &Run::list},
         {"delete", &Run::remove},
@@ -265,8 +265,8 @@
         {"completion", &Run::completion},
         {"version", &Run::version},
     };
-    const auto command = Commands.find(options.command.front());
-    if (command == Commands.end()) {
+    const auto command = commands.find(options.command.front());
+    if (command == commands.end()) {
         err << "berylspringctl: unknown command " << options.command.front() << '\n' << usageText();
         return ExitCode::Usage;
     }
--- a/src/node/entry.cpp
+++ b/src/node/entry.cpp
@@ -26,6 +26,18 @@
     return mayHaveOtherSends ? refusal.withOutcome(Outcome::Unknown) : refusal;
 }
 
+/** The same for a request whose name is not known, since it has no plan. */
+Refusal refusalWithoutPlan(const Refusal &refusal, const http::CallerRequest &request, bool isKeyWithdrawn)
+{
+    if (!request->idempotencyKey) {
+        return refusal;
+    }
+    const RefusalReason reason = refusal.reason();
+    const bool neverHadAName = reason == RefusalReason::KeyMissing || reason == RefusalReason::BadRequest
+                               || (reason == RefusalReason::KeyInvalid && !isKeyWithdrawn);
+    return neverHadAName ? refusal : refusal.withOutcome(Outcome::Unknown);
+}
+
 /** @brief Lends a nested call a part of its parent's retry allowance. */
 class LentAllowance
 {
@@ -98,7 +110,8 @@
     const core::TimePoint startedAt = m_hooks.now();
     const auto plan = this->plan(request, startedAt);
     if (!plan) {
-        co_return refused(plan.error());
+        const bool isKeyWithdrawn = request->key && m_hooks.isKeyWithdrawn(core::sha256(*request->key));
+        co_return refused(refusalWithoutPlan(plan.error(), request, isKeyWithdrawn));
     }
     priority = (*plan)->priority;
     if (!(*plan)->isNested && !(*plan)->workspace.isEmpty()) {
--- a/src/node/node_hooks.cpp
+++ b/src/node/node_hooks.cpp
@@ -175,7 +175,7 @@
     hooks.quarantined = [this](wire::QuarantineNotice notice) {
         telemetry::log(
             telemetry::Severity::Warning, "request quarantined", {{"digest", notice->requestDigest.toHex()}});
-        tellProviders(std::move(notice));
+        tellProviders(notice);
     };
     hooks.suspected = [this](core::Digest digest) { tellProviders(wire::QuarantineNotice({.requestDigest = digest})); };
     return hooks;
@@ -228,7 +228,7 @@
     hooks.nodes = [this] { return nodeStatus(); };
     hooks.refresh = [this](core::Offset change) { refreshMembers(change); };
     hooks.metrics = [this] { return m_metrics.text(); };
-    hooks.isReady = [this] { return m_config.isReady() && !m_isStopping; };
+    hooks.isReady = [this] { return m_config.isReady() && hasJoined() && !m_isStopping; };
     return hooks;
 }
 
--- /dev/null
+++ b/tests/node/a_refusal_at_the_entry.cpp
@@ -0,0 +1,113 @@
+#include "berylspring/config/log_record.h"
+#include "berylspring/core/types.h"
+#include "berylspring/node/entry.h"
+#include "support/section.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/use_future.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace berylspring;
+using test::section;
+
+namespace {
+
+namespace asio = boost::asio;
+using core::Outcome;
+using core::RefusalReason;
+
+constexpr const char *Withdrawn = "withdrawn-key";
+
+config::Catalogue catalogueWithRoute()
+{
+    config::Catalogue catalogue;
+    const auto add =
+        [&](core::Offset offset, config::ResourceType type, const std::string &name, const std::string &body) {
+            const config::LogRecord record(
+                {.operationId = "op-" + std::to_string(offset), .type = type, .name = name, .body = body});
+            catalogue = catalogue.withRecord(offset, config::toJson(record)).catalogue;
+        };
+    add(1, config::ResourceType::Priority, "normal", R"({"level":3})");
+    add(2, config::ResourceType::Route, "visits", R"({"prefix":"/visits","service":"visits","priority":"normal"})");
+    return catalogue;
+}
+
+/** @brief An entry whose request never gets as far as the limit. */
+class EntryThatRefuses
+{
+public:
+    explicit EntryThatRefuses(std::optional<config::Catalogue> catalogue)
+        : m_entry(m_inFlight, m_metrics, 0, hooks(std::move(catalogue)))
+    {
+    }
+
+    core::Refusal refusalOf(const http::CallerRequest &request)
+    {
+        auto response = asio::co_spawn(m_context, m_entry.call(request), asio::use_future);
+        m_context.restart();
+        m_context.run();
+        return response.get()->refusal.value();
+    }
+
+private:
+    static node::EntryHooks hooks(std::optional<config::Catalogue> catalogue)
+    {
+        node::EntryHooks hooks;
+        std::shared_ptr<const config::Catalogue> shared;
+        if (catalogue) {
+            shared = std::make_shared<const config::Catalogue>(std::move(*catalogue));
+        }
+        hooks.catalogue = [shared] { return shared; };
+        hooks.isKeyWithdrawn = [](const core::Digest &digest) { return digest == core::sha256(Withdrawn); };
+        hooks.sinceOutsideContact = [] { return core::Duration::zero(); };
+        hooks.now = [] { return core::TimePoint(); };
+        hooks.random = core::systemRandom();
+        hooks.spans = [](const telemetry::Span &) {};
+        return hooks;
+    }
+
+    node::InFlightTable m_inFlight{core::systemRandom()};
+    telemetry::Metrics m_metrics;
+    asio::io_context m_context;
+    node::Entry m_entry;
+};
+
+http::CallerRequest booking(const std::string &target, std::optional<std::string> key, std::optional<std::string> name)
+{
+    return http::CallerRequest(
+        {.method = "POST", .target = target, .key = std::move(key), .idempotencyKey = std::move(name)});
+}
+
+}
+
+TEST_GROUP(ARefusalAtTheEntry){};
+
+// Guards against a resend that is told not-run although an earlier send of its name has run through another node.
+TEST(ARefusalAtTheEntry, saysNotRunOnlyIfNoSendOfTheNameCanHaveRun)
+{
+    EntryThatRefuses entry(catalogueWithRoute());
+    section("a key that was withdrawn after an earlier send", [&] {
+        const auto refusal = entry.refusalOf(booking("/visits", Withdrawn, "b-1"));
+        CHECK(refusal.reason() == RefusalReason::KeyInvalid);
+        CHECK(refusal.outcome() == Outcome::Unknown);
+    });
+    section("a route that is gone",
+            [&] { CHECK(entry.refusalOf(booking("/gone", "key", "b-1")).outcome() == Outcome::Unknown); });
+    section("a node without configuration", [&] {
+        EntryThatRefuses fresh(std::nullopt);
+        CHECK(fresh.refusalOf(booking("/visits", "key", "b-1")).outcome() == Outcome::Unknown);
+        CHECK(fresh.refusalOf(booking("/visits", "key", std::nullopt)).outcome() == Outcome::NotRun);
+    });
+    section("a key that never was, and none at all", [&] {
+        CHECK(entry.refusalOf(booking("/visits", "wrong", "b-1")).outcome() == Outcome::NotRun);
+        CHECK(entry.refusalOf(booking("/visits", std::nullopt, "b-1")).outcome() == Outcome::NotRun);
+    });
+    section("a request without a name",
+            [&] { CHECK(entry.refusalOf(booking("/visits", Withdrawn, std::nullopt)).outcome() == Outcome::NotRun); });
+}
