Use one digest of requests for quarantine and for claims

Cause: admission and idempotency each had a function for the same digest. Change: core::requestDigest() serves both; a stale forward declaration is gone. Conclusion: behaviour is unchanged; digests are not kept across restarts.

--- a/include/berylspring/core/fwd.h
+++ b/include/berylspring/core/fwd.h
@@ -4,10 +4,11 @@
 
 template<typename Tag>
 class Name;
+template<typename Fields>
+class Immutable;
 template<typename Key, typename Value>
 class ShardedMap;
 class Digest;
-class Error;
 class Refusal;
 enum class Outcome;
 enum class RefusalReason;
--- a/include/berylspring/admission/request_digest.h
+++ b/include/berylspring/core/request_digest.h
@@ -5,7 +5,7 @@
 
 #include <string_view>
 
-namespace berylspring::admission {
+namespace berylspring::core {
 
 /**
  * @brief Identifies a request by what it asks for, for quarantine and for claims.
@@ -16,9 +16,7 @@
  * @param body Whole body.
  * @param workspace Workspace of the caller's key; empty on an open route.
  */
-[[nodiscard]] core::Digest requestDigest(std::string_view method,
-                                         std::string_view target,
-                                         std::string_view body,
-                                         const core::WorkspaceId &workspace);
+[[nodiscard]] Digest
+requestDigest(std::string_view method, std::string_view target, std::string_view body, const WorkspaceId &workspace);
 
 }
--- a/include/berylspring/idempotency/claim_name.h
+++ b/include/berylspring/idempotency/claim_name.h
@@ -1,9 +1,7 @@
 #pragma once
 
-#include "berylspring/core/digest.h"
 #include "berylspring/core/name.h"
 #include "berylspring/core/types.h"
-#include "berylspring/wire/messages.h"
 
 #include <string>
 #include <string_view>
@@ -24,7 +22,4 @@
 /** @return A key for a request that came without one. Its home is in the given data centre. */
 [[nodiscard]] std::string oneTimeKey(const core::DataCentreId &dataCentre, const core::RandomSource &random);
 
-/** @return SHA-256 of method, target, body and workspace: equal for resends, different for another request. */
-[[nodiscard]] core::Digest requestDigest(const wire::CallRequest &call);
-
 }
--- a/src/admission/service_core.cpp
+++ b/src/admission/service_core.cpp
@@ -1,6 +1,6 @@
 #include "admission/service_core.h"
 
-#include "berylspring/admission/request_digest.h"
+#include "berylspring/core/request_digest.h"
 
 #include <algorithm>
 #include <optional>
@@ -249,7 +249,7 @@
     Passage passage;
     passage.id = m_nextId++;
     if (m_settings.areControlsOn) {
-        passage.digest = requestDigest(request->method, request->target, request->body, request->workspace);
+        passage.digest = core::requestDigest(request->method, request->target, request->body, request->workspace);
     }
     passage.arrivedAt = now;
     passage.deadline = now + request->remaining;
--- a/src/idempotency/claim_name.cpp
+++ b/src/idempotency/claim_name.cpp
@@ -6,13 +6,6 @@
 
 constexpr char Separator = '/';
 
-void appendWithLength(std::string &text, std::string_view part)
-{
-    text += std::to_string(part.size());
-    text += ':';
-    text += part;
-}
-
 }
 
 std::string claimName(const core::WorkspaceId &workspace, const core::RouteId &route, std::string_view key)
@@ -40,16 +33,4 @@
     return dataCentre.value() + Separator + "once-" + std::to_string(random()) + "-" + std::to_string(random());
 }
 
-core::Digest requestDigest(const wire::CallRequest &call)
-{
-    // Lengths keep different divisions of the same bytes apart.
-    std::string text;
-    text.reserve(call->method.size() + call->target.size() + call->workspace.value().size() + call->body.size() + 64);
-    appendWithLength(text, call->method);
-    appendWithLength(text, call->target);
-    appendWithLength(text, call->workspace.value());
-    appendWithLength(text, call->body);
-    return core::sha256(text);
-}
-
 }
--- a/src/idempotency/home_run.cpp
+++ b/src/idempotency/home_run.cpp
@@ -1,5 +1,6 @@
 #include "idempotency/home_run.h"
 
+#include "berylspring/core/request_digest.h"
 #include "berylspring/idempotency/claim_name.h"
 #include "idempotency/replication.h"
 
@@ -279,7 +280,7 @@
     if (state->isStopping) {
         co_return refused("stopping");
     }
-    const core::Digest digest = requestDigest(call);
+    const core::Digest digest = core::requestDigest(call->method, call->target, call->body, call->workspace);
     std::shared_ptr<Execution> execution;
     const Begin begin = beginOrJoin(state, call, digest, send, execution);
     switch (begin.kind) {
--- a/tests/admission/a_request_that_crashes.cpp
+++ b/tests/admission/a_request_that_crashes.cpp
@@ -1,6 +1,6 @@
 #include "admission/harness.h"
 #include "berylspring/admission/quarantine.h"
-#include "berylspring/admission/request_digest.h"
+#include "berylspring/core/request_digest.h"
 #include "support/section.h"
 
 #include <chrono>
@@ -27,7 +27,7 @@
 
 core::Digest digestOf(const wire::CallRequest &request)
 {
-    return admission::requestDigest(request->method, request->target, request->body, request->workspace);
+    return core::requestDigest(request->method, request->target, request->body, request->workspace);
 }
 
 }
@@ -143,8 +143,7 @@
     checkProperty("different parts give different digests", [](const std::string &a, const std::string &b) {
         const core::WorkspaceId workspace("w");
         RC_PRE(!a.empty());
-        RC_ASSERT(admission::requestDigest(a, b, "", workspace) != admission::requestDigest("", a + b, "", workspace));
-        RC_ASSERT(admission::requestDigest("GET", a + b, "", workspace)
-                  != admission::requestDigest("GET", b, a, workspace));
+        RC_ASSERT(core::requestDigest(a, b, "", workspace) != core::requestDigest("", a + b, "", workspace));
+        RC_ASSERT(core::requestDigest("GET", a + b, "", workspace) != core::requestDigest("GET", b, a, workspace));
     });
 }
