Give every hop its span and its time

Cause: only the entry and the endpoint had spans, and the histograms of queue and endpoint time were never filled. Change: spans hop (each attempt of the dispatcher) and queue; the endpoint's node observes both times.

--- a/include/berylspring/node/dispatcher.h
+++ b/include/berylspring/node/dispatcher.h
@@ -6,6 +6,7 @@
 #include "berylspring/retry/backoff.h"
 #include "berylspring/retry/budget.h"
 #include "berylspring/routing/router.h"
+#include "berylspring/telemetry/span.h"
 #include "berylspring/wire/peer_call.h"
 
 #include <atomic>
@@ -26,6 +27,7 @@
     std::function<core::TimePoint()> now;
     core::RandomSource random;
     std::function<void()> retried; ///< Counts a retry.
+    telemetry::SpanSink spans; ///< Takes a span for each attempt of a sampled trace.
 };
 
 /** @brief Sends requests to endpoints' nodes and retries where that is safe. Thread-safe. */
--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -165,7 +165,21 @@
     const core::TimePoint startedAt = m_hooks.now();
     m_router.started(call->service, host, startedAt);
     Traffic traffic{*this, call->service, host, startedAt};
-    wire::CallResponse response = co_await send(call, host);
+    const auto parent = telemetry::TraceContext::fromTraceParent(call->traceParent);
+    const telemetry::TraceContext trace = parent ? parent->child(m_hooks.random) : telemetry::TraceContext();
+    const core::WallTime start = std::chrono::system_clock::now();
+    const wire::CallRequest traced =
+        parent ? call.with(&wire::CallRequestFields::traceParent, trace.traceParent()) : call;
+    wire::CallResponse response = co_await send(traced, host);
+    if (trace.isSampled()) {
+        m_hooks.spans(telemetry::Span({.context = trace,
+                                       .parentSpanId = parent->spanId(),
+                                       .name = "hop",
+                                       .start = start,
+                                       .end = std::chrono::system_clock::now(),
+                                       .isError = response->refusal.has_value(),
+                                       .attributes = {{"peer", host.value()}, {"service", call->service.value()}}}));
+    }
     traffic.result = resultOf(response);
     traffic.inFlight = response->inFlight;
     m_shedding.learn({host, call->service}, response->admittedLevel, m_hooks.now());
--- a/src/node/node_handlers.cpp
+++ b/src/node/node_handlers.cpp
@@ -56,7 +56,7 @@
 asio::awaitable<wire::Message> Node::Implementation::handlePeer(core::HostId from, wire::Message message)
 {
     if (auto *call = std::get_if<wire::CallRequest>(&message)) {
-        co_return wire::Message(co_await admission()->run(std::move(*call)));
+        co_return wire::Message(co_await runAdmitted(std::move(*call)));
     }
     if (std::holds_alternative<wire::HomeRequest>(message) || std::holds_alternative<wire::ClaimRequest>(message)
         || std::holds_alternative<wire::ClaimHandover>(message)) {
@@ -80,6 +80,26 @@
     co_return wire::Message(wire::Refused({.detail = "not a request"}));
 }
 
+asio::awaitable<wire::CallResponse> Node::Implementation::runAdmitted(wire::CallRequest call)
+{
+    const std::shared_ptr<admission::AdmissionService> service = admission();
+    const auto parent = telemetry::TraceContext::fromTraceParent(call->traceParent);
+    const core::WallTime start = std::chrono::system_clock::now();
+    wire::CallResponse response = co_await service->run(std::move(call));
+    m_metrics.observe(telemetry::Hop::Queue, response->queueTime);
+    m_metrics.observe(telemetry::Hop::Endpoint, response->serviceTime);
+    if (parent && parent->isSampled()) {
+        const auto queueTime = std::chrono::duration_cast<core::WallTime::duration>(response->queueTime);
+        m_spans->add(telemetry::Span({.context = parent->child(m_random),
+                                      .parentSpanId = parent->spanId(),
+                                      .name = "queue",
+                                      .start = start,
+                                      .end = start + queueTime,
+                                      .isError = response->refusal.has_value()}));
+    }
+    co_return response;
+}
+
 asio::awaitable<http::Reply> Node::Implementation::handleCaller(http::Request request)
 {
     auto parsed = http::parseCallerRequest(std::move(request));
--- a/src/node/node_hooks.cpp
+++ b/src/node/node_hooks.cpp
@@ -185,13 +185,14 @@
 {
     DispatcherHooks hooks;
     hooks.call = m_peers.asPeerCall();
-    hooks.runLocally = [this](wire::CallRequest call) { return admission()->run(std::move(call)); };
+    hooks.runLocally = [this](wire::CallRequest call) { return runAdmitted(std::move(call)); };
     hooks.endpoints = [this](const core::ServiceId &service) {
         return m_endpointViews.views(service, m_membership->snapshot());
     };
     hooks.now = now;
     hooks.random = m_random;
     hooks.retried = [this] { m_metrics.countRetry(); };
+    hooks.spans = [spans = m_spans](telemetry::Span span) { spans->add(std::move(span)); };
     return hooks;
 }
 
--- a/src/node/node_parts.h
+++ b/src/node/node_parts.h
@@ -52,6 +52,7 @@
 
     // Messages and requests, in node_handlers.cpp.
     boost::asio::awaitable<wire::Message> handlePeer(core::HostId from, wire::Message message);
+    boost::asio::awaitable<wire::CallResponse> runAdmitted(wire::CallRequest call);
     boost::asio::awaitable<http::Reply> handleCaller(http::Request request);
     boost::asio::awaitable<http::Reply> handleEndpoint(http::Request request);
     boost::asio::awaitable<http::ChangePage> changes(core::Offset from);
