Make the sink of spans in one place

Cause: three places built the same function that stores a span. Change: Node::Implementation::spanSink() serves the endpoint, the dispatcher and the entry. Conclusion: behaviour is unchanged.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -40,11 +40,6 @@
     return {.headerLimitBytes = settings->maxHeaderBytes, .bodyLimitBytes = settings->maxBodyBytes};
 }
 
-telemetry::SpanSink sinkOf(const std::shared_ptr<telemetry::SpanBuffer> &spans)
-{
-    return [spans](telemetry::Span span) { spans->add(std::move(span)); };
-}
-
 std::vector<telemetry::Sample> admissionSamples(const admission::AdmissionState &state)
 {
     return {{"berylspring_admission_running", static_cast<double>(state->running), {}},
@@ -81,7 +76,7 @@
           m_executor,
           {.self = m_settings->host, .dataCentre = m_settings->dataCentre, .declared = m_settings->dataCentres},
           idempotencyHooks())
-    , m_endpoint(m_executor, m_settings->maxBodyBytes, m_inFlight, m_random, sinkOf(m_spans))
+    , m_endpoint(m_executor, m_settings->maxBodyBytes, m_inFlight, m_random, spanSink())
     , m_admission(makeAdmission())
     , m_dispatcher(m_settings->host, m_settings->dataCentre, m_settings->areControlsOn, dispatcherHooks())
     , m_entry(m_inFlight, m_metrics, m_settings->sampleRatio, entryHooks())
@@ -198,6 +193,11 @@
     co_return co_await m_idempotency.handOver();
 }
 
+telemetry::SpanSink Node::Implementation::spanSink() const
+{
+    return [spans = m_spans](telemetry::Span span) { spans->add(std::move(span)); };
+}
+
 std::shared_ptr<admission::AdmissionService> Node::Implementation::admission() const
 {
     const std::scoped_lock lock(m_admissionMutex);
--- a/src/node/node_hooks.cpp
+++ b/src/node/node_hooks.cpp
@@ -192,7 +192,7 @@
     hooks.now = now;
     hooks.random = m_random;
     hooks.retried = [this] { m_metrics.countRetry(); };
-    hooks.spans = [spans = m_spans](telemetry::Span span) { spans->add(std::move(span)); };
+    hooks.spans = spanSink();
     return hooks;
 }
 
@@ -209,7 +209,7 @@
     hooks.runOnce = [this](wire::CallRequest call) { return m_idempotency.run(std::move(call)); };
     hooks.now = now;
     hooks.random = m_random;
-    hooks.spans = [spans = m_spans](telemetry::Span span) { spans->add(std::move(span)); };
+    hooks.spans = spanSink();
     return hooks;
 }
 
--- a/src/node/node_parts.h
+++ b/src/node/node_parts.h
@@ -67,6 +67,7 @@
     void tellProviders(wire::QuarantineNotice notice);
     boost::asio::awaitable<void> tell(core::HostId host, wire::Message message);
 
+    [[nodiscard]] telemetry::SpanSink spanSink() const;
     [[nodiscard]] std::shared_ptr<admission::AdmissionService> admission() const;
     [[nodiscard]] std::shared_ptr<admission::AdmissionService> makeAdmission();
     [[nodiscard]] std::vector<core::HostId> liveHosts(const core::DataCentreId &dataCentre) const;
