--- a/include/berylspring/config/catalogue.h
+++ b/include/berylspring/config/catalogue.h
@@ -78,11 +78,14 @@
     [[nodiscard]] const Key *findKeyNamed(std::string_view name) const;
     /**
      * @brief Finds the route with the longest prefix that ends at a segment boundary.
+     *
+     * Routes of the host go first; those for any host are considered when none of them fits.
+     * @param host Value of `Host`; a port and the case are ignored.
      * @param path Path as received; a query is ignored.
      * @return Nothing also for paths that servers understand differently (dot segments, empty segments, encoded
      *         slashes, backslashes, ';').
      */
-    [[nodiscard]] const Route *findRoute(std::string_view path) const;
+    [[nodiscard]] const Route *findRoute(std::string_view host, std::string_view path) const;
 
     [[nodiscard]] std::optional<ResourceView> resource(ResourceType type, std::string_view name) const;
     /** @return All resources of a type by name. */
@@ -98,6 +101,8 @@
     [[nodiscard]] static Result<Catalogue> fromJson(std::string_view text);
 
 private:
+    [[nodiscard]] const Route *findRouteOfHost(std::string_view host, std::string_view path) const;
+
     Catalogue(core::Offset appliedOffset, std::shared_ptr<const detail::CatalogueTables> tables)
         : m_appliedOffset(appliedOffset)
         , m_tables(std::move(tables))
--- a/include/berylspring/config/config_service.h
+++ b/include/berylspring/config/config_service.h
@@ -78,6 +78,12 @@
     /** @brief Answers RecordPull and Tombstone; other messages are Refused. */
     [[nodiscard]] boost::asio::awaitable<wire::Message> handle(core::HostId from, wire::Message message);
 
+    /**
+     * @return A time at which the catalogue held all records of the log; nothing before the first such time. It is the
+     * sending time of the read that showed the end of the log, here or at the peer that passed the records on.
+     */
+    [[nodiscard]] std::optional<core::TimePoint> provenAt() const;
+
     /** @return When the log last answered. */
     [[nodiscard]] std::optional<core::TimePoint> lastLogContact() const;
 
--- a/include/berylspring/config/config_settings.h
+++ b/include/berylspring/config/config_settings.h
@@ -16,6 +16,12 @@
     std::string snapshotStream = "snapshot";
     core::Duration longPoll = std::chrono::seconds(10); ///< Time that a reader's poll waits for records.
     core::Duration slowPoll = std::chrono::minutes(2); ///< Between polls of a node that is no reader.
+    /** Longest age of the proof that the configuration is the newest, before a peer is asked; 0: peers are not asked.
+     */
+    core::Duration proofRefresh{};
+    /** Age of the proof from which a node reads the log itself, whatever its role; 0: never. */
+    core::Duration proofFallback{};
+    bool isLogWritable = true; ///< False: operators write to the log themselves, and snapshots are not needed.
     core::Duration roleCheck = std::chrono::seconds(1); ///< Between looks at whether the node became a reader.
     core::Duration retryDelay = std::chrono::milliseconds(250); ///< After the first failure; doubles up to 16 times it.
     core::Duration writeTimeout = std::chrono::seconds(5); ///< Until a write is given up as unavailable.
--- a/include/berylspring/config/log_record.h
+++ b/include/berylspring/config/log_record.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "berylspring/config/error.h"
+#include "berylspring/config/resource.h"
 #include "berylspring/config/resource_type.h"
 #include "berylspring/core/immutable.h"
 #include "berylspring/core/types.h"
@@ -8,12 +9,14 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace berylspring::config {
 
 enum class RecordKind {
     Put,
     Delete,
+    Replace, ///< The resources of the record take the place of all that were there.
 };
 
 /** @brief One change as it stands in the log stream `config`. */
@@ -25,6 +28,7 @@
     std::string name;
     std::optional<core::Offset> expectedVersion; ///< 0: the resource must not exist; nothing: any version.
     std::string body; ///< JSON object: of a put the resource, of a key's deletion its digest, else empty.
+    std::vector<Resource> resources; ///< Of a replacement, each after those that it refers to.
     [[nodiscard]] bool operator==(const LogRecordFields &) const = default;
 };
 
--- a/include/berylspring/config/resource.h
+++ b/include/berylspring/config/resource.h
@@ -15,6 +15,7 @@
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 namespace berylspring::config {
 
@@ -34,6 +35,7 @@
     double weight = 1; ///< Share among workspaces in a full queue; 0.001 to 1000.
     Staleness staleness = Staleness::Serve;
     core::Duration stalenessLimit = std::chrono::hours(1); ///< 1 s to 7 days.
+    PriorityId priority; ///< Takes precedence over the priority of a route; empty: the route's.
     [[nodiscard]] bool operator==(const WorkspaceFields &) const = default;
 };
 using Workspace = core::Immutable<WorkspaceFields>;
@@ -69,17 +71,29 @@
 };
 using Priority = core::Immutable<PriorityFields>;
 
-/** @brief Path prefix that selects a service. */
+/** @brief A service that gets a part of the requests of a route. */
+struct ServiceShare
+{
+    core::ServiceId service;
+    std::uint32_t weight = 1; ///< Part in proportion to the sum of all weights; 0 to 1,000,000.
+    [[nodiscard]] bool operator==(const ServiceShare &) const = default;
+};
+
+/** @brief Host and path prefix that select a service. */
 struct RouteFields
 {
     core::RouteId name;
+    std::string host; ///< Value of `Host` without a port, in lower case; empty: any host.
     std::string prefix; ///< Segments of A-Z a-z 0-9 - . _ ~, without a slash at the end except for "/".
-    core::ServiceId service;
+    std::vector<ServiceShare> services; ///< At least one, with a positive sum of weights.
     PriorityId priority;
     bool isOpen = false; ///< Needs no key.
+    bool isInternal = false; ///< Requests without a key are calls of endpoints: they continue work that was admitted.
     core::Duration timeout = std::chrono::seconds(10); ///< For the whole request; 1 ms to 10 min.
+    core::Duration targetLatency{}; ///< Within which an answer has its full worth; 0: not declared.
     std::uint32_t retries = 2; ///< Retry allowance of a root request, 0 to 10.
-    std::map<std::string, bool> idempotency; ///< By method; a method without an entry follows HTTP.
+    std::map<std::string, bool> idempotency; ///< By method; a method without an entry follows `isSafe`.
+    std::optional<bool> isSafe; ///< Whether requests may run more than once; nothing: as HTTP says of the method.
     [[nodiscard]] bool operator==(const RouteFields &) const = default;
 };
 using Route = core::Immutable<RouteFields>;
@@ -102,7 +116,7 @@
 [[nodiscard]] ResourceType typeOf(const Resource &resource) noexcept;
 [[nodiscard]] const std::string &nameOf(const Resource &resource) noexcept;
 
-/** @return Whether the route's override, or HTTP's rule without one, makes the method idempotent. */
+/** @return Whether the route's overrides, or HTTP's rule without one, make the method idempotent. */
 [[nodiscard]] bool isIdempotent(const Route &route, std::string_view method);
 
 }
--- a/include/berylspring/platform/error.h
+++ b/include/berylspring/eventlog/error.h
@@ -9,7 +9,7 @@
 
 #include <tl/expected.hpp>
 
-namespace berylspring::platform {
+namespace berylspring::eventlog {
 
 enum class ErrorCode {
     Unreachable, ///< No connection, or it was lost.
--- a/include/berylspring/platform/fwd.h
+++ b/include/berylspring/eventlog/fwd.h
@@ -1,6 +1,6 @@
 #pragma once
 
-namespace berylspring::platform {
+namespace berylspring::eventlog {
 
 class Error;
 enum class ErrorCode;
--- a/include/berylspring/platform/http_log.h
+++ b/include/berylspring/eventlog/http_log.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "berylspring/core/time.h"
-#include "berylspring/platform/log_hooks.h"
+#include "berylspring/eventlog/log_hooks.h"
 
 #include <chrono>
 #include <cstdint>
@@ -9,7 +9,7 @@
 
 #include <boost/asio/any_io_executor.hpp>
 
-namespace berylspring::platform {
+namespace berylspring::eventlog {
 
 /** @brief Time limits of one call to the log. */
 struct LogTimeouts
--- a/include/berylspring/platform/log_hooks.h
+++ b/include/berylspring/eventlog/log_hooks.h
@@ -2,8 +2,8 @@
 
 #include "berylspring/core/time.h"
 #include "berylspring/core/types.h"
-#include "berylspring/platform/error.h"
-#include "berylspring/platform/log_page.h"
+#include "berylspring/eventlog/error.h"
+#include "berylspring/eventlog/log_page.h"
 
 #include <cstdint>
 #include <functional>
@@ -11,7 +11,7 @@
 
 #include <boost/asio/awaitable.hpp>
 
-namespace berylspring::platform {
+namespace berylspring::eventlog {
 
 /** @brief Access to the platform log. Both hooks must be safe to call from several threads. */
 struct LogHooks
--- a/include/berylspring/platform/log_page.h
+++ b/include/berylspring/eventlog/log_page.h
@@ -3,10 +3,11 @@
 #include "berylspring/core/immutable.h"
 #include "berylspring/core/types.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
-namespace berylspring::platform {
+namespace berylspring::eventlog {
 
 /** @brief One record of a stream. */
 struct LogEntry
@@ -22,6 +23,8 @@
     std::vector<LogEntry> records;
     core::Offset first = 0; ///< First offset that the log retains.
     core::Offset next = 0; ///< Offset after the last record of the page; without records, the end of the stream.
+    /** Whether the page reaches the end of the stream; without it, the number of records tells. */
+    std::optional<bool> reachesEnd;
     [[nodiscard]] bool operator==(const LogPageFields &) const = default;
 };
 using LogPage = core::Immutable<LogPageFields>;
--- a/include/berylspring/http/caller_request.h
+++ b/include/berylspring/http/caller_request.h
@@ -18,6 +18,8 @@
 {
     std::string method;
     std::string target;
+    std::string host; ///< Value of `Host`.
+    std::string requestId; ///< Identifies the caller's attempt in logs; may be empty.
     wire::Headers headers; ///< For the endpoint: without Authorization, Berylspring-* and traceparent.
     std::string body;
     std::optional<std::string> key; ///< Of `Authorization: Bearer`.
--- a/include/berylspring/http/client.h
+++ b/include/berylspring/http/client.h
@@ -5,6 +5,7 @@
 #include "berylspring/http/messages.h"
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -19,7 +20,13 @@
     std::uint64_t bodyLimitBytes = 1'048'576;
     core::Duration connectTimeout = std::chrono::seconds(1);
     std::size_t idleConnections = 64; ///< Kept open for later requests.
-    [[nodiscard]] bool operator==(const ClientOptions &) const = default;
+    /** Whether a timeout closes the idle connections, which may be silent as well. */
+    bool dropsIdleOnTimeout = false;
+    /**
+     * Whether a response belongs to the request. One that does not is dropped and the next one on the connection is
+     * read; a server may answer an earlier request late. Empty: every response does.
+     */
+    std::function<bool(const Request &, const Response &)> isAnswerTo;
 };
 
 /** @brief HTTP/1.1 client of one server with keep-alive connections; never sends a request twice. */
@@ -38,6 +45,9 @@
      */
     boost::asio::awaitable<Result<Response>> send(Request request, core::Duration timeout);
 
+    /** @brief Opens and closes a connection. @return Whether the server's host refused it, so that nothing listens. */
+    boost::asio::awaitable<bool> isRefusingConnections(core::Duration timeout);
+
 private:
     class Implementation;
     std::shared_ptr<Implementation> m_implementation;
--- a/include/berylspring/http/endpoint_announcement.h
+++ b/include/berylspring/http/endpoint_announcement.h
@@ -10,15 +10,26 @@
 
 namespace berylspring::http {
 
-/** @brief What an endpoint tells its node. */
+/** @brief What an endpoint tells its node of itself; the same as long as it runs. */
 struct EndpointAnnouncement
 {
     core::ServiceId service;
     std::string address; ///< "IP:PORT" of its HTTP server.
     std::uint32_t slots = 0; ///< Requests that it can run at a time, 1 to 100,000.
+    std::string id; ///< Name that the endpoint gave itself; empty if it has none.
+    std::uint64_t incarnation = 0; ///< Grows with each start of an endpoint at this host; 0: not told.
     [[nodiscard]] bool operator==(const EndpointAnnouncement &) const = default;
 };
 
+/** @brief One heartbeat of an endpoint. */
+struct EndpointHeartbeat
+{
+    EndpointAnnouncement announcement;
+    std::uint64_t sequence = 0; ///< Grows with each heartbeat of an incarnation; 0: not told.
+    bool isDraining = false; ///< It leaves soon and takes no new work.
+    [[nodiscard]] bool operator==(const EndpointHeartbeat &) const = default;
+};
+
 /** @brief Load reported by an endpoint. */
 struct LoadReport
 {
--- a/include/berylspring/http/messages.h
+++ b/include/berylspring/http/messages.h
@@ -16,7 +16,8 @@
 {
     std::string method;
     std::string target; ///< Path and query.
-    wire::Headers headers; ///< Without the fields that belong to one connection.
+    std::string host; ///< Value of `Host`; as the client of another server, empty stands for its address.
+    wire::Headers headers; ///< Without `Host` and the fields that belong to one connection.
     std::string body;
     [[nodiscard]] bool operator==(const RequestFields &) const = default;
 };
--- a/include/berylspring/http/server.h
+++ b/include/berylspring/http/server.h
@@ -28,7 +28,9 @@
 using Reply = std::variant<Response, StreamedResponse>;
 
 /**
- * @brief Answers a request. Its coroutine is cancelled when the client closes the connection.
+ * @brief Answers a request; runs on the strand of the connection, beside the earlier requests that wait for answers.
+ *
+ * Its coroutine is cancelled when the client closes the connection.
  */
 using Handler = std::function<boost::asio::awaitable<Reply>(Request)>;
 
@@ -59,6 +61,8 @@
      * @return The port.
      */
     Result<std::uint16_t> listen(const std::string &address, std::uint16_t port);
+    /** @brief From now on, the last answer that is due on a connection says `Connection: close`. */
+    void closeAfterAnswers();
     /** @brief Takes no new connection; answers what is under way with `Connection: close`. */
     void stopAccepting();
     /** @brief Completes when no connection is left; stopAccepting() comes first. */
--- a/include/berylspring/node/call_plan.h
+++ b/include/berylspring/node/call_plan.h
@@ -37,7 +37,8 @@
     const config::Catalogue &catalogue;
     std::optional<InFlight> parent; ///< Of the request's context token.
     std::function<bool(const core::Digest &)> isKeyWithdrawn;
-    core::Duration sinceOutsideContact{}; ///< Since the log or another data centre was heard.
+    core::Duration configurationAge{}; ///< Since the catalogue was known to be the newest one.
+    std::function<core::ServiceId(const config::Route &)> chooseService; ///< Among the services of a route.
 };
 
 /**
--- a/src/node/endpoint_api.h
+++ b/include/berylspring/node/endpoint_api.h
@@ -1,19 +1,18 @@
 #pragma once
 
 #include "berylspring/http/endpoint_announcement.h"
-#include "berylspring/http/server.h"
+#include "berylspring/http/messages.h"
 
 #include <functional>
+#include <string>
 
-#include <boost/asio/awaitable.hpp>
+namespace berylspring::node {
 
-namespace berylspring::node::detail {
-
-/** @brief What the endpoint interface passes on. */
+/** @brief What the endpoint port changes. */
 struct EndpointApiHooks
 {
-    std::function<void(const http::EndpointAnnouncement &)> announce;
-    std::function<void()> drain;
+    std::function<void(const http::EndpointHeartbeat &)> heartbeat;
+    std::function<void(const std::string &id)> leave; ///< The endpoint takes no new work; an empty id names any.
     std::function<void(const http::LoadReport &)> reportLoad;
 };
 
--- a/include/berylspring/node/entry.h
+++ b/include/berylspring/node/entry.h
@@ -5,6 +5,7 @@
 #include "berylspring/http/caller_request.h"
 #include "berylspring/node/call_plan.h"
 #include "berylspring/node/in_flight_table.h"
+#include "berylspring/routing/traffic_splitter.h"
 #include "berylspring/telemetry/metrics.h"
 #include "berylspring/telemetry/span.h"
 #include "berylspring/wire/messages.h"
@@ -22,7 +23,7 @@
 {
     std::function<std::shared_ptr<const config::Catalogue>()> catalogue; ///< Null while the node is not ready.
     std::function<bool(const core::Digest &)> isKeyWithdrawn;
-    std::function<core::Duration()> sinceOutsideContact;
+    std::function<core::Duration()> configurationAge;
     std::function<boost::asio::awaitable<tl::expected<void, core::Refusal>>(core::WorkspaceId)> admit; ///< Rate limit.
     std::function<boost::asio::awaitable<wire::CallResponse>(wire::CallRequest)> dispatch;
     std::function<boost::asio::awaitable<wire::CallResponse>(wire::CallRequest)> runOnce; ///< By the home of its name.
@@ -45,15 +46,18 @@
     run(http::CallerRequest request, telemetry::TraceContext trace, core::PriorityLevel &priority);
     [[nodiscard]] boost::asio::awaitable<wire::CallResponse>
     forward(wire::CallRequest call, http::CallerRequest request, CallPlan plan);
-    [[nodiscard]] tl::expected<CallPlan, core::Refusal> plan(const http::CallerRequest &request,
-                                                             core::TimePoint now) const;
+    [[nodiscard]] tl::expected<CallPlan, core::Refusal> plan(const http::CallerRequest &request, core::TimePoint now);
     [[nodiscard]] telemetry::TraceContext traceOf(const http::CallerRequest &request) const;
-    void finish(const wire::CallResponse &response, core::PriorityLevel priority, core::Duration time);
+    void finish(const http::CallerRequest &request,
+                const wire::CallResponse &response,
+                core::PriorityLevel priority,
+                core::Duration time);
 
     InFlightTable &m_inFlight;
     telemetry::Metrics &m_metrics;
     double m_sampleRatio;
     EntryHooks m_hooks;
+    routing::TrafficSplitter m_splitter;
 };
 
 }
--- a/include/berylspring/node/local_endpoint.h
+++ b/include/berylspring/node/local_endpoint.h
@@ -5,6 +5,7 @@
 #include "berylspring/http/client.h"
 #include "berylspring/http/endpoint_announcement.h"
 #include "berylspring/node/in_flight_table.h"
+#include "berylspring/node/protocols.h"
 #include "berylspring/telemetry/span.h"
 #include "berylspring/wire/datagrams.h"
 
@@ -25,15 +26,27 @@
     /** An endpoint that does not renew its announcement for this time is taken to be gone. */
     static constexpr core::Duration AnnouncementLifetime = std::chrono::seconds(5);
 
+    /** @brief What a heartbeat told. */
+    enum class Heartbeat {
+        Renewed, ///< Nothing new.
+        Draining, ///< The endpoint takes no new work from now on.
+        Started, ///< Another endpoint, or another start of the same one.
+        Stale, ///< Sent before one that was taken already; ignored.
+    };
+
     LocalEndpoint(boost::asio::any_io_executor executor,
                   std::uint64_t maxBodyBytes,
+                  const Protocols &protocols,
                   InFlightTable &inFlight,
                   core::RandomSource random,
                   telemetry::SpanSink spans);
 
-    /** @return Whether it changes the endpoint rather than renewing the announcement. */
-    bool announce(const http::EndpointAnnouncement &announcement, core::TimePoint now);
+    Heartbeat heartbeat(const http::EndpointHeartbeat &heartbeat, core::TimePoint now);
+    /** @brief The endpoint leaves: it takes no new work, and later heartbeats of the same start do not bring it back.
+     */
     void drain();
+    /** @return Whether the endpoint has this id; an empty id fits any. */
+    [[nodiscard]] bool isNamed(const std::string &id) const;
     void reportLoad(const http::LoadReport &report);
     /** @return Slots as announced and not expired; 0 without an endpoint. */
     [[nodiscard]] std::uint32_t slots(core::TimePoint now) const;
@@ -50,14 +63,25 @@
     {
         http::EndpointAnnouncement announcement;
         core::TimePoint renewedAt;
+        std::uint64_t sequence = 0;
         bool isDraining = false;
         std::uint32_t reportedRunning = 0;
         std::shared_ptr<http::Client> client;
     };
-    [[nodiscard]] std::shared_ptr<http::Client> client() const;
+    /** @brief The endpoint to send to, as it is now. */
+    struct Target
+    {
+        std::string id;
+        std::shared_ptr<http::Client> client;
+    };
+    [[nodiscard]] Target target() const;
+    [[nodiscard]] Known known(const http::EndpointHeartbeat &heartbeat, core::TimePoint now) const;
+    [[nodiscard]] boost::asio::awaitable<admission::EndpointResult>
+    failedCall(const wire::CallRequest &request, const http::Error &error, const Target &target) const;
 
     boost::asio::any_io_executor m_executor;
     std::uint64_t m_maxBodyBytes;
+    const Protocols &m_protocols;
     InFlightTable &m_inFlight;
     core::RandomSource m_random;
     telemetry::SpanSink m_spans;
--- a/include/berylspring/node/node.h
+++ b/include/berylspring/node/node.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "berylspring/node/error.h"
+#include "berylspring/node/protocols.h"
 #include "berylspring/node/settings.h"
 
 #include <cstdint>
@@ -25,7 +26,7 @@
 class Node
 {
 public:
-    Node(boost::asio::any_io_executor executor, Settings settings);
+    Node(boost::asio::any_io_executor executor, Settings settings, Protocols protocols = ownProtocols());
     ~Node();
     Node(const Node &) = delete;
     Node &operator=(const Node &) = delete;
--- a/include/berylspring/node/settings.h
+++ b/include/berylspring/node/settings.h
@@ -13,12 +13,19 @@
 
 namespace berylspring::node {
 
+/** @brief Whose protocols a node speaks with callers, endpoints and the log. */
+enum class LogKind {
+    Own, ///< The product's own.
+    Store, ///< Those of the users' platform.
+};
+
 /** @brief All settings of a daemon, checked. docs/settings.md lists their names and ranges. */
 struct SettingsFields
 {
     core::HostId host;
     core::DataCentreId dataCentre;
     std::string address; ///< IP number that all ports are bound to and that peers use.
+    core::ServiceId service; ///< Of the endpoint on this host; empty: not told before it announces itself.
     std::uint32_t threads = 2;
 
     std::uint16_t callerPort = 0; ///< 0: a free port.
@@ -32,12 +39,19 @@
     core::Digest operatorTokenDigest;
     std::string logAddress; ///< Platform log, "IP:PORT".
     core::Duration snapshotInterval{};
+    LogKind logKind = LogKind::Own;
+    core::Duration logPoll{}; ///< Longest wait of a reader's poll for records.
+    core::Duration proofRefresh{}; ///< Age of the proof of the configuration at which a peer is asked; 0: never.
+    core::Duration proofFallback{}; ///< Age at which the node reads the log itself; 0: never.
+    std::uint32_t readersPerDataCentre = 3; ///< Nodes of a data centre that follow the log.
+    core::Duration keyStaleness{}; ///< Age of the configuration up to which keys are accepted; 0: set by workspaces.
 
     std::uint32_t maxHeaderBytes = 0;
     std::uint32_t maxBodyBytes = 0;
     std::uint32_t maxFrameBytes = 0;
     core::Duration maxLimitHold{}; ///< How long a request may wait for tokens.
     core::Duration stopTimeout{}; ///< Longest planned stop.
+    core::Duration stopLinger{}; ///< Time of a planned stop in which new requests are still taken.
 
     std::string otlpAddress; ///< Collector "IP:PORT"; empty: none.
     std::string spanFile; ///< JSON lines; empty: none.
--- a/include/berylspring/telemetry/log.h
+++ b/include/berylspring/telemetry/log.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "berylspring/core/time.h"
+
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -25,7 +27,7 @@
 };
 
 /**
- * @brief Starts logging to standard error, one JSON object a line.
+ * @brief Starts logging to standard output, one JSON object a line.
  * @param host Value of the member "host" of each line.
  * @param lowest Lines below are dropped.
  */
@@ -34,6 +36,16 @@
 /** @return The severity named "debug", "info", "warning" or "error", or nothing. */
 [[nodiscard]] std::optional<Severity> severityFromString(std::string_view text) noexcept;
 
+/**
+ * @brief As log() with severity Info, for lines about single requests: at most DecisionsPerSecond on average.
+ *
+ * Lines beyond that are dropped and counted; the next line that is written tells their number in `dropped`.
+ */
+void logDecision(std::string_view message, std::vector<LogField> fields, core::TimePoint now);
+
+/** @brief Lines about single requests that a process writes per second; the burst is as large. */
+inline constexpr double DecisionsPerSecond = 50;
+
 /**
  * @brief Writes one line with the members time, severity, host, message and the given fields.
  */
--- a/include/berylspring/wire/messages.h
+++ b/include/berylspring/wire/messages.h
@@ -42,6 +42,7 @@
     std::uint32_t retryAllowance = 0;
     std::string traceParent; ///< W3C traceparent of the sending span.
     std::string claimName; ///< Name of a non-idempotent request, else empty.
+    std::string requestId; ///< Identifies the caller's attempt in logs; may be empty.
     [[nodiscard]] bool operator==(const CallRequestFields &) const = default;
 };
 using CallRequest = core::Immutable<CallRequestFields>;
@@ -223,6 +224,8 @@
     std::optional<std::string> snapshot; ///< Catalogue as JSON when the records asked for are gone.
     core::Offset next = 0; ///< First offset that neither snapshot nor records contain.
     std::vector<LogEntry> records;
+    /** Time since the sender's records were known to be all that the log had, when the message was made. */
+    std::optional<core::Duration> proofAge;
     [[nodiscard]] bool operator==(const RecordBatchFields &) const = default;
 };
 using RecordBatch = core::Immutable<RecordBatchFields>;
--- a/src/config/catalogue.cpp
+++ b/src/config/catalogue.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cctype>
 #include <utility>
 
 namespace berylspring::config {
@@ -115,7 +116,7 @@
     return valueOf<Key>(m_tables->byName[static_cast<std::size_t>(ResourceType::Key)].find(name));
 }
 
-const Route *Catalogue::findRoute(std::string_view path) const
+const Route *Catalogue::findRoute(std::string_view host, std::string_view path) const
 {
     path = path.substr(0, path.find_first_of("?#"));
     std::string buffer;
@@ -137,13 +138,21 @@
     if (path.size() > 1 && path.back() == '/') {
         path.remove_suffix(1);
     }
+    std::string name(host.substr(0, host.find(':')));
+    std::transform(name.begin(), name.end(), name.begin(), [](unsigned char c) { return std::tolower(c); });
+    const Route *route = name.empty() ? nullptr : findRouteOfHost(name, path);
+    return route != nullptr ? route : findRouteOfHost({}, path);
+}
+
+const Route *Catalogue::findRouteOfHost(std::string_view host, std::string_view path) const
+{
     while (!path.empty() && path != "/") {
-        if (const StoredPtr *stored = m_tables->routesByPrefix.find(path)) {
+        if (const StoredPtr *stored = m_tables->routesByPrefix.find(detail::routeKey(host, path))) {
             return valueOf<Route>(stored);
         }
         path = path.substr(0, path.rfind('/'));
     }
-    return valueOf<Route>(m_tables->routesByPrefix.find(std::string_view("/")));
+    return valueOf<Route>(m_tables->routesByPrefix.find(detail::routeKey(host, "/")));
 }
 
 std::optional<ResourceView> Catalogue::resource(ResourceType type, std::string_view name) const
--- a/src/config/catalogue_tables.cpp
+++ b/src/config/catalogue_tables.cpp
@@ -38,8 +38,11 @@
         tables.limitsByWorkspace = tables.limitsByWorkspace.with(workspace, std::move(limits));
         tables.workspaceUses = increased(tables.workspaceUses, workspace);
     } else if (const auto *route = std::get_if<Route>(&stored->resource)) {
-        tables.routesByPrefix = tables.routesByPrefix.with((*route)->prefix, stored);
+        tables.routesByPrefix = tables.routesByPrefix.with(routeKey((*route)->host, (*route)->prefix), stored);
         tables.priorityUses = increased(tables.priorityUses, (*route)->priority.value());
+    } else if (const auto *workspace = std::get_if<Workspace>(&stored->resource);
+               workspace != nullptr && !(*workspace)->priority.isEmpty()) {
+        tables.priorityUses = increased(tables.priorityUses, (*workspace)->priority.value());
     }
 }
 
@@ -57,8 +60,11 @@
                                                   : tables.limitsByWorkspace.with(workspace, std::move(limits));
         tables.workspaceUses = decreased(tables.workspaceUses, workspace);
     } else if (const auto *route = std::get_if<Route>(&stored->resource)) {
-        tables.routesByPrefix = tables.routesByPrefix.without((*route)->prefix);
+        tables.routesByPrefix = tables.routesByPrefix.without(routeKey((*route)->host, (*route)->prefix));
         tables.priorityUses = decreased(tables.priorityUses, (*route)->priority.value());
+    } else if (const auto *workspace = std::get_if<Workspace>(&stored->resource);
+               workspace != nullptr && !(*workspace)->priority.isEmpty()) {
+        tables.priorityUses = decreased(tables.priorityUses, (*workspace)->priority.value());
     }
 }
 
@@ -82,14 +88,19 @@
     return hasWorkspace(tables, key->workspace) ? VoidReason::None : VoidReason::MissingReference;
 }
 
+VoidReason obstacleToPriority(const CatalogueTables &tables, const PriorityId &priority)
+{
+    const bool hasPriority = tables.find(ResourceType::Priority, priority.value()) != nullptr;
+    return hasPriority ? VoidReason::None : VoidReason::MissingReference;
+}
+
 VoidReason obstacleToRoute(const CatalogueTables &tables, const Route &route, const StoredPtr &current)
 {
-    const StoredPtr *holder = tables.routesByPrefix.find(route->prefix);
+    const StoredPtr *holder = tables.routesByPrefix.find(routeKey(route->host, route->prefix));
     if (holder != nullptr && *holder != current) {
         return VoidReason::PrefixInUse;
     }
-    const bool hasPriority = tables.find(ResourceType::Priority, route->priority.value()) != nullptr;
-    return hasPriority ? VoidReason::None : VoidReason::MissingReference;
+    return obstacleToPriority(tables, route->priority);
 }
 
 VoidReason obstacleToPut(const CatalogueTables &tables, const Resource &resource, const StoredPtr &current)
@@ -103,6 +114,9 @@
     if (const auto *route = std::get_if<Route>(&resource)) {
         return obstacleToRoute(tables, *route, current);
     }
+    if (const auto *workspace = std::get_if<Workspace>(&resource)) {
+        return (*workspace)->priority.isEmpty() ? VoidReason::None : obstacleToPriority(tables, (*workspace)->priority);
+    }
     return VoidReason::None;
 }
 
@@ -181,6 +195,29 @@
     return {tables.withoutResource(record->type, record->name), Verdict::Accepted, VoidReason::None};
 }
 
+/** Withdrawn keys stay withdrawn: nodes may have refused them since. */
+RecordEffect effectOfReplacement(const CatalogueTables &tables, core::Offset offset, const LogRecord &record)
+{
+    CatalogueTables next;
+    next.withdrawn = tables.withdrawn;
+    next.operations = tables.operations;
+    for (const Resource &resource : record->resources) {
+        const VoidReason obstacle = obstacleToPut(next, resource, next.find(typeOf(resource), nameOf(resource)));
+        if (obstacle != VoidReason::None) {
+            return {tables, Verdict::Void, obstacle};
+        }
+        next = next.withStored(std::make_shared<const Stored>(Stored{resource, offset}));
+    }
+    return {next, Verdict::Accepted, VoidReason::None};
+}
+
+}
+
+std::string routeKey(std::string_view host, std::string_view prefix)
+{
+    std::string key;
+    key.reserve(host.size() + prefix.size());
+    return key.append(host).append(prefix);
 }
 
 StoredPtr CatalogueTables::find(ResourceType type, std::string_view name) const
@@ -232,7 +269,15 @@
 
 RecordEffect effectOf(const CatalogueTables &tables, core::Offset offset, const LogRecord &record)
 {
-    return record->kind == RecordKind::Put ? effectOfPut(tables, offset, record) : effectOfDelete(tables, record);
+    switch (record->kind) {
+    case RecordKind::Put:
+        return effectOfPut(tables, offset, record);
+    case RecordKind::Replace:
+        return effectOfReplacement(tables, offset, record);
+    case RecordKind::Delete:
+        break;
+    }
+    return effectOfDelete(tables, record);
 }
 
 }
--- a/src/config/catalogue_tables.h
+++ b/src/config/catalogue_tables.h
@@ -21,6 +21,9 @@
 };
 using StoredPtr = std::shared_ptr<const Stored>;
 
+/** @return Key of a route in the index by host and prefix; a host has no slash and a prefix begins with one. */
+[[nodiscard]] std::string routeKey(std::string_view host, std::string_view prefix);
+
 /** @brief Contents of a catalogue and the indexes over them; a value that is copied and changed by functions. */
 struct CatalogueTables
 {
@@ -28,9 +31,9 @@
     PersistentMap<core::Digest, StoredPtr> keysByDigest;
     PersistentMap<core::Digest, bool> withdrawn;
     PersistentMap<std::string, std::vector<StoredPtr>> limitsByWorkspace; ///< By ascending version.
-    PersistentMap<std::string, StoredPtr> routesByPrefix;
+    PersistentMap<std::string, StoredPtr> routesByPrefix; ///< By routeKey().
     PersistentMap<std::string, std::uint32_t> workspaceUses; ///< Number of keys and limits.
-    PersistentMap<std::string, std::uint32_t> priorityUses; ///< Number of routes.
+    PersistentMap<std::string, std::uint32_t> priorityUses; ///< Number of routes and workspaces.
     PersistentMap<std::string, OperationResult> operations;
 
     [[nodiscard]] StoredPtr find(ResourceType type, std::string_view name) const;
--- a/src/config/config_service.cpp
+++ b/src/config/config_service.cpp
@@ -60,6 +60,11 @@
     return detail::ServiceCore::handle(m_core, std::move(from), std::move(message));
 }
 
+std::optional<core::TimePoint> ConfigService::provenAt() const
+{
+    return m_core->context()->provenAt();
+}
+
 std::optional<core::TimePoint> ConfigService::lastLogContact() const
 {
     return m_core->context()->lastLogContact();
--- a/src/config/log_follower.cpp
+++ b/src/config/log_follower.cpp
@@ -19,7 +19,7 @@
     for (;;) {
         auto page = co_await context->hooks().log.read(
             context->settings().snapshotStream, self->m_next, SnapshotPageRecords, core::Duration::zero());
-        if (!page && page.error().code() == platform::ErrorCode::Expired
+        if (!page && page.error().code() == eventlog::ErrorCode::Expired
             && page.error().first().value_or(0) > self->m_next) {
             self->m_next = *page.error().first();
             continue;
@@ -27,7 +27,7 @@
         if (!page) {
             co_return false;
         }
-        for (const platform::LogEntry &entry : (*page)->records) {
+        for (const eventlog::LogEntry &entry : (*page)->records) {
             self->m_assembler.add(entry.data);
             self->m_next = entry.offset + 1;
         }
@@ -48,13 +48,14 @@
         }
         self->m_mustCheckContinuity = false;
     }
+    const core::TimePoint sentAt = context->now();
     const auto page = co_await context->hooks().log.read(
         context->settings().configStream, from, context->settings().pageRecords, wait);
     if (page) {
         context->noteLogContact();
-        co_return self->foldPage(from, *page);
+        co_return self->foldPage(from, *page, sentAt);
     }
-    if (page.error().code() == platform::ErrorCode::Expired) {
+    if (page.error().code() == eventlog::ErrorCode::Expired) {
         context->noteLogContact();
         co_return co_await onExpired(self);
     }
@@ -64,7 +65,7 @@
     co_return SyncState::Failed;
 }
 
-SyncState LogFollower::foldPage(core::Offset from, const platform::LogPage &page)
+SyncState LogFollower::foldPage(core::Offset from, const eventlog::LogPage &page, core::TimePoint sentAt)
 {
     if (page->records.empty() && page->next < from) {
         m_mustCheckContinuity = true;
@@ -75,13 +76,15 @@
     }
     std::vector<wire::LogEntry> entries;
     entries.reserve(page->records.size());
-    for (const platform::LogEntry &entry : page->records) {
+    for (const eventlog::LogEntry &entry : page->records) {
         entries.push_back({entry.offset, entry.data});
     }
-    const bool isLast = entries.size() < m_context->settings().pageRecords;
+    const bool isLast = page->reachesEnd.value_or(entries.size() < m_context->settings().pageRecords);
     const StoreChange change = m_context->store().fold(from, std::move(entries));
     if (isLast) {
         m_context->noteUpToDate();
+        // The log answered after the read was sent, so it cannot have ended earlier; the answer may have been delayed.
+        m_context->noteProof(sentAt);
     }
     m_context->announce(change);
     m_reported = SyncState::UpToDate;
@@ -122,7 +125,7 @@
     const auto page =
         co_await context->hooks().log.read(context->settings().configStream, from - 1, 1, core::Duration::zero());
     if (!page) {
-        const bool isExpired = page.error().code() == platform::ErrorCode::Expired;
+        const bool isExpired = page.error().code() == eventlog::ErrorCode::Expired;
         co_return isExpired ? SyncState::UpToDate : SyncState::Failed;
     }
     const auto &records = (*page)->records;
--- a/src/config/log_follower.h
+++ b/src/config/log_follower.h
@@ -60,7 +60,7 @@
     static boost::asio::awaitable<SyncState> onExpired(std::shared_ptr<LogFollower> self);
     /** @return UpToDate if the log still has the last record that was folded, else WentBack or Failed. */
     static boost::asio::awaitable<SyncState> checkContinuity(std::shared_ptr<LogFollower> self, core::Offset from);
-    SyncState foldPage(core::Offset from, const platform::LogPage &page);
+    SyncState foldPage(core::Offset from, const eventlog::LogPage &page, core::TimePoint sentAt);
     void reportOnce(SyncState state, const std::string &text);
 
     ContextPtr m_context;
--- a/src/config/peer_sync.cpp
+++ b/src/config/peer_sync.cpp
@@ -61,6 +61,11 @@
     co_await pull(self, peer, std::numeric_limits<core::Offset>::max());
 }
 
+asio::awaitable<void> PeerSync::refreshFrom(std::shared_ptr<PeerSync> self, core::HostId peer)
+{
+    co_await pullOnce(self, std::move(peer));
+}
+
 asio::awaitable<void> PeerSync::run(std::shared_ptr<PeerSync> self, Target target)
 {
     while (self->m_context->store().appliedOffset() < target.offset) {
@@ -81,15 +86,16 @@
     const core::Offset from = context->store().appliedOffset();
     const wire::RecordPullFields fields{from, context->settings().pageRecords};
     wire::Message message = wire::RecordPull(fields);
+    const core::TimePoint askedAt = context->now();
     const auto answer = co_await context->hooks().call(peer, std::move(message), context->settings().peerTimeout);
     if (!answer) {
         co_return Pulled::Failed;
     }
     const auto *batch = std::get_if<wire::RecordBatch>(&*answer);
-    co_return batch == nullptr ? Pulled::Failed : self->take(from, *batch);
+    co_return batch == nullptr ? Pulled::Failed : self->take(from, *batch, askedAt);
 }
 
-PeerSync::Pulled PeerSync::take(core::Offset from, const wire::RecordBatch &batch)
+PeerSync::Pulled PeerSync::take(core::Offset from, const wire::RecordBatch &batch, core::TimePoint askedAt)
 {
     StoreChange change;
     if (batch->snapshot) {
@@ -102,6 +108,10 @@
     } else {
         change = m_context->store().fold(from, batch->records);
     }
+    if (batch->proofAge && m_context->store().appliedOffset() >= batch->next) {
+        // The peer made its answer after it was asked, so its proof is at most that much older than the question.
+        m_context->noteProof(askedAt - *batch->proofAge);
+    }
     m_context->announce(change);
     return change.hasAdvanced ? Pulled::Advanced : Pulled::NothingNew;
 }
--- a/src/config/peer_sync.h
+++ b/src/config/peer_sync.h
@@ -20,6 +20,9 @@
     /** @brief Pulls until the offset is applied or the peer has no more; see ConfigService::pullFrom(). */
     static boost::asio::awaitable<void> pull(std::shared_ptr<PeerSync> self, core::HostId peer, core::Offset offset);
 
+    /** @brief Asks one peer for records and for its proof that they are the newest. */
+    static boost::asio::awaitable<void> refreshFrom(std::shared_ptr<PeerSync> self, core::HostId peer);
+
     /** @brief Pulls all that a random peer has. */
     static boost::asio::awaitable<void> pullFromAny(std::shared_ptr<PeerSync> self);
 
@@ -42,7 +45,7 @@
     std::optional<Target> takeNext();
     static boost::asio::awaitable<void> run(std::shared_ptr<PeerSync> self, Target target);
     static boost::asio::awaitable<Pulled> pullOnce(std::shared_ptr<PeerSync> self, core::HostId peer);
-    Pulled take(core::Offset from, const wire::RecordBatch &batch);
+    Pulled take(core::Offset from, const wire::RecordBatch &batch, core::TimePoint askedAt);
 
     ContextPtr m_context;
     std::mutex m_mutex;
--- a/src/config/resource.cpp
+++ b/src/config/resource.cpp
@@ -24,6 +24,8 @@
 /** Shorter bursts cannot be granted in batches; see section 6.3 of the design. */
 constexpr double LeastBurstSeconds = 0.010;
 constexpr std::uint64_t MostStalenessSeconds = 7ULL * 24 * 3600;
+constexpr std::uint64_t MostShareWeight = 1'000'000;
+constexpr std::size_t MaxHostLength = 253;
 constexpr std::uint64_t MostTimeoutMs = 600'000;
 constexpr std::uint64_t MostRetries = 10;
 constexpr std::size_t MaxMethodLength = 20;
@@ -48,6 +50,9 @@
     const auto limit = std::chrono::duration_cast<std::chrono::seconds>(defaults.stalenessLimit).count();
     fields.stalenessLimit = durationOf<std::chrono::seconds>(
         reader.integer("staleness_limit_s", 1, MostStalenessSeconds, static_cast<std::uint64_t>(limit)));
+    if (reader.contains("priority")) {
+        fields.priority = PriorityId(reader.name("priority"));
+    }
     return Workspace(std::move(fields));
 }
 
@@ -107,6 +112,41 @@
     return methods;
 }
 
+bool isHost(std::string_view text)
+{
+    return text.size() <= MaxHostLength && std::all_of(text.begin(), text.end(), [](char c) {
+               return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-' || c == '.';
+           });
+}
+
+/** Reads `service`, or `split` as a list of `{service, weight}`. */
+std::vector<ServiceShare> parseServices(JsonReader &reader)
+{
+    if (!reader.contains("split")) {
+        return {{core::ServiceId(reader.name("service")), 1}};
+    }
+    std::vector<ServiceShare> shares;
+    std::uint64_t sum = 0;
+    const json::array *split = reader.array("split");
+    for (std::size_t i = 0; split != nullptr && i < split->size(); ++i) {
+        static const json::object empty;
+        const json::object *part = (*split)[i].if_object();
+        JsonReader member(part == nullptr ? empty : *part);
+        core::ServiceId service(member.name("service"));
+        const auto weight = static_cast<std::uint32_t>(member.integer("weight", 0, MostShareWeight));
+        if (member.finish()) {
+            sum = 0;
+            break;
+        }
+        shares.push_back({std::move(service), weight});
+        sum += weight;
+    }
+    if (sum == 0) {
+        reader.fail("split", "a list of objects with service and weight, one weight at least above 0");
+    }
+    return shares;
+}
+
 Route parseRoute(JsonReader &reader, std::string name)
 {
     const RouteFields defaults;
@@ -116,12 +156,24 @@
     if (!detail::isValidPrefix(fields.prefix)) {
         reader.fail("prefix", "\"/\" or a path of up to 256 characters without empty or dot segments and final slash");
     }
-    fields.service = core::ServiceId(reader.name("service"));
+    if (reader.contains("host")) {
+        fields.host = reader.text("host");
+        if (!isHost(fields.host)) {
+            reader.fail("host", "a host name of a-z, 0-9, '-' and '.' without a port");
+        }
+    }
+    fields.services = parseServices(reader);
     fields.priority = PriorityId(reader.name("priority"));
     fields.isOpen = reader.boolean("is_open", defaults.isOpen);
+    fields.isInternal = reader.boolean("is_internal", defaults.isInternal);
     const auto timeout = std::chrono::duration_cast<std::chrono::milliseconds>(defaults.timeout).count();
     fields.timeout = durationOf<std::chrono::milliseconds>(
         reader.integer("timeout_ms", 1, MostTimeoutMs, static_cast<std::uint64_t>(timeout)));
+    fields.targetLatency =
+        durationOf<std::chrono::milliseconds>(reader.integer("target_latency_ms", 0, MostTimeoutMs, 0));
+    if (reader.contains("is_safe")) {
+        fields.isSafe = reader.boolean("is_safe");
+    }
     fields.retries = static_cast<std::uint32_t>(reader.integer("retries", 0, MostRetries, defaults.retries));
     fields.idempotency = parseIdempotency(reader);
     return Route(std::move(fields));
@@ -152,10 +204,14 @@
 
 json::object members(const Workspace &workspace)
 {
-    return {{"name", workspace->name.value()},
-            {"weight", workspace->weight},
-            {"staleness", workspace->staleness == Staleness::Refuse ? "refuse" : "serve"},
-            {"staleness_limit_s", countOf<std::chrono::seconds>(workspace->stalenessLimit)}};
+    json::object object{{"name", workspace->name.value()},
+                        {"weight", workspace->weight},
+                        {"staleness", workspace->staleness == Staleness::Refuse ? "refuse" : "serve"},
+                        {"staleness_limit_s", countOf<std::chrono::seconds>(workspace->stalenessLimit)}};
+    if (!workspace->priority.isEmpty()) {
+        object.emplace("priority", workspace->priority.value());
+    }
+    return object;
 }
 
 json::object members(const Key &key)
@@ -182,14 +238,31 @@
     for (const auto &[method, isIdempotent] : route->idempotency) {
         methods.emplace(method, isIdempotent);
     }
-    return {{"name", route->name.value()},
-            {"prefix", route->prefix},
-            {"service", route->service.value()},
-            {"priority", route->priority.value()},
-            {"is_open", route->isOpen},
-            {"timeout_ms", countOf<std::chrono::milliseconds>(route->timeout)},
-            {"retries", route->retries},
-            {"idempotency", std::move(methods)}};
+    json::object object{{"name", route->name.value()},
+                        {"prefix", route->prefix},
+                        {"priority", route->priority.value()},
+                        {"is_open", route->isOpen},
+                        {"is_internal", route->isInternal},
+                        {"timeout_ms", countOf<std::chrono::milliseconds>(route->timeout)},
+                        {"target_latency_ms", countOf<std::chrono::milliseconds>(route->targetLatency)},
+                        {"retries", route->retries},
+                        {"idempotency", std::move(methods)}};
+    if (!route->host.empty()) {
+        object.emplace("host", route->host);
+    }
+    if (route->isSafe) {
+        object.emplace("is_safe", *route->isSafe);
+    }
+    if (route->services.size() == 1) {
+        object.emplace("service", route->services.front().service.value());
+        return object;
+    }
+    json::array split;
+    for (const ServiceShare &share : route->services) {
+        split.push_back(json::object{{"service", share.service.value()}, {"weight", share.weight}});
+    }
+    object.emplace("split", std::move(split));
+    return object;
 }
 
 }
@@ -259,6 +332,9 @@
     if (found != route->idempotency.end()) {
         return found->second;
     }
+    if (route->isSafe) {
+        return *route->isSafe;
+    }
     constexpr std::array<std::string_view, 6> IdempotentMethods{"GET", "HEAD", "OPTIONS", "PUT", "DELETE", "TRACE"};
     return std::find(IdempotentMethods.begin(), IdempotentMethods.end(), method) != IdempotentMethods.end();
 }
--- a/src/config/service_context.cpp
+++ b/src/config/service_context.cpp
@@ -1,5 +1,6 @@
 #include "config/service_context.h"
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 
@@ -25,6 +26,24 @@
     return m_lastLogContact;
 }
 
+void ServiceContext::noteProof(core::TimePoint at)
+{
+    const std::scoped_lock lock(m_timesMutex);
+    m_provenAt = m_provenAt ? std::max(*m_provenAt, at) : at;
+}
+
+std::optional<core::TimePoint> ServiceContext::provenAt() const
+{
+    const std::scoped_lock lock(m_timesMutex);
+    return m_provenAt;
+}
+
+core::Duration ServiceContext::proofAge(core::TimePoint now) const
+{
+    const auto at = provenAt();
+    return at ? now - *at : core::Duration::max();
+}
+
 std::optional<core::TimePoint> ServiceContext::lastNews() const
 {
     const std::scoped_lock lock(m_timesMutex);
--- a/src/config/service_context.h
+++ b/src/config/service_context.h
@@ -70,6 +70,12 @@
 
     void noteLogContact();
     [[nodiscard]] std::optional<core::TimePoint> lastLogContact() const;
+    /** @brief The store holds all records that the log had at a time; an earlier time than the known one is ignored. */
+    void noteProof(core::TimePoint at);
+    [[nodiscard]] std::optional<core::TimePoint> provenAt() const;
+    /** @return Age of the newest proof; the maximum before the first. */
+    [[nodiscard]] core::Duration proofAge(core::TimePoint now) const;
+
     /** @return When the log answered or a peer's records came. */
     [[nodiscard]] std::optional<core::TimePoint> lastNews() const;
 
@@ -92,6 +98,7 @@
     mutable std::mutex m_timesMutex;
     std::optional<core::TimePoint> m_lastLogContact;
     std::optional<core::TimePoint> m_lastNews;
+    std::optional<core::TimePoint> m_provenAt;
 };
 using ContextPtr = std::shared_ptr<ServiceContext>;
 
--- a/src/config/service_core.cpp
+++ b/src/config/service_core.cpp
@@ -46,6 +46,9 @@
 void ServiceCore::start(const std::shared_ptr<ServiceCore> &self)
 {
     self->startLoop([self] { return followStep(self); });
+    if (!self->m_context->settings().isLogWritable) {
+        return;
+    }
     self->startLoop([withdrawals = self->m_withdrawals] { return Withdrawals::step(withdrawals); });
     const auto snapshots = std::make_shared<SnapshotWriter>(self->m_context);
     self->startLoop([snapshots] { return SnapshotWriter::step(snapshots); });
@@ -101,6 +104,18 @@
     }
 }
 
+asio::awaitable<void> ServiceCore::refreshProof(std::shared_ptr<ServiceCore> self)
+{
+    const ContextPtr context = self->m_context;
+    if (context->proofAge(context->now()) < context->settings().proofRefresh) {
+        co_return;
+    }
+    const auto reader = context->hooks().reader ? context->hooks().reader() : std::nullopt;
+    if (reader) {
+        co_await PeerSync::refreshFrom(self->m_peerSync, *reader);
+    }
+}
+
 asio::awaitable<core::Duration> ServiceCore::followStep(std::shared_ptr<ServiceCore> self)
 {
     const ContextPtr context = self->m_context;
@@ -108,13 +123,22 @@
     if (context->store().appliedOffset() == 0) {
         co_await bootstrap(self);
     }
-    const bool isFollowing = context->hooks().isReader() || !context->isReady();
-    const auto lastNews = context->lastNews();
+    const bool mustProve = settings.proofFallback > core::Duration::zero();
+    const bool isReader = context->hooks().isReader();
+    if (mustProve && !isReader && context->isReady()) {
+        co_await refreshProof(self);
+    }
     const core::TimePoint start = context->now();
+    const bool isProofOld = mustProve && context->proofAge(start) >= settings.proofFallback;
+    const bool isFollowing = isReader || !context->isReady() || isProofOld;
+    const auto lastNews = context->lastNews();
+    if (mustProve && !isFollowing) {
+        co_return settings.roleCheck;
+    }
     if (!isFollowing && lastNews && start - *lastNews < self->m_slowPoll) {
         co_return settings.roleCheck;
     }
-    const core::Duration wait = isFollowing ? settings.longPoll : core::Duration::zero();
+    const core::Duration wait = isFollowing && !isProofOld ? settings.longPoll : core::Duration::zero();
     const SyncState state = co_await LogFollower::sync(self->m_follower, wait);
     if (state == SyncState::Advanced) {
         self->m_failures = 0;
@@ -126,10 +150,11 @@
         const bool hasWaited = context->now() - start >= wait / 4;
         co_return isFollowing &&hasWaited ? core::Duration::zero() : settings.retryDelay;
     }
-    if (state != SyncState::Failed || !context->isReady()) {
+    if (state != SyncState::Failed || !context->isReady() || mustProve) {
         co_await PeerSync::pullFromAny(self->m_peerSync);
     }
-    co_return self->backOff();
+    // A proof has to be found again before it is too old, so the pause does not grow.
+    co_return mustProve ? context->jittered(settings.retryDelay) : self->backOff();
 }
 
 asio::awaitable<Result<WriteOutcome>> ServiceCore::put(std::shared_ptr<ServiceCore> self,
@@ -215,7 +240,14 @@
         co_return wire::Message(wire::Refused(wire::RefusedFields{"no configuration yet"}));
     }
     Withdrawals::inform(self->m_withdrawals, from);
-    co_return wire::Message(self->m_context->store().batchFrom((*pull)->from, (*pull)->limit));
+    // Read before the records, which then hold all that the proof is about.
+    const auto provenAt = self->m_context->provenAt();
+    wire::RecordBatch batch = self->m_context->store().batchFrom((*pull)->from, (*pull)->limit);
+    if (provenAt) {
+        const std::optional<core::Duration> age = self->m_context->now() - *provenAt;
+        batch = batch.with(&wire::RecordBatchFields::proofAge, age);
+    }
+    co_return wire::Message(std::move(batch));
 }
 
 }
--- /dev/null
+++ b/src/core/clock.cpp
@@ -0,0 +1,14 @@
+#include "berylspring/core/clock.h"
+
+#include <ctime>
+
+namespace berylspring::core {
+
+TimePoint bootTime() noexcept
+{
+    timespec time{};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return TimePoint(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
+}
+
+}
--- a/src/platform/http_log.cpp
+++ b/src/eventlog/http_log.cpp
@@ -1,6 +1,6 @@
-#include "berylspring/platform/http_log.h"
+#include "berylspring/eventlog/http_log.h"
 
-#include "platform/log_json.h"
+#include "eventlog/log_json.h"
 
 #include <memory>
 #include <mutex>
@@ -18,7 +18,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
-namespace berylspring::platform {
+namespace berylspring::eventlog {
 
 namespace asio = boost::asio;
 namespace beast = boost::beast;
--- a/src/platform/log_json.cpp
+++ b/src/eventlog/log_json.cpp
@@ -1,11 +1,11 @@
-#include "platform/log_json.h"
+#include "eventlog/log_json.h"
 
 #include <optional>
 #include <utility>
 
 #include <boost/json.hpp>
 
-namespace berylspring::platform::detail {
+namespace berylspring::eventlog::detail {
 
 namespace json = boost::json;
 
--- a/src/platform/log_json.h
+++ b/src/eventlog/log_json.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "berylspring/platform/error.h"
-#include "berylspring/platform/log_page.h"
+#include "berylspring/eventlog/error.h"
+#include "berylspring/eventlog/log_page.h"
 
 #include <string_view>
 
-namespace berylspring::platform::detail {
+namespace berylspring::eventlog::detail {
 
 /** @return The offset in the answer to an append, or Malformed; such an append has taken effect. */
 [[nodiscard]] Result<core::Offset> parseAppendAnswer(std::string_view body);
--- a/src/http/beast_convert.cpp
+++ b/src/http/beast_convert.cpp
@@ -55,6 +55,7 @@
 {
     return Request({.method = std::string(message.method_string()),
                     .target = std::string(message.target()),
+                    .host = std::string(message[beast::http::field::host]),
                     .headers = headersOf(message),
                     .body = std::move(message.body())});
 }
@@ -73,7 +74,7 @@
     message.version(Http11);
     message.method_string(request->method);
     message.target(request->target);
-    message.set(beast::http::field::host, host);
+    message.set(beast::http::field::host, request->host.empty() ? host : request->host);
     insertHeaders(message, request->headers);
     message.body() = request->body;
     message.prepare_payload();
--- a/src/http/caller_request.cpp
+++ b/src/http/caller_request.cpp
@@ -94,6 +94,8 @@
     }
     return CallerRequest({.method = request->method,
                           .target = request->target,
+                          .host = request->host,
+                          .requestId = std::string(headerValue(headers, "X-Request-Id")),
                           .headers = withoutControlHeaders(headers),
                           .body = request->body,
                           .key = *key,
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -4,8 +4,11 @@
 #include "http/address.h"
 #include "http/beast_convert.h"
 
+#include <charconv>
+#include <chrono>
 #include <functional>
 #include <mutex>
+#include <string_view>
 #include <vector>
 
 #include <boost/asio/co_spawn.hpp>
@@ -26,6 +29,13 @@
 using asio::ip::tcp;
 using boost::system::error_code;
 
+/** Idle time of a connection whose server tells none; common servers close after 5 s or more. */
+constexpr std::chrono::seconds DefaultIdleTime(4);
+/** Part of the announced idle time in which a connection is still used. */
+constexpr std::uint64_t UsableMillisecondsPerSecond = 800;
+/** Foreign responses that are dropped before the connection is given up. */
+constexpr int MaxForeignResponses = 3;
+
 /** @brief One open connection; used by one exchange at a time. */
 struct Connection
 {
@@ -35,12 +45,16 @@
     }
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
+    std::chrono::steady_clock::time_point usableUntil = std::chrono::steady_clock::time_point::max(); ///< While idle.
 };
 using ConnectionPointer = std::shared_ptr<Connection>;
 
 /** @brief Whether an idle connection was not closed by the server, as far as can be seen now. */
 bool isUsable(Connection &connection)
 {
+    if (std::chrono::steady_clock::now() >= connection.usableUntil) {
+        return false;
+    }
     error_code error;
     char byte = 0;
     connection.stream.socket().non_blocking(true, error);
@@ -48,6 +62,25 @@
     return error == asio::error::would_block;
 }
 
+/**
+ * A server that announces `Keep-Alive: timeout=N` closes an idle connection after that time. A request that crosses the
+ * close may or may not have run, so the connection is not used in the last part of it.
+ */
+std::chrono::steady_clock::time_point usableUntil(std::string_view keepAlive, std::chrono::steady_clock::time_point now)
+{
+    constexpr std::string_view Parameter = "timeout=";
+    const std::size_t at = keepAlive.find(Parameter);
+    std::uint32_t seconds = 0;
+    if (at != std::string_view::npos) {
+        const char *begin = keepAlive.data() + at + Parameter.size();
+        std::from_chars(begin, keepAlive.data() + keepAlive.size(), seconds);
+    }
+    if (seconds == 0) {
+        return now + DefaultIdleTime;
+    }
+    return now + std::chrono::milliseconds(std::uint64_t{seconds} * UsableMillisecondsPerSecond);
+}
+
 ErrorCode codeOf(const error_code &error)
 {
     if (error == beast::error::timeout) {
@@ -89,7 +122,30 @@
         co_return co_await async::awaitOn<Result<Response>>(strand, std::move(work), std::move(cancel));
     }
 
+    asio::awaitable<bool> isRefusingConnections(core::Duration timeout)
+    {
+        const auto connection = std::make_shared<Connection>(asio::make_strand(m_executor));
+        const asio::any_io_executor strand = connection->stream.get_executor();
+        std::function<void()> cancel = [connection] { connection->stream.close(); };
+        co_return co_await async::awaitOn<bool>(
+            strand, probe(shared_from_this(), connection, timeout), std::move(cancel));
+    }
+
 private:
+    static asio::awaitable<bool>
+    probe(std::shared_ptr<Implementation> self, ConnectionPointer connection, core::Duration timeout)
+    {
+        const auto endpoint = detail::parseAddress(self->m_address);
+        if (!endpoint) {
+            co_return false;
+        }
+        error_code error;
+        connection->stream.expires_after(timeout);
+        co_await connection->stream.async_connect(*endpoint, asio::redirect_error(asio::use_awaitable, error));
+        connection->stream.close();
+        co_return error == asio::error::connection_refused || error == asio::error::connection_reset;
+    }
+
     static asio::awaitable<Result<Response>> exchange(std::shared_ptr<Implementation> self,
                                                       ConnectionPointer connection,
                                                       Request request,
@@ -108,6 +164,10 @@
         if (response && keepAlive) {
             self->giveBack(std::move(connection));
         }
+        if (!response && response.error().code() == ErrorCode::Timeout && self->m_options.dropsIdleOnTimeout) {
+            const std::scoped_lock lock(self->m_mutex);
+            self->m_idle.clear();
+        }
         co_return response;
     }
 
@@ -135,15 +195,31 @@
         if (error) {
             co_return tl::unexpected(Error(codeOf(error), true, error.message()));
         }
+        for (int foreign = 0; foreign < MaxForeignResponses; ++foreign) {
+            Result<Response> response = co_await readResponse(connection, request->method == "HEAD", keepAlive);
+            if (!response || !m_options.isAnswerTo || m_options.isAnswerTo(request, *response)) {
+                // Bytes behind a whole response belong to no request.
+                keepAlive = keepAlive && connection.buffer.size() == 0;
+                co_return response;
+            }
+        }
+        co_return tl::unexpected(Error(ErrorCode::Malformed, true, "the responses belong to other requests"));
+    }
+
+    asio::awaitable<Result<Response>> readResponse(Connection &connection, bool isToHead, bool &keepAlive)
+    {
+        error_code error;
         beast::http::response_parser<beast::http::string_body> parser;
         parser.body_limit(m_options.bodyLimitBytes);
-        parser.skip(request->method == "HEAD");
+        parser.skip(isToHead);
         co_await beast::http::async_read(
             connection.stream, connection.buffer, parser, asio::redirect_error(asio::use_awaitable, error));
         if (error) {
             co_return tl::unexpected(Error(codeOf(error), true, error.message()));
         }
         keepAlive = parser.get().keep_alive();
+        const std::string keepAliveField(parser.get()[beast::http::field::keep_alive]);
+        connection.usableUntil = usableUntil(keepAliveField, std::chrono::steady_clock::now());
         co_return detail::fromBeast(parser.release());
     }
 
@@ -184,6 +260,12 @@
 
 Client::~Client() = default;
 
+asio::awaitable<bool> Client::isRefusingConnections(core::Duration timeout)
+{
+    const std::shared_ptr<Implementation> implementation = m_implementation;
+    co_return co_await implementation->isRefusingConnections(timeout);
+}
+
 asio::awaitable<Result<Response>> Client::send(Request request, core::Duration timeout)
 {
     const std::shared_ptr<Implementation> implementation = m_implementation;
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -4,10 +4,12 @@
 #include "berylspring/http/problem.h"
 #include "http/beast_convert.h"
 
+#include <array>
 #include <atomic>
+#include <deque>
 #include <optional>
 
-#include <boost/asio/bind_executor.hpp>
+#include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
@@ -33,20 +35,40 @@
 
 using Parser = beast::http::request_parser<string_body>;
 
-/** @brief State of one connection that other threads may reach. */
+/** @brief One request of a connection, from its arrival until its answer is written. */
+struct Exchange
+{
+    bool keepAlive = false;
+    bool isDone = false;
+    std::optional<Reply> reply; ///< Empty when done: the request was cancelled.
+    asio::cancellation_signal cancellation;
+};
+
+/** @brief State of one connection; all members are used on its strand. */
 struct Session
 {
     explicit Session(tcp::socket socket)
         : stream(std::move(socket))
         , idleTimer(stream.get_executor())
+        , changed(stream.get_executor(), asio::steady_timer::time_point::max())
+    {
+    }
+
+    [[nodiscard]] bool isIdle() const
     {
+        return exchanges.empty() && !isReading;
     }
+
     beast::tcp_stream stream;
-    asio::steady_timer idleTimer; ///< Closes an idle connection after the grace of a stop.
+    asio::steady_timer idleTimer; ///< Ends an idle connection.
+    asio::steady_timer changed; ///< Never expires; cancelled on each change of the members below.
     beast::flat_buffer buffer;
-    /** A request is being read or answered. Written and read on the connection's strand only. */
-    bool isBusy = false;
+    std::deque<std::shared_ptr<Exchange>> exchanges; ///< In the order of their arrival.
+    bool isReading = false; ///< A part of a request has arrived.
+    bool isReadEnded = false; ///< The client is gone, or no request follows.
+    bool isWriteEnded = false; ///< The last answer is written.
 };
+using SessionPointer = std::shared_ptr<Session>;
 
 std::optional<Response> responseOfReadError(const error_code &error)
 {
@@ -68,26 +90,26 @@
         core::Refusal(core::RefusalReason::BadRequest, core::Outcome::NotRun, "malformed request: " + error.message()));
 }
 
-/**
- * @brief Returns when the client has closed its side; bytes of a further request do not count.
- *
- * With several threads, a wait may end for bytes that were read meanwhile. The socket is non-blocking, because the
- * look at it would otherwise hold its thread and the strand of the connection until the client sends more.
- */
-asio::awaitable<void> waitForDisconnect(Session &session)
+/** @brief Waits until the condition holds; it is checked at each change of the session. */
+template<typename Condition>
+asio::awaitable<void> waitUntil(Session &session, Condition condition)
 {
-    error_code error;
-    tcp::socket &socket = session.stream.socket();
-    socket.non_blocking(true, error);
-    std::size_t count = 0;
-    do {
-        co_await socket.async_wait(tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
-        char byte = 0;
-        count = error ? 0 : socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
-    } while (error == asio::error::would_block);
-    if (!error && count > 0) {
-        asio::steady_timer never(co_await asio::this_coro::executor, asio::steady_timer::time_point::max());
-        co_await never.async_wait(asio::use_awaitable);
+    while (!condition()) {
+        error_code ignored;
+        co_await session.changed.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        const auto cancellation = co_await asio::this_coro::cancellation_state;
+        if (cancellation.cancelled() != asio::cancellation_type::none) {
+            throw boost::system::system_error(asio::error::operation_aborted);
+        }
+    }
+}
+
+void cancelAll(Session &session)
+{
+    // A cancelled handler may end at once and change the list.
+    const std::deque<std::shared_ptr<Exchange>> exchanges = session.exchanges;
+    for (const std::shared_ptr<Exchange> &exchange : exchanges) {
+        exchange->cancellation.emit(asio::cancellation_type::terminal);
     }
 }
 
@@ -128,22 +150,18 @@
             error_code ignored;
             self->m_acceptor.close(ignored);
         });
-        forEachSession([grace = m_options.stopGrace](const std::shared_ptr<Session> &session) {
-            // A new expiry of the stream would not end the read that already waits.
-            session->idleTimer.expires_after(grace);
-            session->idleTimer.async_wait([weak = std::weak_ptr<Session>(session)](const error_code &error) {
-                const std::shared_ptr<Session> idle = weak.lock();
-                if (!error && idle && !idle->isBusy) {
-                    idle->stream.cancel();
-                }
-            });
-        });
+        forEachSession([grace = m_options.stopGrace](const SessionPointer &session) { closeWhenIdle(session, grace); });
+    }
+
+    void closeAfterAnswers()
+    {
+        m_isClosing = true;
     }
 
     void close()
     {
         stopAccepting();
-        forEachSession([](const std::shared_ptr<Session> &session) {
+        forEachSession([](const SessionPointer &session) {
             error_code ignored;
             session->stream.socket().close(ignored);
         });
@@ -163,7 +181,7 @@
     template<typename Action>
     void forEachSession(Action action)
     {
-        m_sessions.forEach([&](std::uint64_t, const std::shared_ptr<Session> &session) {
+        m_sessions.forEach([&](std::uint64_t, const SessionPointer &session) {
             asio::post(session->stream.get_executor(), [session, action] { action(session); });
         });
     }
@@ -196,90 +214,195 @@
         co_await timer.async_wait(asio::use_awaitable);
     }
 
-    static asio::awaitable<void> serve(std::shared_ptr<Implementation> self, std::shared_ptr<Session> session)
+    static asio::awaitable<void> serve(std::shared_ptr<Implementation> self, SessionPointer session)
     {
         const std::uint64_t number = self->m_nextSession.fetch_add(1);
         self->m_sessions.insertOrAssign(number, session);
+        asio::co_spawn(session->stream.get_executor(), readRequests(self, session), asio::detached);
         try {
-            bool isOpen = true;
-            while (isOpen) {
-                isOpen = co_await self->serveOne(*session);
-            }
+            co_await self->writeAnswers(session);
         } catch (const std::exception &) {
             // The connection failed; it costs only itself.
         }
+        cancelAll(*session);
+        co_await closeGracefully(session);
+        self->m_sessions.erase(number);
+    }
+
+    /**
+     * Closing a socket with unread bytes resets the connection, and the client may then lose the last answer. So the
+     * client is given time to close its side first.
+     */
+    static asio::awaitable<void> closeGracefully(SessionPointer session)
+    {
+        session->isWriteEnded = true;
+        session->idleTimer.cancel();
         error_code ignored;
         session->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+        if (!session->isReadEnded) {
+            session->idleTimer.expires_after(CloseTimeout);
+            session->idleTimer.async_wait([session](const error_code &error) {
+                if (!error) {
+                    session->stream.close();
+                }
+            });
+            co_await waitUntil(*session, [&] { return session->isReadEnded; });
+            session->idleTimer.cancel();
+        }
         session->stream.close();
-        self->m_sessions.erase(number);
     }
 
-    /** @return Whether the connection stays open for a further request. */
-    asio::awaitable<bool> serveOne(Session &session)
+    static void closeWhenIdle(const SessionPointer &session, core::Duration after)
+    {
+        if (session->isWriteEnded) {
+            return;
+        }
+        session->idleTimer.expires_after(after);
+        session->idleTimer.async_wait([weak = std::weak_ptr<Session>(session)](const error_code &error) {
+            const SessionPointer idle = weak.lock();
+            if (!error && idle && idle->isIdle()) {
+                idle->stream.cancel();
+            }
+        });
+    }
+
+    /** Reads ahead while earlier requests are answered, so that a client that leaves is noticed. */
+    static asio::awaitable<void> readRequests(std::shared_ptr<Implementation> self, SessionPointer session)
+    {
+        try {
+            bool mayFollow = true;
+            while (mayFollow) {
+                co_await waitUntil(*session, [&] { return session->exchanges.size() < MaxPipelinedRequests; });
+                mayFollow = co_await self->readOne(session);
+            }
+            co_await discardRest(*session);
+        } catch (const std::exception &) {
+            // The client is gone.
+        }
+        session->isReading = false;
+        session->isReadEnded = true;
+        cancelAll(*session);
+        session->changed.cancel();
+    }
+
+    /** @return Whether a further request may follow on the connection. */
+    asio::awaitable<bool> readOne(SessionPointer session)
     {
         Parser parser;
         parser.header_limit(m_options.headerLimitBytes);
         parser.body_limit(m_options.bodyLimitBytes);
         const error_code error = co_await read(session, parser);
+        if (error && session->isWriteEnded) {
+            co_return false;
+        }
+        auto exchange = std::make_shared<Exchange>();
         if (error) {
             const std::optional<Response> response = responseOfReadError(error);
-            if (response) {
-                co_await write(session, *response, false);
+            if (!response) {
+                throw boost::system::system_error(error);
             }
+            exchange->isDone = true;
+            exchange->reply = *response;
+            session->exchanges.push_back(exchange);
+            session->isReading = false;
+            session->changed.cancel();
             co_return false;
         }
-        const bool keepAlive = parser.get().keep_alive();
-        Request request = detail::fromBeast(parser.release());
-        // The answer goes into a variable, since operator|| flattens the variant of an awaitable<Reply>.
-        std::optional<Reply> reply;
-        using asio::experimental::awaitable_operators::operator||;
-        co_await (answer(std::move(request), reply) || waitForDisconnect(session));
-        if (!reply) {
-            co_return false;
-        }
-        if (auto *streamed = std::get_if<StreamedResponse>(&*reply)) {
-            co_await writeStream(session, *streamed);
-            co_return false;
+        exchange->keepAlive = parser.get().keep_alive();
+        session->exchanges.push_back(exchange);
+        session->isReading = false;
+        asio::co_spawn(session->stream.get_executor(),
+                       answer(detail::fromBeast(parser.release()), exchange),
+                       asio::bind_cancellation_slot(exchange->cancellation.slot(),
+                                                    [session, exchange](const std::exception_ptr &) {
+                                                        exchange->isDone = true;
+                                                        session->changed.cancel();
+                                                    }));
+        co_return exchange->keepAlive;
+    }
+
+    /** Returns when the client has closed its side. */
+    static asio::awaitable<void> discardRest(Session &session)
+    {
+        session.stream.expires_never();
+        std::array<char, ReadSize> bytes{};
+        error_code error;
+        while (!error) {
+            co_await session.stream.async_read_some(asio::buffer(bytes),
+                                                    asio::redirect_error(asio::use_awaitable, error));
         }
-        const bool staysOpen = keepAlive && !m_isStopping;
-        co_await write(session, std::get<Response>(*reply), staysOpen);
-        session.isBusy = false;
-        co_return staysOpen;
     }
 
-    asio::awaitable<error_code> read(Session &session, Parser &parser)
+    asio::awaitable<error_code> read(SessionPointer session, Parser &parser)
     {
         error_code error;
-        session.stream.expires_after(m_isStopping ? m_options.stopGrace : m_options.idleTimeout);
-        if (session.buffer.size() == 0) {
+        if (session->buffer.size() == 0) {
             // Waits for the first byte under the idle timeout, and for the rest under the read timeout.
-            const std::size_t count = co_await session.stream.async_read_some(
-                session.buffer.prepare(ReadSize), asio::redirect_error(asio::use_awaitable, error));
-            session.buffer.commit(count);
+            session->stream.expires_never();
+            if (session->isIdle()) {
+                closeWhenIdle(session, m_isStopping ? m_options.stopGrace : m_options.idleTimeout);
+            }
+            const std::size_t count = co_await session->stream.async_read_some(
+                session->buffer.prepare(ReadSize), asio::redirect_error(asio::use_awaitable, error));
+            session->buffer.commit(count);
             if (error) {
                 co_return error == asio::error::eof ? error_code(beast::http::error::end_of_stream) : error;
             }
         }
-        session.isBusy = true;
-        session.stream.expires_after(m_options.readTimeout);
+        session->isReading = true;
+        session->stream.expires_after(m_options.readTimeout);
         co_await beast::http::async_read(
-            session.stream, session.buffer, parser, asio::redirect_error(asio::use_awaitable, error));
-        session.stream.expires_never();
+            session->stream, session->buffer, parser, asio::redirect_error(asio::use_awaitable, error));
         co_return error;
     }
 
-    asio::awaitable<void> answer(Request request, std::optional<Reply> &reply)
+    asio::awaitable<void> answer(Request request, std::shared_ptr<Exchange> exchange)
     {
         try {
-            reply = co_await m_handler(std::move(request));
+            exchange->reply = co_await m_handler(std::move(request));
         } catch (const boost::system::system_error &error) {
             if (error.code() == asio::error::operation_aborted) {
                 throw;
             }
-            reply = problemResponse(500, "internal-error", error.what());
+            exchange->reply = problemResponse(500, "internal-error", error.what());
         } catch (const std::exception &error) {
-            reply = problemResponse(500, "internal-error", error.what());
+            exchange->reply = problemResponse(500, "internal-error", error.what());
+        }
+    }
+
+    /** Writes the answers in the order of the requests, until one closes the connection or the client is gone. */
+    asio::awaitable<void> writeAnswers(SessionPointer session)
+    {
+        auto &exchanges = session->exchanges;
+        bool isOpen = true;
+        while (isOpen) {
+            co_await waitUntil(*session,
+                               [&] { return exchanges.empty() ? session->isReadEnded : exchanges.front()->isDone; });
+            if (exchanges.empty() || !exchanges.front()->reply) {
+                co_return;
+            }
+            isOpen = co_await writeFront(*session);
+            exchanges.pop_front();
+            session->changed.cancel();
+            if (isOpen && session->isIdle()) {
+                closeWhenIdle(session, m_isStopping ? m_options.stopGrace : m_options.idleTimeout);
+            }
+        }
+    }
+
+    /** @return Whether the connection stays open for further answers. */
+    asio::awaitable<bool> writeFront(Session &session)
+    {
+        const Exchange &exchange = *session.exchanges.front();
+        if (const auto *streamed = std::get_if<StreamedResponse>(&*exchange.reply)) {
+            co_await writeStream(session, *streamed);
+            co_return false;
         }
+        // Requests that were read behind this one are answered, too.
+        const bool isLast = session.exchanges.size() == 1;
+        const bool staysOpen = exchange.keepAlive && !(isLast && (m_isStopping || m_isClosing));
+        co_await write(session, std::get<Response>(*exchange.reply), staysOpen);
+        co_return staysOpen;
     }
 
     asio::awaitable<void> write(Session &session, const Response &response, bool keepAlive)
@@ -300,7 +423,8 @@
         co_await beast::http::async_write_header(session.stream, serializer, asio::use_awaitable);
         const ChunkWriter writer = [&session](std::string piece) { return writeChunk(session, std::move(piece)); };
         using asio::experimental::awaitable_operators::operator||;
-        const auto outcome = co_await (streamed.write(writer) || waitForDisconnect(session));
+        const auto outcome =
+            co_await (streamed.write(writer) || waitUntil(session, [&] { return session.isReadEnded; }));
         if (outcome.index() == 0) {
             co_await asio::async_write(session.stream, beast::http::make_chunk_last(), asio::use_awaitable);
         }
@@ -318,14 +442,19 @@
     }
 
     static constexpr std::size_t ReadSize = 4096;
+    /** Requests of a connection that are read before the first of them is answered. */
+    static constexpr std::size_t MaxPipelinedRequests = 16;
+    /** Time that a client has to close its side after the last answer. */
+    static constexpr core::Duration CloseTimeout = std::chrono::seconds(1);
 
     asio::any_io_executor m_executor;
     ServerOptions m_options;
     Handler m_handler;
     tcp::acceptor m_acceptor;
     std::atomic<bool> m_isStopping{false};
+    std::atomic<bool> m_isClosing{false};
     std::atomic<std::uint64_t> m_nextSession{1};
-    core::ShardedMap<std::uint64_t, std::shared_ptr<Session>> m_sessions;
+    core::ShardedMap<std::uint64_t, SessionPointer> m_sessions;
 };
 
 Server::Server(asio::any_io_executor executor, ServerOptions options, Handler handler)
@@ -348,6 +477,11 @@
     m_implementation->stopAccepting();
 }
 
+void Server::closeAfterAnswers()
+{
+    m_implementation->closeAfterAnswers();
+}
+
 asio::awaitable<void> Server::idle()
 {
     return m_implementation->idle();
--- a/src/node/announcer.cpp
+++ b/src/node/announcer.cpp
@@ -51,14 +51,14 @@
 {
     while (true) {
         const auto page = co_await hooks.log.read(Stream, from, PageRecords, core::Duration::zero());
-        if (!page && page.error().code() == platform::ErrorCode::Expired && page.error().first() > from) {
+        if (!page && page.error().code() == eventlog::ErrorCode::Expired && page.error().first() > from) {
             from = *page.error().first();
             continue;
         }
         if (!page) {
             co_return false;
         }
-        for (const platform::LogEntry &record : (*page)->records) {
+        for (const eventlog::LogEntry &record : (*page)->records) {
             if (const auto member = fromJson(record.data)) {
                 hooks.addContact(*member);
             }
@@ -77,13 +77,10 @@
     asio::steady_timer timer(co_await asio::this_coro::executor);
     core::Offset from = 0;
     while (!hooks.isStopping()) {
+        // Appended before reading: of two hosts that start together, the later one in the log then sees the earlier.
+        const auto appended = co_await hooks.log.append(Stream, toJson(hooks.self()));
         const bool hasRead = co_await readContacts(hooks, from);
-        bool hasAppended = false;
-        if (hasRead) {
-            const auto appended = co_await hooks.log.append(Stream, toJson(hooks.self()));
-            hasAppended = appended.has_value();
-        }
-        timer.expires_after(hasAppended ? core::Duration(RefreshInterval) : core::Duration(RetryInterval));
+        timer.expires_after(appended && hasRead ? core::Duration(RefreshInterval) : core::Duration(RetryInterval));
         co_await timer.async_wait(asio::use_awaitable);
     }
 }
--- a/src/node/announcer.h
+++ b/src/node/announcer.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "berylspring/platform/log_hooks.h"
+#include "berylspring/eventlog/log_hooks.h"
 #include "berylspring/wire/datagrams.h"
 
 #include <functional>
@@ -13,15 +13,15 @@
 /** @brief What the announcer needs from the membership. */
 struct AnnouncerHooks
 {
-    platform::LogHooks log;
+    eventlog::LogHooks log;
     std::function<wire::MemberUpdate()> self;
     std::function<void(const wire::MemberUpdate &)> addContact;
     std::function<bool()> isStopping;
 };
 
 /**
- * @brief First contact through the log: reads the addresses of members from the stream `announce` and appends the own
- * one, again every 10 minutes.
+ * @brief First contact through the log: appends the own address to the stream `announce` and reads those of the other
+ * members from it, again every 10 minutes.
  */
 [[nodiscard]] boost::asio::awaitable<void> announceThroughLog(AnnouncerHooks hooks);
 
--- a/src/node/call_plan.cpp
+++ b/src/node/call_plan.cpp
@@ -72,9 +72,9 @@
     if (workspace == nullptr) {
         return notRun(RefusalReason::WorkspaceRefused, "the workspace does not exist");
     }
-    const bool isStale = context.sinceOutsideContact > (*workspace)->stalenessLimit;
+    const bool isStale = context.configurationAge > (*workspace)->stalenessLimit;
     if ((*workspace)->staleness == config::Staleness::Refuse && isStale) {
-        return notRun(RefusalReason::WorkspaceRefused, "the configuration is older than the workspace allows");
+        return notRun(RefusalReason::NotReady, "the configuration is older than the workspace allows");
     }
     return std::nullopt;
 }
@@ -94,12 +94,16 @@
     return timeout;
 }
 
-core::PriorityLevel priorityOf(const config::Route &route, const PlanContext &context)
+core::PriorityLevel
+priorityOf(const config::Route &route, const core::WorkspaceId &workspaceName, const PlanContext &context)
 {
     if (context.parent) {
         return (*context.parent)->priority;
     }
-    const config::Priority *priority = context.catalogue.findPriority(route->priority);
+    const config::Workspace *workspace = context.catalogue.findWorkspace(workspaceName);
+    const bool hasOwn = workspace != nullptr && !(*workspace)->priority.isEmpty();
+    const config::Priority *priority =
+        context.catalogue.findPriority(hasOwn ? (*workspace)->priority : route->priority);
     return priority == nullptr ? core::PriorityLevel{0} : (*priority)->level;
 }
 
@@ -108,7 +112,7 @@
 tl::expected<CallPlan, Refusal>
 planCall(const http::CallerRequest &request, const PlanContext &context, core::TimePoint now)
 {
-    const config::Route *route = context.catalogue.findRoute(http::pathOf(request->target));
+    const config::Route *route = context.catalogue.findRoute(request->host, http::pathOf(request->target));
     if (route == nullptr) {
         return unexpected(notRun(RefusalReason::RouteUnknown, "no route has a prefix of the path"));
     }
@@ -123,15 +127,16 @@
     if (timeout <= core::Duration::zero()) {
         return unexpected(notRun(RefusalReason::DeadlineExceeded, "no time is left for the request"));
     }
-    return CallPlan({.route = (*route)->name,
-                     .service = (*route)->service,
-                     .workspace = identity->workspace,
-                     .keyDigest = identity->keyDigest,
-                     .priority = priorityOf(*route, context),
-                     .timeout = timeout,
-                     .retries = (*route)->retries,
-                     .isNested = request->contextToken.has_value(),
-                     .isIdempotent = config::isIdempotent(*route, request->method)});
+    return CallPlan(
+        {.route = (*route)->name,
+         .service = context.chooseService(*route),
+         .workspace = identity->workspace,
+         .keyDigest = identity->keyDigest,
+         .priority = priorityOf(*route, identity->workspace, context),
+         .timeout = timeout,
+         .retries = (*route)->retries,
+         .isNested = request->contextToken.has_value() || ((*route)->isInternal && identity->workspace.isEmpty()),
+         .isIdempotent = config::isIdempotent(*route, request->method)});
 }
 
 }
--- a/src/node/endpoint_api.cpp
+++ b/src/node/endpoint_api.cpp
@@ -1,8 +1,8 @@
-#include "node/endpoint_api.h"
+#include "berylspring/node/endpoint_api.h"
 
 #include "berylspring/http/problem.h"
 
-namespace berylspring::node::detail {
+namespace berylspring::node {
 
 namespace {
 
@@ -14,7 +14,7 @@
 http::Response handleAnnouncement(const http::Request &request, const EndpointApiHooks &hooks)
 {
     if (request->method == "DELETE") {
-        hooks.drain();
+        hooks.leave({});
         return accepted();
     }
     if (request->method != "PUT") {
@@ -24,7 +24,7 @@
     if (!announcement) {
         return http::problemResponse(400, "invalid", announcement.error());
     }
-    hooks.announce(*announcement);
+    hooks.heartbeat({.announcement = *announcement});
     return accepted();
 }
 
--- a/src/node/entry.cpp
+++ b/src/node/entry.cpp
@@ -1,6 +1,7 @@
 #include "berylspring/node/entry.h"
 
 #include "berylspring/idempotency/claim_name.h"
+#include "berylspring/telemetry/log.h"
 
 namespace berylspring::node {
 
@@ -90,7 +91,7 @@
     const telemetry::TraceContext trace = traceOf(request);
     core::PriorityLevel priority = 0;
     const wire::CallResponse response = co_await run(request, trace, priority);
-    finish(response, priority, m_hooks.now() - startedAt);
+    finish(request, response, priority, m_hooks.now() - startedAt);
     if (trace.isSampled()) {
         const auto parent = telemetry::TraceContext::fromTraceParent(request->traceParent);
         m_hooks.spans(telemetry::Span({.context = trace,
@@ -135,7 +136,8 @@
                                   .isIdempotent = (*plan)->isIdempotent,
                                   .remaining = remaining,
                                   .retryAllowance = allowance.amount(),
-                                  .traceParent = trace.traceParent()});
+                                  .traceParent = trace.traceParent(),
+                                  .requestId = request->requestId});
     const wire::CallResponse response = co_await forward(call, request, *plan);
     allowance.setSpent(response->retriesSpent);
     co_return response;
@@ -152,8 +154,10 @@
     co_return co_await m_hooks.runOnce(named);
 }
 
-tl::expected<CallPlan, Refusal> Entry::plan(const http::CallerRequest &request, core::TimePoint now) const
+tl::expected<CallPlan, Refusal> Entry::plan(const http::CallerRequest &request, core::TimePoint now)
 {
+    // Read before the catalogue, which then is at least as new as the proof.
+    const core::Duration age = m_hooks.configurationAge();
     const std::shared_ptr<const config::Catalogue> catalogue = m_hooks.catalogue();
     if (!catalogue) {
         return tl::unexpected(Refusal(RefusalReason::NotReady, Outcome::NotRun, "the node has no configuration yet"));
@@ -161,7 +165,10 @@
     const PlanContext context{.catalogue = *catalogue,
                               .parent = request->contextToken ? m_inFlight.find(*request->contextToken) : std::nullopt,
                               .isKeyWithdrawn = m_hooks.isKeyWithdrawn,
-                              .sinceOutsideContact = m_hooks.sinceOutsideContact()};
+                              .configurationAge = age,
+                              .chooseService = [this](const config::Route &route) {
+                                  return m_splitter.choose(route->name, route->services);
+                              }};
     return planCall(request, context, now);
 }
 
@@ -171,11 +178,25 @@
     return parent ? parent->child(m_hooks.random) : telemetry::TraceContext::root(m_hooks.random, m_sampleRatio);
 }
 
-void Entry::finish(const wire::CallResponse &response, core::PriorityLevel priority, core::Duration time)
+void Entry::finish(const http::CallerRequest &request,
+                   const wire::CallResponse &response,
+                   core::PriorityLevel priority,
+                   core::Duration time)
 {
     m_metrics.observe(telemetry::Hop::Entry, time);
     if (response->refusal) {
-        m_metrics.countRequest(response->refusal->outcome(), response->refusal->reason(), priority);
+        const Refusal &refusal = *response->refusal;
+        m_metrics.countRequest(refusal.outcome(), refusal.reason(), priority);
+        telemetry::logDecision("request refused",
+                               {{"request", request->requestId},
+                                {"target", request->target},
+                                {"outcome", std::string(core::toString(refusal.outcome()))},
+                                {"reason", std::string(core::toString(refusal.reason()))},
+                                {"detail", refusal.detail()},
+                                {"priority", std::int64_t{priority}},
+                                {"retries", std::int64_t{response->retriesSpent}},
+                                {"ms", std::chrono::duration<double, std::milli>(time).count()}},
+                               m_hooks.now());
     } else {
         m_metrics.countRequest(Outcome::Answered, std::nullopt, priority);
     }
--- a/src/node/local_endpoint.cpp
+++ b/src/node/local_endpoint.cpp
@@ -1,5 +1,8 @@
 #include "berylspring/node/local_endpoint.h"
 
+#include "berylspring/core/clock.h"
+#include "berylspring/telemetry/log.h"
+
 #include <algorithm>
 
 namespace berylspring::node {
@@ -7,6 +10,10 @@
 namespace {
 
 namespace asio = boost::asio;
+
+/** A crashed endpoint on this host refuses at once. */
+constexpr core::Duration CrashProbeTimeout = std::chrono::milliseconds(200);
+
 using core::Outcome;
 using core::Refusal;
 using core::RefusalReason;
@@ -39,18 +46,6 @@
                   error.maybeSent());
 }
 
-http::Request
-endpointRequest(const wire::CallRequest &call, const std::string &token, const telemetry::TraceContext &trace)
-{
-    wire::Headers headers = call->headers;
-    const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(call->remaining).count();
-    headers.push_back({"Berylspring-Context", token});
-    headers.push_back({"Berylspring-Timeout-Ms", std::to_string(milliseconds)});
-    headers.push_back({"traceparent", trace.traceParent()});
-    return http::Request(
-        {.method = call->method, .target = call->target, .headers = std::move(headers), .body = call->body});
-}
-
 /** @brief Keeps a request in the table as long as it runs. */
 class InFlightEntry
 {
@@ -86,29 +81,56 @@
 
 LocalEndpoint::LocalEndpoint(asio::any_io_executor executor,
                              std::uint64_t maxBodyBytes,
+                             const Protocols &protocols,
                              InFlightTable &inFlight,
                              core::RandomSource random,
                              telemetry::SpanSink spans)
     : m_executor(std::move(executor))
     , m_maxBodyBytes(maxBodyBytes)
+    , m_protocols(protocols)
     , m_inFlight(inFlight)
     , m_random(std::move(random))
     , m_spans(std::move(spans))
 {
 }
 
-bool LocalEndpoint::announce(const http::EndpointAnnouncement &announcement, core::TimePoint now)
+LocalEndpoint::Heartbeat LocalEndpoint::heartbeat(const http::EndpointHeartbeat &heartbeat, core::TimePoint now)
 {
     const std::scoped_lock lock(m_mutex);
-    if (m_known && m_known->announcement == announcement && !m_known->isDraining) {
-        m_known->renewedAt = now;
-        return false;
+    const http::EndpointAnnouncement &told = heartbeat.announcement;
+    if (!m_known) {
+        m_known = known(heartbeat, now);
+        return Heartbeat::Started;
     }
-    const http::ClientOptions options{.bodyLimitBytes = m_maxBodyBytes};
-    m_known = Known{.announcement = announcement,
-                    .renewedAt = now,
-                    .client = std::make_shared<http::Client>(m_executor, announcement.address, options)};
-    return true;
+    if (told.incarnation < m_known->announcement.incarnation) {
+        return Heartbeat::Stale;
+    }
+    // Without incarnations, an endpoint that announces itself after its drain has started again.
+    const bool hasStarted =
+        m_known->announcement != told || (told.incarnation == 0 && m_known->isDraining && !heartbeat.isDraining);
+    if (hasStarted) {
+        m_known = known(heartbeat, now);
+        return Heartbeat::Started;
+    }
+    if (heartbeat.sequence != 0 && heartbeat.sequence <= m_known->sequence) {
+        return Heartbeat::Stale;
+    }
+    const bool isNews = heartbeat.isDraining && !m_known->isDraining;
+    m_known->renewedAt = now;
+    m_known->sequence = heartbeat.sequence;
+    m_known->isDraining = m_known->isDraining || heartbeat.isDraining;
+    return isNews ? Heartbeat::Draining : Heartbeat::Renewed;
+}
+
+LocalEndpoint::Known LocalEndpoint::known(const http::EndpointHeartbeat &heartbeat, core::TimePoint now) const
+{
+    http::ClientOptions options{.bodyLimitBytes = m_maxBodyBytes, .isAnswerTo = m_protocols.isAnswerTo};
+    const std::string &address = heartbeat.announcement.address;
+    return Known{.announcement = heartbeat.announcement,
+                 .renewedAt = now,
+                 .sequence = heartbeat.sequence,
+                 .isDraining = heartbeat.isDraining,
+                 .client = std::make_shared<http::Client>(m_executor, address, std::move(options))};
 }
 
 void LocalEndpoint::drain()
@@ -119,6 +141,12 @@
     }
 }
 
+bool LocalEndpoint::isNamed(const std::string &id) const
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_known && (id.empty() || m_known->announcement.id == id);
+}
+
 void LocalEndpoint::reportLoad(const http::LoadReport &report)
 {
     const std::scoped_lock lock(m_mutex);
@@ -156,16 +184,34 @@
                                 .admittedLevel = admission->admittedLevel});
 }
 
-std::shared_ptr<http::Client> LocalEndpoint::client() const
+LocalEndpoint::Target LocalEndpoint::target() const
 {
     const std::scoped_lock lock(m_mutex);
-    return m_known ? m_known->client : nullptr;
+    return m_known ? Target{m_known->announcement.id, m_known->client} : Target{};
+}
+
+asio::awaitable<admission::EndpointResult>
+LocalEndpoint::failedCall(const wire::CallRequest &request, const http::Error &error, const Target &target) const
+{
+    admission::EndpointResult result = resultOf(error);
+    if (result.connectionLost) {
+        // A single connection may break for many reasons. An endpoint that has crashed takes no new one either.
+        result.connectionLost = co_await target.client->isRefusingConnections(CrashProbeTimeout);
+    }
+    telemetry::logDecision("endpoint gave no answer",
+                           {{"request", request->requestId},
+                            {"endpoint", target.id},
+                            {"error", error.detail()},
+                            {"maybe_sent", error.maybeSent()},
+                            {"crashed", result.connectionLost}},
+                           core::bootTime());
+    co_return result;
 }
 
 asio::awaitable<admission::EndpointResult> LocalEndpoint::call(wire::CallRequest request)
 {
-    const std::shared_ptr<http::Client> endpoint = client();
-    if (!endpoint) {
+    const Target target = this->target();
+    if (!target.client) {
         co_return failed(Refusal(RefusalReason::NoEndpoint, Outcome::NotRun, "no endpoint has announced itself here"),
                          false);
     }
@@ -176,11 +222,12 @@
                         InFlight({.workspace = request->workspace,
                                   .keyDigest = request->keyDigest,
                                   .priority = request->priority,
-                                  .deadline = std::chrono::steady_clock::now() + request->remaining,
+                                  .deadline = core::bootTime() + request->remaining,
                                   .retryAllowance = request->retryAllowance,
                                   .trace = trace}));
-    const http::Request message = endpointRequest(request, entry.token(), trace);
-    const http::Result<http::Response> answer = co_await endpoint->send(message, request->remaining);
+    const http::Request message =
+        m_protocols.encodeEndpointCall({request, target.id, entry.token(), trace.traceParent()});
+    const http::Result<http::Response> answer = co_await target.client->send(message, request->remaining);
     if (trace.isSampled()) {
         m_spans(telemetry::Span(
             {.context = trace,
@@ -192,15 +239,24 @@
              .attributes = {{"service", request->service.value()}, {"route", request->route.value()}}}));
     }
     if (!answer) {
-        admission::EndpointResult result = resultOf(answer.error());
+        admission::EndpointResult result = co_await failedCall(request, answer.error(), target);
         result.response = result.response.with(&wire::CallResponseFields::retriesSpent, entry.retriesSpent());
         co_return result;
     }
-    const http::Response &response = *answer;
-    co_return admission::EndpointResult{.response = wire::CallResponse({.status = response->status,
-                                                                        .headers = response->headers,
-                                                                        .body = response->body,
-                                                                        .retriesSpent = entry.retriesSpent()})};
+    auto response = m_protocols.decodeEndpointAnswer(*answer);
+    if (!response) {
+        const Refusal &refusal = response.error();
+        telemetry::logDecision("endpoint did not run a request",
+                               {{"request", request->requestId},
+                                {"endpoint", target.id},
+                                {"status", std::int64_t{(*answer)->status}},
+                                {"outcome", std::string(core::toString(refusal.outcome()))},
+                                {"detail", refusal.detail()}},
+                               core::bootTime());
+        co_return failed(refusal, false);
+    }
+    co_return admission::EndpointResult{
+        .response = response->with(&wire::CallResponseFields::retriesSpent, entry.retriesSpent())};
 }
 
 }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -1,8 +1,6 @@
 #include "berylspring/node/node.h"
 
-#include "berylspring/platform/http_log.h"
 #include "berylspring/telemetry/log.h"
-#include "http/address.h"
 #include "node/announcer.h"
 #include "node/node_parts.h"
 #include "node/span_export.h"
@@ -28,11 +26,20 @@
     return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::nanoseconds>(sinceEpoch).count());
 }
 
-platform::LogHooks makeLog(const asio::any_io_executor &executor, const std::string &address)
+/** How often a node that must prove its configuration looks at the age of the proof. */
+constexpr core::Duration ProofCheckInterval = std::chrono::milliseconds(300);
+
+config::ConfigSettings configSettings(const Settings &settings)
 {
-    const auto endpoint = http::detail::parseAddress(address);
-    const std::string ip = endpoint ? endpoint->address().to_string() : address;
-    return platform::makeHttpLog(executor, ip, endpoint ? endpoint->port() : 0);
+    config::ConfigSettings result{.longPoll = settings->logPoll,
+                                  .proofRefresh = settings->proofRefresh,
+                                  .proofFallback = settings->proofFallback,
+                                  .isLogWritable = settings->logKind == LogKind::Own,
+                                  .snapshotInterval = settings->snapshotInterval};
+    if (settings->proofFallback > core::Duration::zero()) {
+        result.roleCheck = ProofCheckInterval;
+    }
+    return result;
 }
 
 http::ServerOptions serverOptions(const Settings &settings)
@@ -54,9 +61,10 @@
 
 }
 
-Node::Implementation::Implementation(asio::any_io_executor executor, Settings settings)
+Node::Implementation::Implementation(asio::any_io_executor executor, Settings settings, Protocols protocols)
     : m_executor(std::move(executor))
     , m_settings(std::move(settings))
+    , m_protocols(std::move(protocols))
     , m_random(core::systemRandom())
     , m_bootId(makeBootId())
     , m_startedAt(now())
@@ -69,14 +77,14 @@
                   const auto member = m_membership->find(host);
                   return member ? std::optional<wire::PeerAddress>({member->address(), member->port()}) : std::nullopt;
               })
-    , m_log(makeLog(m_executor, m_settings->logAddress))
-    , m_config(m_executor, {.snapshotInterval = m_settings->snapshotInterval}, configHooks())
+    , m_log(m_protocols.makeLog(m_executor, m_settings))
+    , m_config(m_executor, configSettings(m_settings), configHooks())
     , m_limits(m_executor, {m_settings->host, m_settings->dataCentre, m_settings->dataCentres}, limitHooks())
     , m_idempotency(
           m_executor,
           {.self = m_settings->host, .dataCentre = m_settings->dataCentre, .declared = m_settings->dataCentres},
           idempotencyHooks())
-    , m_endpoint(m_executor, m_settings->maxBodyBytes, m_inFlight, m_random, spanSink())
+    , m_endpoint(m_executor, m_settings->maxBodyBytes, m_protocols, m_inFlight, m_random, spanSink())
     , m_admission(makeAdmission())
     , m_dispatcher(m_settings->host, m_settings->dataCentre, m_settings->areControlsOn, dispatcherHooks())
     , m_entry(m_inFlight, m_metrics, m_settings->sampleRatio, entryHooks())
@@ -88,7 +96,7 @@
                        serverOptions(m_settings),
                        [this](http::Request request) { return handleEndpoint(std::move(request)); })
     , m_operatorServer(m_executor, serverOptions(m_settings), [this](http::Request request) {
-        return m_operatorApi.handle(std::move(request));
+        return handleOperator(std::move(request));
     })
 {
     m_metrics.addSource([this] { return samples(); });
@@ -161,6 +169,7 @@
     m_isStopping = true;
     telemetry::log(telemetry::Severity::Info, "stopping");
     drainEndpoint();
+    co_await linger();
     using asio::experimental::awaitable_operators::operator||;
     asio::steady_timer deadline(co_await asio::this_coro::executor, m_settings->stopTimeout);
     const auto outcome = co_await (finishWork() || deadline.async_wait(asio::use_awaitable));
@@ -183,6 +192,14 @@
     telemetry::log(telemetry::Severity::Info, "stopped");
 }
 
+asio::awaitable<void> Node::Implementation::linger()
+{
+    // Callers send here until they have noticed that the node is not ready; each answer tells them to go elsewhere.
+    m_callerServer.closeAfterAnswers();
+    asio::steady_timer timer(co_await asio::this_coro::executor, m_settings->stopLinger);
+    co_await timer.async_wait(asio::use_awaitable);
+}
+
 asio::awaitable<bool> Node::Implementation::finishWork()
 {
     // The caller port stays open until the endpoint is idle, since its running requests make nested calls through it.
@@ -231,8 +248,8 @@
     return samples;
 }
 
-Node::Node(asio::any_io_executor executor, Settings settings)
-    : m_implementation(std::make_shared<Implementation>(std::move(executor), std::move(settings)))
+Node::Node(asio::any_io_executor executor, Settings settings, Protocols protocols)
+    : m_implementation(std::make_shared<Implementation>(std::move(executor), std::move(settings), std::move(protocols)))
 {
 }
 
--- a/src/node/node_handlers.cpp
+++ b/src/node/node_handlers.cpp
@@ -1,8 +1,7 @@
-#include "node/endpoint_api.h"
 #include "node/node_parts.h"
 
 #include "berylspring/config/log_record.h"
-#include "berylspring/http/problem.h"
+#include "berylspring/telemetry/log.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -102,34 +101,60 @@
 
 asio::awaitable<http::Reply> Node::Implementation::handleCaller(http::Request request)
 {
-    auto parsed = http::parseCallerRequest(std::move(request));
+    auto parsed = m_protocols.decodeCall(request);
     if (!parsed) {
-        co_return http::problemResponse(parsed.error());
+        const wire::CallResponse refusal({.refusal = parsed.error()});
+        co_return m_protocols.encodeAnswer(refusal, request);
     }
     const wire::CallResponse response = co_await m_entry.call(std::move(*parsed));
-    co_return http::callerResponse(response);
+    co_return m_protocols.encodeAnswer(response, request);
+}
+
+asio::awaitable<http::Reply> Node::Implementation::handleOperator(http::Request request)
+{
+    if (request->target == m_protocols.readinessPath) {
+        request = request.with(&http::RequestFields::target, "/readyz");
+    }
+    return m_operatorApi.handle(std::move(request));
 }
 
 asio::awaitable<http::Reply> Node::Implementation::handleEndpoint(http::Request request)
 {
-    const detail::EndpointApiHooks hooks{
-        .announce = [this](const http::EndpointAnnouncement &announcement) { announceEndpoint(announcement); },
-        .drain = [this] { drainEndpoint(); },
+    const EndpointApiHooks hooks{
+        .heartbeat = [this](const http::EndpointHeartbeat &told) { takeHeartbeat(told); },
+        .leave =
+            [this](const std::string &id) {
+                if (m_endpoint.isNamed(id)) {
+                    drainEndpoint();
+                }
+            },
         .reportLoad = [this](const http::LoadReport &report) { m_endpoint.reportLoad(report); }};
-    co_return detail::handleEndpointRequest(request, hooks);
+    co_return m_protocols.handleEndpoint(request, hooks);
 }
 
-void Node::Implementation::announceEndpoint(const http::EndpointAnnouncement &announcement)
+void Node::Implementation::takeHeartbeat(const http::EndpointHeartbeat &heartbeat)
 {
-    if (m_isStopping) {
+    using Heartbeat = LocalEndpoint::Heartbeat;
+    const http::EndpointAnnouncement &told = heartbeat.announcement;
+    const Heartbeat news = m_endpoint.heartbeat(heartbeat, now());
+    if (news == Heartbeat::Renewed) {
         return;
     }
-    const bool wasDraining = m_endpoint.isDraining();
-    if (m_endpoint.announce(announcement, now())) {
-        if (wasDraining) {
-            const std::scoped_lock lock(m_admissionMutex);
-            m_admission = makeAdmission();
-        }
+    telemetry::log(telemetry::Severity::Info,
+                   news == Heartbeat::Stale ? "late heartbeat ignored" : "endpoint changed",
+                   {{"endpoint", told.id},
+                    {"service", told.service.value()},
+                    {"address", told.address},
+                    {"sequence", static_cast<std::int64_t>(heartbeat.sequence)},
+                    {"draining", heartbeat.isDraining}});
+    if (news == Heartbeat::Started) {
+        const std::scoped_lock lock(m_admissionMutex);
+        m_admission = makeAdmission();
+    }
+    if (m_endpoint.isDraining() || m_isStopping) {
+        admission()->startDrain();
+    }
+    if (news != Heartbeat::Stale) {
         publishEndpoint();
     }
 }
--- a/src/node/node_hooks.cpp
+++ b/src/node/node_hooks.cpp
@@ -15,14 +15,14 @@
 
 namespace asio = boost::asio;
 
-/** Readers of the log in each data centre; more would add reads without making changes arrive sooner. */
-constexpr std::size_t ReadersPerDataCentre = 3;
-
 /** The membership sends a new node the whole table in this time once it has heard a member. */
 constexpr core::Duration JoinTime = std::chrono::seconds(1);
 /** A node that hears nobody for this time is alone. */
 constexpr core::Duration LonelyJoinTime = std::chrono::seconds(3);
 
+/** Places the readers of the log among the hosts of a data centre. */
+constexpr std::string_view ReaderKey = "log-reader";
+
 std::size_t rankOf(const core::HostId &host, std::string_view key, std::vector<core::HostId> hosts)
 {
     const std::vector<core::HostId> order = core::rendezvousOrder(key, std::move(hosts));
@@ -73,6 +73,7 @@
         return std::pair(opened->sender, std::move(opened->datagram));
     };
     hooks.random = m_random;
+    hooks.now = now;
     hooks.offsetHeard = [this](const core::HostId &host, core::Offset offset) {
         if (offset > m_config.catalogue()->appliedOffset()) {
             asio::co_spawn(m_executor, m_config.pullFrom(host, offset), asio::detached);
@@ -96,7 +97,12 @@
     hooks.now = now;
     hooks.random = m_random;
     hooks.isReader = [this] {
-        return rankOf(m_settings->host, "log-reader", liveHosts(m_settings->dataCentre)) < ReadersPerDataCentre;
+        const std::vector<core::HostId> hosts = liveHosts(m_settings->dataCentre);
+        return rankOf(m_settings->host, ReaderKey, hosts) < m_settings->readersPerDataCentre;
+    };
+    hooks.reader = [this]() -> std::optional<core::HostId> {
+        const core::HostId first = core::rendezvousFirst(ReaderKey, liveHosts(m_settings->dataCentre));
+        return first.isEmpty() || first == m_settings->host ? std::nullopt : std::optional(first);
     };
     hooks.snapshotRank = [this] {
         const std::shared_ptr<const membership::MemberSnapshot> members = m_membership->snapshot();
@@ -201,7 +207,7 @@
     EntryHooks hooks;
     hooks.catalogue = [this] { return m_config.isReady() ? m_config.catalogue() : nullptr; };
     hooks.isKeyWithdrawn = [this](const core::Digest &digest) { return m_config.isKeyWithdrawn(digest); };
-    hooks.sinceOutsideContact = [this] { return sinceOutsideContact(); };
+    hooks.configurationAge = [this] { return configurationAge(); };
     hooks.admit = [this](core::WorkspaceId workspace) {
         return m_limits.admit(std::move(workspace), m_settings->maxLimitHold);
     };
@@ -229,7 +235,7 @@
     hooks.nodes = [this] { return nodeStatus(); };
     hooks.refresh = [this](core::Offset change) { refreshMembers(change); };
     hooks.metrics = [this] { return m_metrics.text(); };
-    hooks.isReady = [this] { return m_config.isReady() && hasJoined() && !m_isStopping; };
+    hooks.isReady = [this] { return isReady(); };
     return hooks;
 }
 
@@ -255,6 +261,20 @@
     return age >= LonelyJoinTime || (hasHeardOthers && age >= JoinTime);
 }
 
+bool Node::Implementation::isReady() const
+{
+    return m_config.isReady() && hasJoined() && !m_isStopping;
+}
+
+core::Duration Node::Implementation::configurationAge() const
+{
+    if (m_settings->proofFallback == core::Duration::zero()) {
+        return sinceOutsideContact();
+    }
+    const auto provenAt = m_config.provenAt();
+    return provenAt ? now() - *provenAt : core::Duration::max();
+}
+
 core::Duration Node::Implementation::sinceOutsideContact() const
 {
     core::TimePoint last = m_startedAt;
--- a/src/node/node_parts.h
+++ b/src/node/node_parts.h
@@ -2,6 +2,7 @@
 
 #include "berylspring/admission/admission_service.h"
 #include "berylspring/config/config_service.h"
+#include "berylspring/core/clock.h"
 #include "berylspring/http/operator_api.h"
 #include "berylspring/http/server.h"
 #include "berylspring/idempotency/service.h"
@@ -13,6 +14,7 @@
 #include "berylspring/node/in_flight_table.h"
 #include "berylspring/node/local_endpoint.h"
 #include "berylspring/node/node.h"
+#include "berylspring/node/protocols.h"
 #include "berylspring/telemetry/metrics.h"
 #include "berylspring/telemetry/span_buffer.h"
 #include "berylspring/wire/datagram_codec.h"
@@ -29,7 +31,7 @@
 class Node::Implementation : public std::enable_shared_from_this<Node::Implementation>
 {
 public:
-    Implementation(boost::asio::any_io_executor executor, Settings settings);
+    Implementation(boost::asio::any_io_executor executor, Settings settings, Protocols protocols);
 
     Result<NodePorts> start();
     boost::asio::awaitable<void> stop();
@@ -59,10 +61,12 @@
     std::vector<http::NodeStatus> nodeStatus() const;
     void refreshMembers(core::Offset change);
 
-    void announceEndpoint(const http::EndpointAnnouncement &announcement);
+    boost::asio::awaitable<http::Reply> handleOperator(http::Request request);
+    void takeHeartbeat(const http::EndpointHeartbeat &heartbeat);
     void drainEndpoint();
     void publishEndpoint();
     boost::asio::awaitable<void> publishLoop();
+    boost::asio::awaitable<void> linger();
     boost::asio::awaitable<bool> finishWork();
     void tellProviders(wire::QuarantineNotice notice);
     boost::asio::awaitable<void> tell(core::HostId host, wire::Message message);
@@ -73,14 +77,17 @@
     [[nodiscard]] std::vector<core::HostId> liveHosts(const core::DataCentreId &dataCentre) const;
     [[nodiscard]] std::vector<core::HostId> claimHosts(const core::DataCentreId &dataCentre) const;
     [[nodiscard]] bool hasJoined() const;
+    [[nodiscard]] bool isReady() const;
     [[nodiscard]] core::Duration sinceOutsideContact() const;
+    [[nodiscard]] core::Duration configurationAge() const;
     [[nodiscard]] static core::TimePoint now()
     {
-        return std::chrono::steady_clock::now();
+        return core::bootTime();
     }
 
     boost::asio::any_io_executor m_executor;
     Settings m_settings;
+    Protocols m_protocols;
     core::RandomSource m_random;
     std::uint64_t m_bootId;
     core::TimePoint m_startedAt;
@@ -94,7 +101,7 @@
     wire::PeerPool m_peers;
     std::unique_ptr<wire::PeerServer> m_peerServer; ///< Made by start(), when a port is free.
     std::unique_ptr<membership::MembershipService> m_membership; ///< Made by start(), when its port is known.
-    platform::LogHooks m_log;
+    eventlog::LogHooks m_log;
     config::ConfigService m_config;
     limit::LimitService m_limits;
     idempotency::IdempotencyService m_idempotency;
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -57,7 +57,12 @@
 
     std::uint64_t number(const std::string &name, std::uint64_t fallback, std::uint64_t low, std::uint64_t high)
     {
-        const std::string value = text(name, std::to_string(fallback));
+        return toNumber(name, text(name, std::to_string(fallback)), low, high);
+    }
+
+    static std::uint64_t
+    toNumber(const std::string &name, const std::string &value, std::uint64_t low, std::uint64_t high)
+    {
         std::uint64_t result = 0;
         const auto parsed = std::from_chars(value.data(), value.data() + value.size(), result);
         if (parsed.ec != std::errc{} || parsed.ptr != value.data() + value.size() || result < low || result > high) {
@@ -66,9 +71,13 @@
         return result;
     }
 
+    /** @brief Reads PORT or IP:PORT; every port is bound to node.address. */
     std::uint16_t port(const std::string &name)
     {
-        return static_cast<std::uint16_t>(number(name, 0, 0, 65535));
+        const std::string value = text(name, "0");
+        const std::size_t colon = value.rfind(':');
+        const std::string digits = colon == std::string::npos ? value : value.substr(colon + 1);
+        return static_cast<std::uint16_t>(toNumber(name, digits, 0, 65535));
     }
 
     std::chrono::milliseconds
@@ -172,6 +181,10 @@
     fields.dataCentre = core::DataCentreId(reader.validName("node.data_centre"));
     fields.address = ipAddress(reader, "node.address");
     fields.threads = static_cast<std::uint32_t>(reader.number("node.threads", 2, 1, 64));
+    if (!reader.text("node.service", {}).empty()) {
+        fields.service = core::ServiceId(reader.validName("node.service"));
+    }
+    fields.stopLinger = reader.milliseconds("node.stop_linger_ms", 0, 0, 600'000);
     fields.stopTimeout = reader.milliseconds("node.stop_timeout_ms", 30'000, 100, 600'000);
     fields.callerPort = reader.port("ports.caller");
     fields.endpointPort = reader.port("ports.endpoint");
@@ -218,6 +231,16 @@
 void readPlatform(Reader &reader, SettingsFields &fields)
 {
     fields.logAddress = reader.required("platform.log", "an IP number with a port");
+    const std::string kind = reader.text("platform.kind", "own");
+    if (kind != "own" && kind != "store") {
+        refuse("platform.kind", kind, "own or store");
+    }
+    fields.logKind = kind == "store" ? LogKind::Store : LogKind::Own;
+    fields.logPoll = reader.milliseconds("platform.poll_ms", 10'000, 100, 30'000);
+    fields.proofRefresh = reader.milliseconds("platform.proof_refresh_ms", 0, 0, 600'000);
+    fields.proofFallback = reader.milliseconds("platform.proof_fallback_ms", 0, 0, 600'000);
+    fields.readersPerDataCentre = static_cast<std::uint32_t>(reader.number("platform.readers", 3, 1, 100));
+    fields.keyStaleness = reader.milliseconds("platform.key_staleness_ms", 0, 0, 600'000);
     fields.snapshotInterval = reader.milliseconds("platform.snapshot_interval_ms", 600'000, 100, 86'400'000);
 }
 
--- a/src/programs/berylspringd.cpp
+++ b/src/programs/berylspringd.cpp
@@ -1,6 +1,7 @@
 #include "berylspring/node/node.h"
 #include "berylspring/node/settings.h"
 #include "berylspring/telemetry/log.h"
+#include "platform/adapter.h"
 
 #include <csignal>
 #include <cstdlib>
@@ -46,7 +47,10 @@
 {
     telemetry::startLogging(settings->host.value(), settings->logLevel);
     asio::io_context context(static_cast<int>(settings->threads));
-    node::Node node(context.get_executor(), settings);
+    node::Node node(context.get_executor(),
+                    settings,
+                    settings->logKind == node::LogKind::Store ? platform::makeProtocols(settings)
+                                                              : node::ownProtocols());
     const auto ports = node.start();
     if (!ports) {
         telemetry::log(telemetry::Severity::Error, "start failed", {{"error", ports.error().detail()}});
--- a/src/telemetry/log.cpp
+++ b/src/telemetry/log.cpp
@@ -1,9 +1,12 @@
 #include "berylspring/telemetry/log.h"
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <ctime>
 #include <iostream>
+#include <mutex>
+#include <utility>
 
 #include <boost/json.hpp>
 #include <boost/log/core.hpp>
@@ -61,6 +64,32 @@
     return std::string(text.data(), length) + "." + fraction + "Z";
 }
 
+/** @brief Bounds the volume of lines about single requests. */
+class DecisionBudget
+{
+public:
+    /** @return Lines dropped since the last admitted one; nothing when this line is to be dropped, too. */
+    std::optional<std::int64_t> take(core::TimePoint now)
+    {
+        const std::scoped_lock lock(m_mutex);
+        const double seconds = std::chrono::duration<double>(now - m_filledAt).count();
+        m_tokens = std::min(DecisionsPerSecond, m_tokens + std::max(0.0, seconds) * DecisionsPerSecond);
+        m_filledAt = now;
+        if (m_tokens < 1) {
+            ++m_dropped;
+            return std::nullopt;
+        }
+        m_tokens -= 1;
+        return std::exchange(m_dropped, 0);
+    }
+
+private:
+    std::mutex m_mutex;
+    double m_tokens = DecisionsPerSecond;
+    core::TimePoint m_filledAt;
+    std::int64_t m_dropped = 0;
+};
+
 boost::json::value toJson(const LogField &field)
 {
     return std::visit([](const auto &value) { return boost::json::value(value); }, field.value);
@@ -73,7 +102,7 @@
     namespace logging = boost::log;
     hostName() = host;
     auto backend = boost::make_shared<logging::sinks::text_ostream_backend>();
-    backend->add_stream(boost::shared_ptr<std::ostream>(&std::clog, [](std::ostream *) {}));
+    backend->add_stream(boost::shared_ptr<std::ostream>(&std::cout, [](std::ostream *) {}));
     backend->auto_flush(true);
     auto sink = boost::make_shared<logging::sinks::synchronous_sink<logging::sinks::text_ostream_backend>>(backend);
     sink->set_formatter(logging::expressions::stream << logging::expressions::smessage);
@@ -92,6 +121,19 @@
     return std::nullopt;
 }
 
+void logDecision(std::string_view message, std::vector<LogField> fields, core::TimePoint now)
+{
+    static DecisionBudget budget;
+    const auto dropped = budget.take(now);
+    if (!dropped) {
+        return;
+    }
+    if (*dropped > 0) {
+        fields.push_back({"dropped", *dropped});
+    }
+    log(Severity::Info, message, fields);
+}
+
 void log(Severity severity, std::string_view message, const std::vector<LogField> &fields)
 {
     boost::log::record record = source().open_record(boost::log::keywords::severity = severity);
--- a/src/wire/envelope_decode.cpp
+++ b/src/wire/envelope_decode.cpp
@@ -161,6 +161,7 @@
         fields.retryAllowance = value.retry_allowance();
         fields.traceParent = text(value.trace_parent());
         fields.claimName = text(value.claim_name());
+        fields.requestId = text(value.request_id());
         return CallRequest(std::move(fields));
     }
 
@@ -290,6 +291,9 @@
         fields.records = list<LogEntry>(value.records(), [this](const schema::LogEntry &entry) {
             return LogEntry{entry.offset(), text(entry.data())};
         });
+        if (value.has_proof()) {
+            fields.proofAge = duration(value.proof_age_ns());
+        }
         return RecordBatch(std::move(fields));
     }
 
--- a/src/wire/envelope_encode.cpp
+++ b/src/wire/envelope_encode.cpp
@@ -138,6 +138,7 @@
         const auto workspace = text(value->workspace);
         const auto traceParent = text(value->traceParent);
         const auto claimName = text(value->claimName);
+        const auto requestId = text(value->requestId);
         return schema::CreateCallRequest(m_builder,
                                          service,
                                          route,
@@ -153,7 +154,8 @@
                                          value->remaining.count(),
                                          value->retryAllowance,
                                          traceParent,
-                                         claimName);
+                                         claimName,
+                                         requestId);
     }
     Offset<schema::CallResponse> write(const CallResponse &value)
     {
@@ -252,7 +254,12 @@
     Offset<schema::RecordBatch> write(const RecordBatch &value)
     {
         const auto snapshot = value->snapshot ? text(*value->snapshot) : Offset<flatbuffers::String>();
-        return schema::CreateRecordBatch(m_builder, snapshot, value->next, list<schema::LogEntry>(value->records));
+        return schema::CreateRecordBatch(m_builder,
+                                         snapshot,
+                                         value->next,
+                                         list<schema::LogEntry>(value->records),
+                                         value->proofAge.has_value(),
+                                         value->proofAge.value_or(core::Duration::zero()).count());
     }
     Offset<schema::Tombstone> write(const Tombstone &value)
     {
--- a/tests/config/a_catalogue_folds_its_records.cpp
+++ b/tests/config/a_catalogue_folds_its_records.cpp
@@ -61,7 +61,7 @@
 
 const config::Route *routeOf(const Catalogue &catalogue, const std::string &path)
 {
-    return catalogue.findRoute(path);
+    return catalogue.findRoute("any.example", path);
 }
 
 }
--- a/tests/config/in_memory_log.cpp
+++ b/tests/config/in_memory_log.cpp
@@ -15,9 +15,9 @@
 {
 }
 
-platform::LogHooks InMemoryLog::hooks()
+eventlog::LogHooks InMemoryLog::hooks()
 {
-    platform::LogHooks hooks;
+    eventlog::LogHooks hooks;
     hooks.append = [this](std::string stream, std::string data) { return append(std::move(stream), std::move(data)); };
     hooks.read = [this](std::string stream, core::Offset from, std::uint32_t limit, core::Duration wait) {
         return read(std::move(stream), from, limit, wait);
@@ -56,25 +56,25 @@
     return m_streams[stream].records;
 }
 
-asio::awaitable<platform::Result<core::Offset>> InMemoryLog::append(std::string stream, std::string data)
+asio::awaitable<eventlog::Result<core::Offset>> InMemoryLog::append(std::string stream, std::string data)
 {
     if (isDown) {
-        co_return tl::unexpected(platform::Error(platform::ErrorCode::Unreachable, false, "down"));
+        co_return tl::unexpected(eventlog::Error(eventlog::ErrorCode::Unreachable, false, "down"));
     }
     if (appendsToLose > 0) {
         --appendsToLose;
-        co_return tl::unexpected(platform::Error(platform::ErrorCode::Timeout, true, "append lost"));
+        co_return tl::unexpected(eventlog::Error(eventlog::ErrorCode::Timeout, true, "append lost"));
     }
     push(stream, std::move(data));
     if (answersToLose > 0) {
         --answersToLose;
-        co_return tl::unexpected(platform::Error(platform::ErrorCode::Timeout, true, "answer lost"));
+        co_return tl::unexpected(eventlog::Error(eventlog::ErrorCode::Timeout, true, "answer lost"));
     }
     const Stream &known = m_streams[stream];
     co_return known.first + known.records.size() - 1;
 }
 
-asio::awaitable<platform::Result<platform::LogPage>>
+asio::awaitable<eventlog::Result<eventlog::LogPage>>
 InMemoryLog::read(std::string stream, core::Offset from, std::uint32_t limit, core::Duration wait)
 {
     const auto end = [&] { return m_streams[stream].first + m_streams[stream].records.size(); };
@@ -83,18 +83,18 @@
         co_await m_changed.async_wait(asio::as_tuple(asio::use_awaitable));
     }
     if (isDown) {
-        co_return tl::unexpected(platform::Error(platform::ErrorCode::Unreachable, false, "down"));
+        co_return tl::unexpected(eventlog::Error(eventlog::ErrorCode::Unreachable, false, "down"));
     }
     const Stream &known = m_streams[stream];
     if (from < known.first) {
-        co_return tl::unexpected(platform::Error::expired(known.first));
+        co_return tl::unexpected(eventlog::Error::expired(known.first));
     }
-    platform::LogPageFields page{{}, known.first, end()};
+    eventlog::LogPageFields page{{}, known.first, end()};
     for (core::Offset offset = from; offset < end() && page.records.size() < limit; ++offset) {
         page.records.push_back({offset, known.records[offset - known.first]});
         page.next = offset + 1;
     }
-    co_return platform::LogPage(std::move(page));
+    co_return eventlog::LogPage(std::move(page));
 }
 
 }
--- a/tests/config/in_memory_log.h
+++ b/tests/config/in_memory_log.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "berylspring/platform/log_hooks.h"
+#include "berylspring/eventlog/log_hooks.h"
 
 #include <cstdint>
 #include <map>
@@ -19,7 +19,7 @@
 public:
     explicit InMemoryLog(const boost::asio::any_io_executor &executor);
 
-    [[nodiscard]] platform::LogHooks hooks();
+    [[nodiscard]] eventlog::LogHooks hooks();
 
     void push(const std::string &stream, std::string data);
     /** @brief Forgets the records below the offset, as retention does. */
@@ -40,8 +40,8 @@
         std::vector<std::string> records;
     };
 
-    boost::asio::awaitable<platform::Result<core::Offset>> append(std::string stream, std::string data);
-    boost::asio::awaitable<platform::Result<platform::LogPage>>
+    boost::asio::awaitable<eventlog::Result<core::Offset>> append(std::string stream, std::string data);
+    boost::asio::awaitable<eventlog::Result<eventlog::LogPage>>
     read(std::string stream, core::Offset from, std::uint32_t limit, core::Duration wait);
 
     std::map<std::string, Stream> m_streams;
--- a/tests/platform/the_log_over_http.cpp
+++ b/tests/eventlog/the_log_over_http.cpp
@@ -1,5 +1,5 @@
-#include "berylspring/platform/http_log.h"
-#include "platform/log_json.h"
+#include "berylspring/eventlog/http_log.h"
+#include "eventlog/log_json.h"
 #include "support/section.h"
 
 #include <chrono>
@@ -128,7 +128,7 @@
 {
     asio::io_context context;
     ScriptedServer server(context);
-    const auto log = platform::makeHttpLog(context.get_executor(), "127.0.0.1", server.port());
+    const auto log = eventlog::makeHttpLog(context.get_executor(), "127.0.0.1", server.port());
     section("a record is sent as it is and its offset comes back", [&] {
         server.script = {{200, R"({"offset":7})"}};
         LONGS_EQUAL(7, wait(context, log.append("config", "{\"a\":\"\n\"}")).value());
@@ -138,13 +138,13 @@
         server.script = {{200, R"({"records":[{"offset":7,"data":"x"}],"first":3,"next":8})"}};
         const auto page = wait(context, log.read("config", 7, 20, std::chrono::milliseconds(250))).value();
         STRCMP_EQUAL("GET /streams/config/records?from=7&limit=20&wait_ms=250 ", server.requests.back().c_str());
-        CHECK_TRUE(page == platform::LogPage({{{7, "x"}}, 3, 8}));
+        CHECK_TRUE(page == eventlog::LogPage({{{7, "x"}}, 3, 8}));
         LONGS_EQUAL(1, server.connectionCount);
     });
     section("expired records come with the first offset", [&] {
         server.script = {{410, R"({"first":9})"}};
         const auto page = wait(context, log.read("config", 7, 20, {}));
-        CHECK_TRUE(!page && page.error() == platform::Error::expired(9));
+        CHECK_TRUE(!page && page.error() == eventlog::Error::expired(9));
     });
     section("a connection that the log closed meanwhile is replaced, and nothing is in doubt", [&] {
         server.script = {{.status = 200, .body = R"({"offset":8})", .closesAfter = true}, {200, R"({"offset":9})"}};
@@ -160,14 +160,14 @@
     asio::io_context context;
     ScriptedServer server(context);
     const auto failureOf = [&](Reply reply, core::Duration requestTimeout = std::chrono::minutes(10)) {
-        const platform::LogTimeouts timeouts{std::chrono::minutes(10), requestTimeout};
-        const auto log = platform::makeHttpLog(context.get_executor(), "127.0.0.1", server.port(), timeouts);
+        const eventlog::LogTimeouts timeouts{std::chrono::minutes(10), requestTimeout};
+        const auto log = eventlog::makeHttpLog(context.get_executor(), "127.0.0.1", server.port(), timeouts);
         server.script = {std::move(reply)};
         const auto appended = wait(context, log.append("config", "x"));
         CHECK_FALSE(appended.has_value());
         return std::pair(appended.error().code(), appended.error().maybeApplied());
     };
-    using platform::ErrorCode;
+    using eventlog::ErrorCode;
     section("lost, late and unreadable answers leave it in doubt", [&] {
         CHECK_TRUE(failureOf({.isLost = true}) == std::pair(ErrorCode::Unreachable, true));
         CHECK_TRUE(failureOf({.isSilent = true}, std::chrono::milliseconds(20)) == std::pair(ErrorCode::Timeout, true));
@@ -180,7 +180,7 @@
     });
     section("neither do a log that is not there and an address that is none", [&] {
         for (const auto &address : {std::string("127.0.0.1"), std::string("no-address")}) {
-            const auto absent = platform::makeHttpLog(context.get_executor(), address, 1);
+            const auto absent = eventlog::makeHttpLog(context.get_executor(), address, 1);
             const auto appended = wait(context, absent.append("config", "x"));
             CHECK_TRUE(!appended && appended.error().code() == ErrorCode::Unreachable);
             CHECK_FALSE(appended.error().maybeApplied());
@@ -198,13 +198,13 @@
                                  R"({"records":[{"offset":-1,"data":""}],"first":0,"next":0})",
                                  R"({"records":[{"offset":1,"data":5}],"first":0,"next":0})",
                                  R"({"records":[{"offset":2,"data":""},{"offset":1,"data":""}],"first":0,"next":3})"}) {
-            const auto page = platform::detail::parseLogPage(body);
-            CHECK_TRUE_TEXT(!page && page.error().code() == platform::ErrorCode::Malformed, body);
+            const auto page = eventlog::detail::parseLogPage(body);
+            CHECK_TRUE_TEXT(!page && page.error().code() == eventlog::ErrorCode::Malformed, body);
         }
-        CHECK_TRUE(platform::detail::parseExpired("{}").code() == platform::ErrorCode::Malformed);
+        CHECK_TRUE(eventlog::detail::parseExpired("{}").code() == eventlog::ErrorCode::Malformed);
     });
     checkProperty("arbitrary text is refused without another failure", [](const std::string &text) {
-        RC_ASSERT(!platform::detail::parseLogPage(text));
-        RC_ASSERT(!platform::detail::parseAppendAnswer(text));
+        RC_ASSERT(!eventlog::detail::parseLogPage(text));
+        RC_ASSERT(!eventlog::detail::parseAppendAnswer(text));
     });
 }
--- a/tests/node/a_refusal_at_the_entry.cpp
+++ b/tests/node/a_refusal_at_the_entry.cpp
@@ -65,7 +65,7 @@
         }
         hooks.catalogue = [shared] { return shared; };
         hooks.isKeyWithdrawn = [](const core::Digest &digest) { return digest == core::sha256(Withdrawn); };
-        hooks.sinceOutsideContact = [] { return core::Duration::zero(); };
+        hooks.configurationAge = [] { return core::Duration::zero(); };
         hooks.now = [] { return core::TimePoint(); };
         hooks.random = core::systemRandom();
         hooks.spans = [](const telemetry::Span &) {};
--- a/tests/tools/berylspring-config-cost.cpp
+++ b/tests/tools/berylspring-config-cost.cpp
@@ -87,7 +87,10 @@
     const core::Digest digest = core::sha256("key-2");
     int found = 0;
     for (int i = 0; i < MeasuredLookups; ++i) {
-        found += catalogue.findKey(digest) != nullptr && catalogue.findRoute("/visits/route-3/1") != nullptr ? 1 : 0;
+        found +=
+            catalogue.findKey(digest) != nullptr && catalogue.findRoute("any.example", "/visits/route-3/1") != nullptr
+                ? 1
+                : 0;
     }
     const auto afterLookups = Clock::now();
     const std::string text = changed.toJson();
--- a/tests/wire/generators.h
+++ b/tests/wire/generators.h
@@ -102,6 +102,7 @@
     fields.retryAllowance = value<std::uint32_t>();
     fields.traceParent = text();
     fields.claimName = text();
+    fields.requestId = text();
     return wire::CallRequest(fields);
 }
 
@@ -145,9 +146,12 @@
 
 inline wire::RecordBatch recordBatch()
 {
-    return wire::RecordBatch(wire::RecordBatchFields{optional(text), value<std::uint64_t>(), list([] {
+    return wire::RecordBatch(wire::RecordBatchFields{optional(text),
+                                                     value<std::uint64_t>(),
+                                                     list([] {
                                                          return wire::LogEntry{value<std::uint64_t>(), text()};
-                                                     })});
+                                                     }),
+                                                     optional(duration)});
 }
 
 /** @param index Index of the alternative in wire::Message. */
