Reload settings on SIGHUP, and stop within the grace time

Two stopping processes were killed at the end of the grace time: the linger, the deadline of the stop and the leaving came one after the other.

Change: the settings file is read again on SIGHUP and when it has changed; the log level is taken over, other changes are reported as needing a restart. The stop has one deadline from SIGTERM on.

--- a/include/berylspring/telemetry/log.h
+++ b/include/berylspring/telemetry/log.h
@@ -33,6 +33,9 @@
  */
 void startLogging(std::string_view host, Severity lowest);
 
+/** @brief Changes the lowest severity that is written. */
+void setLowestSeverity(Severity lowest);
+
 /** @return The severity named "debug", "info", "warning" or "error", or nothing. */
 [[nodiscard]] std::optional<Severity> severityFromString(std::string_view text) noexcept;
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -171,7 +171,7 @@
     drainEndpoint();
     co_await linger();
     using asio::experimental::awaitable_operators::operator||;
-    asio::steady_timer deadline(co_await asio::this_coro::executor, m_settings->stopTimeout);
+    asio::steady_timer deadline(co_await asio::this_coro::executor, m_settings->stopTimeout - m_settings->stopLinger);
     const auto outcome = co_await (finishWork() || deadline.async_wait(asio::use_awaitable));
     const bool isInTime = outcome.index() == 0;
     if (!isInTime) {
--- a/src/programs/berylspringd.cpp
+++ b/src/programs/berylspringd.cpp
@@ -5,7 +5,9 @@
 
 #include <csignal>
 #include <cstdlib>
+#include <filesystem>
 #include <iostream>
+#include <string>
 #include <thread>
 #include <vector>
 
@@ -13,6 +15,8 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/program_options.hpp>
 
@@ -35,6 +39,76 @@
               << "listening peer " << ports.peer << std::endl;
 }
 
+/** How often the settings file is looked at; it may change without a signal. */
+constexpr std::chrono::seconds SettingsCheckInterval(5);
+
+/** @brief Takes over what can change while the process runs. */
+class SettingsReloader
+{
+public:
+    SettingsReloader(std::string path, node::Settings settings)
+        : m_path(std::move(path))
+        , m_settings(std::move(settings))
+        , m_modifiedAt(modifiedAt())
+    {
+    }
+
+    void reloadIfChanged()
+    {
+        const auto time = modifiedAt();
+        if (time != m_modifiedAt) {
+            m_modifiedAt = time;
+            reload();
+        }
+    }
+
+    void reload()
+    {
+        const auto loaded = node::loadSettings(m_path);
+        if (!loaded) {
+            telemetry::log(
+                telemetry::Severity::Error, "settings not reloaded", {{"error", loaded.error().detail()}});
+            return;
+        }
+        using Fields = node::SettingsFields;
+        const node::Settings same(*loaded->with(&Fields::logLevel, m_settings->logLevel));
+        const bool needsRestart = !(same == m_settings);
+        m_settings = node::Settings(*m_settings.with(&Fields::logLevel, (*loaded)->logLevel));
+        telemetry::setLowestSeverity(m_settings->logLevel);
+        telemetry::log(telemetry::Severity::Info, "settings reloaded", {{"needs_restart", needsRestart}});
+    }
+
+private:
+    [[nodiscard]] std::filesystem::file_time_type modifiedAt() const
+    {
+        std::error_code error;
+        return std::filesystem::last_write_time(m_path, error);
+    }
+
+    std::string m_path;
+    node::Settings m_settings;
+    std::filesystem::file_time_type m_modifiedAt;
+};
+
+asio::awaitable<void> reloadOnSignal(asio::io_context &context, SettingsReloader &reloader)
+{
+    asio::signal_set signals(context, SIGHUP);
+    while (true) {
+        co_await signals.async_wait(asio::use_awaitable);
+        reloader.reload();
+    }
+}
+
+asio::awaitable<void> reloadOnChange(asio::io_context &context, SettingsReloader &reloader)
+{
+    asio::steady_timer timer(context);
+    while (true) {
+        timer.expires_after(SettingsCheckInterval);
+        co_await timer.async_wait(asio::use_awaitable);
+        reloader.reloadIfChanged();
+    }
+}
+
 asio::awaitable<void> stopOnSignal(asio::io_context &context, node::Node &node)
 {
     asio::signal_set signals(context, SIGTERM, SIGINT);
@@ -43,7 +117,7 @@
     context.stop();
 }
 
-int runNode(const node::Settings &settings)
+int runNode(const std::string &path, const node::Settings &settings)
 {
     telemetry::startLogging(settings->host.value(), settings->logLevel);
     asio::io_context context(static_cast<int>(settings->threads));
@@ -59,6 +133,11 @@
     printPorts(*ports);
     telemetry::log(telemetry::Severity::Info, "started", {{"data_centre", settings->dataCentre.value()}});
     asio::co_spawn(context, stopOnSignal(context, node), asio::detached);
+    // Both run on one strand, so the reloader needs no lock.
+    SettingsReloader reloader(path, settings);
+    const auto strand = asio::make_strand(context);
+    asio::co_spawn(strand, reloadOnSignal(context, reloader), asio::detached);
+    asio::co_spawn(strand, reloadOnChange(context, reloader), asio::detached);
     std::vector<std::jthread> threads;
     for (std::uint32_t i = 1; i < settings->threads; ++i) {
         threads.emplace_back([&context] { context.run(); });
@@ -97,7 +176,8 @@
         std::cerr << "berylspringd: --settings FILE is needed\n" << description;
         return ExitUsage;
     }
-    const auto settings = node::loadSettings(values["settings"].as<std::string>());
+    const std::string path = values["settings"].as<std::string>();
+    const auto settings = node::loadSettings(path);
     if (!settings) {
         std::cerr << "berylspringd: " << settings.error().detail() << '\n';
         return ExitSettings;
@@ -106,5 +186,5 @@
         std::cout << "settings are valid\n";
         return ExitOk;
     }
-    return runNode(*settings);
+    return runNode(path, *settings);
 }
--- a/src/telemetry/log.cpp
+++ b/src/telemetry/log.cpp
@@ -108,7 +108,12 @@
     sink->set_formatter(logging::expressions::stream << logging::expressions::smessage);
     logging::core::get()->remove_all_sinks();
     logging::core::get()->add_sink(sink);
-    logging::core::get()->set_filter(logging::expressions::attr<Severity>("Severity") >= lowest);
+    setLowestSeverity(lowest);
+}
+
+void setLowestSeverity(Severity lowest)
+{
+    boost::log::core::get()->set_filter(boost::log::expressions::attr<Severity>("Severity") >= lowest);
 }
 
 std::optional<Severity> severityFromString(std::string_view text) noexcept
