--- a/include/berylspring/config/config_settings.h
+++ b/include/berylspring/config/config_settings.h
@@ -19,6 +19,7 @@
     /** Longest age of the proof that the configuration is the newest, before a peer is asked; 0: peers are not asked.
      */
     core::Duration proofRefresh{};
+    core::Duration proofTimeout = std::chrono::milliseconds(300); ///< Until the peer counts as not answering.
     /** Age of the proof from which a node reads the log itself, whatever its role; 0: never. */
     core::Duration proofFallback{};
     bool isLogWritable = true; ///< False: operators write to the log themselves, and snapshots are not needed.
--- a/include/berylspring/node/call_plan.h
+++ b/include/berylspring/node/call_plan.h
@@ -23,6 +23,7 @@
     core::WorkspaceId workspace; ///< Empty on an open route without a key.
     std::optional<core::Digest> keyDigest;
     core::PriorityLevel priority = 0;
+    core::PriorityLevel routeLevel = 0; ///< Level of the route's own priority.
     core::Duration timeout{}; ///< The least of the route's, the caller's and the inherited time.
     std::uint32_t retries = 0; ///< Allowance of a root request.
     bool isNested = false;
--- a/include/berylspring/node/dispatcher.h
+++ b/include/berylspring/node/dispatcher.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "berylspring/admission/entry_shedding.h"
+#include "berylspring/admission/pressure.h"
+#include "berylspring/core/sharded_map.h"
 #include "berylspring/core/time.h"
 #include "berylspring/node/endpoint_views.h"
 #include "berylspring/retry/backoff.h"
@@ -42,6 +44,9 @@
      */
     [[nodiscard]] boost::asio::awaitable<wire::CallResponse> dispatch(wire::CallRequest call);
 
+    /** @return Highest pressure on the services that the endpoint of this host calls. */
+    [[nodiscard]] double nestedPressure(core::TimePoint now) const;
+
 private:
     struct Attempts;
 
@@ -49,7 +54,9 @@
     chooseEndpoint(const wire::CallRequest &call, Attempts &attempts, core::TimePoint now);
     [[nodiscard]] boost::asio::awaitable<wire::CallResponse> attempt(wire::CallRequest call, core::HostId host);
     [[nodiscard]] boost::asio::awaitable<wire::CallResponse> send(wire::CallRequest call, core::HostId host);
+    [[nodiscard]] static bool maySpill(const core::Refusal &refusal, const Attempts &attempts);
     [[nodiscard]] bool mayRetry(const wire::CallRequest &call, const core::Refusal &refusal, const Attempts &attempts);
+    void noteNestedPressure(const wire::CallRequest &call, const wire::CallResponse &response);
     [[nodiscard]] boost::asio::awaitable<void> pauseBeforeRetry(const Attempts &attempts);
 
     core::HostId m_self;
@@ -60,6 +67,7 @@
     retry::RetryBudgets m_budgets;
     retry::BackoffPolicy m_backoff;
     admission::EntryShedding m_shedding;
+    core::ShardedMap<core::ServiceId, admission::Pressure> m_nestedPressure; ///< Of the services of nested calls.
 };
 
 }
--- a/include/berylspring/node/entry.h
+++ b/include/berylspring/node/entry.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "berylspring/admission/root_admission.h"
 #include "berylspring/config/catalogue.h"
 #include "berylspring/core/time.h"
 #include "berylspring/http/caller_request.h"
@@ -32,11 +33,17 @@
     telemetry::SpanSink spans;
 };
 
+struct EntrySettings
+{
+    double sampleRatio = 0; ///< Share of new traces that are exported.
+    bool areControlsOn = true; ///< False: no request is shed at the entry.
+};
+
 /** @brief Path of a caller's request at the node that it enters. Thread-safe. */
 class Entry
 {
 public:
-    Entry(InFlightTable &inFlight, telemetry::Metrics &metrics, double sampleRatio, EntryHooks hooks);
+    Entry(InFlightTable &inFlight, telemetry::Metrics &metrics, EntrySettings settings, EntryHooks hooks);
 
     /** @return The endpoint's answer or a refusal. */
     [[nodiscard]] boost::asio::awaitable<wire::CallResponse> call(http::CallerRequest request);
@@ -44,6 +51,8 @@
 private:
     [[nodiscard]] boost::asio::awaitable<wire::CallResponse>
     run(http::CallerRequest request, telemetry::TraceContext trace, core::PriorityLevel &priority);
+    [[nodiscard]] boost::asio::awaitable<tl::expected<void, core::Refusal>> admit(CallPlan plan);
+    void learn(const CallPlan &plan, const wire::CallResponse &response, core::Duration latency);
     [[nodiscard]] boost::asio::awaitable<wire::CallResponse>
     forward(wire::CallRequest call, http::CallerRequest request, CallPlan plan);
     [[nodiscard]] tl::expected<CallPlan, core::Refusal> plan(const http::CallerRequest &request, core::TimePoint now);
@@ -55,9 +64,10 @@
 
     InFlightTable &m_inFlight;
     telemetry::Metrics &m_metrics;
-    double m_sampleRatio;
+    EntrySettings m_settings;
     EntryHooks m_hooks;
     routing::TrafficSplitter m_splitter;
+    admission::RootAdmission m_rootAdmission;
 };
 
 }
--- a/include/berylspring/routing/ranking.h
+++ b/include/berylspring/routing/ranking.h
@@ -40,7 +40,8 @@
 /**
  * @brief Second step of routing: the better of two random choices among eligible endpoints.
  *
- * Endpoints of the own data centre go first; all are considered when none of them is eligible or each is short.
+ * Endpoints of the own data centre go first. Others are considered when none of them is eligible, or when each is short
+ * and another one is clearly better.
  * @param eligible Result of checkEligibility(); may be empty.
  * @return The chosen one, or null without candidates.
  */
--- a/src/admission/endpoint_gate.cpp
+++ b/src/admission/endpoint_gate.cpp
@@ -11,6 +11,8 @@
 constexpr std::size_t MaxSuspects = 64;
 /** Other work gets this multiple of the time that a suspect took, so that suspects use at most a quarter of it. */
 constexpr int RestAfterAlone = 3;
+/** A nested call that is refused wastes the work of its root, so more of them wait, and as long as they can be run. */
+constexpr std::size_t NestedQueueFactor = 5;
 
 }
 
@@ -65,7 +67,9 @@
 {
     const std::uint32_t limit = m_limit.limit();
     const bool canStart = m_queue.isEmpty() && m_running < limit;
-    const OfferResult offer = m_queue.offer(entry, std::max<std::size_t>(maxQueueLength(now), canStart ? 1 : 0));
+    const std::size_t factor = entry->isNested ? NestedQueueFactor : 1;
+    const OfferResult offer =
+        m_queue.offer(entry, std::max<std::size_t>(factor * maxQueueLength(now), canStart ? 1 : 0));
     if (!offer.isAccepted) {
         notePressure(now);
         return Verdict{.kind = Verdict::Kind::Refuse, .reason = core::RefusalReason::Overloaded};
@@ -76,7 +80,8 @@
             *offer.displaced, Verdict{.kind = Verdict::Kind::Refuse, .reason = core::RefusalReason::Overloaded}, wakes);
     }
     const core::Duration untilTooLate = entry->deadline - now - m_serviceTimes.lowQuantile(now);
-    const auto longest = std::max(core::Duration::zero(), std::min(untilTooLate, m_settings.targetWait));
+    const core::Duration bound = entry->isNested ? untilTooLate : std::min(untilTooLate, m_settings.targetWait);
+    const auto longest = std::max(core::Duration::zero(), bound);
     return Verdict{.kind = Verdict::Kind::Wait, .maxWait = longest};
 }
 
--- /dev/null
+++ b/src/admission/pressure.cpp
@@ -0,0 +1,37 @@
+#include "berylspring/admission/pressure.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace berylspring::admission {
+
+namespace {
+
+/** Weight of the assumption that there is no pressure, in samples; it keeps a lone sample from counting in full. */
+constexpr double PriorWeight = 0.5;
+
+double fading(core::Duration age) noexcept
+{
+    const auto positive = static_cast<double>(std::max(core::Duration::zero(), age).count());
+    return std::exp(-positive / static_cast<double>(Pressure::Memory.count()));
+}
+
+}
+
+Pressure Pressure::withSample(double sample, core::TimePoint now) const noexcept
+{
+    const double kept = fading(now - m_at);
+    Pressure next;
+    next.m_sum = m_sum * kept + std::clamp(sample, 0.0, Highest);
+    next.m_weight = m_weight * kept + 1;
+    next.m_at = std::max(m_at, now);
+    return next;
+}
+
+double Pressure::value(core::TimePoint now) const noexcept
+{
+    const double kept = fading(now - m_at);
+    return m_sum * kept / (m_weight * kept + PriorWeight);
+}
+
+}
--- a/src/admission/service_core.cpp
+++ b/src/admission/service_core.cpp
@@ -109,6 +109,9 @@
     Passage passage = arrived;
     const core::TimePoint startedAt = self->m_hooks.now();
     passage.startedAt = startedAt;
+    self->notePressure(std::chrono::duration<double>(startedAt - arrived.arrivedAt)
+                           / std::chrono::duration<double>(self->m_settings.pressureWait),
+                       startedAt);
     ++self->m_counters.started;
     wire::CallRequest forwarded = request.with(&wire::CallRequestFields::remaining, passage.deadline - startedAt);
     EndpointResult result = co_await callEndpoint(self, std::move(forwarded));
@@ -323,10 +326,17 @@
     return AdmissionState(fields);
 }
 
+void AdmissionService::Core::notePressure(double sample, core::TimePoint now)
+{
+    const std::scoped_lock lock(m_pressureMutex);
+    m_pressure = m_pressure.withSample(sample, now);
+}
+
 void AdmissionService::Core::count(core::RefusalReason reason)
 {
     switch (reason) {
     case core::RefusalReason::Overloaded:
+        notePressure(Pressure::Highest, m_hooks.now());
         ++m_counters.overloaded;
         break;
     case core::RefusalReason::DeadlineExceeded:
@@ -376,6 +386,10 @@
     wire::CallResponseFields fields = *response;
     fields.admittedLevel = state.admittedLevel;
     fields.inFlight = state.running;
+    {
+        const std::scoped_lock lock(m_pressureMutex);
+        fields.pressure = std::max(fields.pressure, m_pressure.value(now));
+    }
     fields.queueTime = passage.startedAt.value_or(now) - passage.arrivedAt;
     fields.serviceTime = now - passage.startedAt.value_or(now);
     return wire::CallResponse(std::move(fields));
--- a/src/admission/service_core.h
+++ b/src/admission/service_core.h
@@ -3,6 +3,7 @@
 #include "admission/wake_up.h"
 #include "berylspring/admission/admission_service.h"
 #include "berylspring/admission/endpoint_gate.h"
+#include "berylspring/admission/pressure.h"
 #include "berylspring/admission/quarantine.h"
 #include "berylspring/core/sharded_map.h"
 
@@ -56,6 +57,7 @@
     void wake(const std::vector<std::uint64_t> &ids);
     void wakeIdleWaiters();
     [[nodiscard]] core::Duration spreadRetryAfter() const;
+    void notePressure(double sample, core::TimePoint now);
     void count(core::RefusalReason reason);
     [[nodiscard]] wire::CallResponse refuse(core::RefusalReason reason, core::Outcome outcome, const Passage &passage);
     [[nodiscard]] wire::CallResponse withFeedback(const wire::CallResponse &response, const Passage &passage) const;
@@ -66,6 +68,8 @@
     EndpointGate m_gate;
     Quarantine m_quarantine;
     core::ShardedMap<std::uint64_t, std::shared_ptr<detail::WakeUp>> m_waiting;
+    mutable std::mutex m_pressureMutex;
+    Pressure m_pressure;
     std::mutex m_idleMutex;
     std::vector<std::shared_ptr<detail::WakeUp>> m_idleWaiters;
     std::atomic<std::uint64_t> m_nextId{1};
--- a/src/config/peer_sync.cpp
+++ b/src/config/peer_sync.cpp
@@ -61,15 +61,16 @@
     co_await pull(self, peer, std::numeric_limits<core::Offset>::max());
 }
 
-asio::awaitable<void> PeerSync::refreshFrom(std::shared_ptr<PeerSync> self, core::HostId peer)
+asio::awaitable<bool> PeerSync::refreshFrom(std::shared_ptr<PeerSync> self, core::HostId peer)
 {
-    co_await pullOnce(self, std::move(peer));
+    const Pulled pulled = co_await pullOnce(self, std::move(peer), self->m_context->settings().proofTimeout);
+    co_return pulled != Pulled::Failed;
 }
 
 asio::awaitable<void> PeerSync::run(std::shared_ptr<PeerSync> self, Target target)
 {
     while (self->m_context->store().appliedOffset() < target.offset) {
-        const Pulled pulled = co_await pullOnce(self, target.peer);
+        const Pulled pulled = co_await pullOnce(self, target.peer, self->m_context->settings().peerTimeout);
         if (pulled == Pulled::Failed) {
             co_return;
         }
@@ -80,14 +81,15 @@
     self->m_context->noteUpToDate();
 }
 
-asio::awaitable<PeerSync::Pulled> PeerSync::pullOnce(std::shared_ptr<PeerSync> self, core::HostId peer)
+asio::awaitable<PeerSync::Pulled>
+PeerSync::pullOnce(std::shared_ptr<PeerSync> self, core::HostId peer, core::Duration timeout)
 {
     const ContextPtr context = self->m_context;
     const core::Offset from = context->store().appliedOffset();
     const wire::RecordPullFields fields{from, context->settings().pageRecords};
     wire::Message message = wire::RecordPull(fields);
     const core::TimePoint askedAt = context->now();
-    const auto answer = co_await context->hooks().call(peer, std::move(message), context->settings().peerTimeout);
+    const auto answer = co_await context->hooks().call(peer, std::move(message), timeout);
     if (!answer) {
         co_return Pulled::Failed;
     }
--- a/src/config/peer_sync.h
+++ b/src/config/peer_sync.h
@@ -20,8 +20,8 @@
     /** @brief Pulls until the offset is applied or the peer has no more; see ConfigService::pullFrom(). */
     static boost::asio::awaitable<void> pull(std::shared_ptr<PeerSync> self, core::HostId peer, core::Offset offset);
 
-    /** @brief Asks one peer for records and for its proof that they are the newest. */
-    static boost::asio::awaitable<void> refreshFrom(std::shared_ptr<PeerSync> self, core::HostId peer);
+    /** @brief Asks one peer for records and for its proof that they are the newest. @return Whether it answered. */
+    static boost::asio::awaitable<bool> refreshFrom(std::shared_ptr<PeerSync> self, core::HostId peer);
 
     /** @brief Pulls all that a random peer has. */
     static boost::asio::awaitable<void> pullFromAny(std::shared_ptr<PeerSync> self);
@@ -44,7 +44,8 @@
     /** @return The pull that was asked for meanwhile; without one, no pull is running any more. */
     std::optional<Target> takeNext();
     static boost::asio::awaitable<void> run(std::shared_ptr<PeerSync> self, Target target);
-    static boost::asio::awaitable<Pulled> pullOnce(std::shared_ptr<PeerSync> self, core::HostId peer);
+    static boost::asio::awaitable<Pulled>
+    pullOnce(std::shared_ptr<PeerSync> self, core::HostId peer, core::Duration timeout);
     Pulled take(core::Offset from, const wire::RecordBatch &batch, core::TimePoint askedAt);
 
     ContextPtr m_context;
--- a/src/config/service_core.cpp
+++ b/src/config/service_core.cpp
@@ -104,16 +104,19 @@
     }
 }
 
-asio::awaitable<void> ServiceCore::refreshProof(std::shared_ptr<ServiceCore> self)
+asio::awaitable<bool> ServiceCore::refreshProof(std::shared_ptr<ServiceCore> self)
 {
     const ContextPtr context = self->m_context;
-    if (context->proofAge(context->now()) < context->settings().proofRefresh) {
-        co_return;
+    const ConfigSettings &settings = context->settings();
+    if (context->proofAge(context->now()) < settings.proofRefresh) {
+        co_return true;
     }
     const auto reader = context->hooks().reader ? context->hooks().reader() : std::nullopt;
-    if (reader) {
-        co_await PeerSync::refreshFrom(self->m_peerSync, *reader);
+    if (!reader) {
+        co_return false;
     }
+    const bool hasAnswered = co_await PeerSync::refreshFrom(self->m_peerSync, *reader);
+    co_return hasAnswered && context->proofAge(context->now()) < settings.proofFallback;
 }
 
 asio::awaitable<core::Duration> ServiceCore::followStep(std::shared_ptr<ServiceCore> self)
@@ -125,11 +128,12 @@
     }
     const bool mustProve = settings.proofFallback > core::Duration::zero();
     const bool isReader = context->hooks().isReader();
+    bool isProofOld = false;
     if (mustProve && !isReader && context->isReady()) {
-        co_await refreshProof(self);
+        const bool isProven = co_await refreshProof(self);
+        isProofOld = !isProven;
     }
     const core::TimePoint start = context->now();
-    const bool isProofOld = mustProve && context->proofAge(start) >= settings.proofFallback;
     const bool isFollowing = isReader || !context->isReady() || isProofOld;
     const auto lastNews = context->lastNews();
     if (mustProve && !isFollowing) {
--- a/src/config/service_core.h
+++ b/src/config/service_core.h
@@ -67,8 +67,11 @@
     void startLoop(Step step);
     static boost::asio::awaitable<void> runLoop(ContextPtr context, Step step);
     static boost::asio::awaitable<core::Duration> followStep(std::shared_ptr<ServiceCore> self);
-    /** @brief A node that is no reader asks one whether its configuration is still the newest. */
-    static boost::asio::awaitable<void> refreshProof(std::shared_ptr<ServiceCore> self);
+    /**
+     * @brief A node that is no reader asks one whether its configuration is still the newest.
+     * @return False if the node has to read the log itself.
+     */
+    static boost::asio::awaitable<bool> refreshProof(std::shared_ptr<ServiceCore> self);
     static boost::asio::awaitable<void> bootstrap(std::shared_ptr<ServiceCore> self);
     [[nodiscard]] core::Duration backOff();
 
--- a/src/node/call_plan.cpp
+++ b/src/node/call_plan.cpp
@@ -94,6 +94,11 @@
     return timeout;
 }
 
+core::PriorityLevel levelOf(const config::Priority *priority)
+{
+    return priority == nullptr ? core::PriorityLevel{0} : (*priority)->level;
+}
+
 core::PriorityLevel
 priorityOf(const config::Route &route, const core::WorkspaceId &workspaceName, const PlanContext &context)
 {
@@ -102,9 +107,7 @@
     }
     const config::Workspace *workspace = context.catalogue.findWorkspace(workspaceName);
     const bool hasOwn = workspace != nullptr && !(*workspace)->priority.isEmpty();
-    const config::Priority *priority =
-        context.catalogue.findPriority(hasOwn ? (*workspace)->priority : route->priority);
-    return priority == nullptr ? core::PriorityLevel{0} : (*priority)->level;
+    return levelOf(context.catalogue.findPriority(hasOwn ? (*workspace)->priority : route->priority));
 }
 
 }
@@ -133,6 +136,7 @@
          .workspace = identity->workspace,
          .keyDigest = identity->keyDigest,
          .priority = priorityOf(*route, identity->workspace, context),
+         .routeLevel = levelOf(context.catalogue.findPriority((*route)->priority)),
          .timeout = timeout,
          .retries = (*route)->retries,
          .isNested = request->contextToken.has_value() || ((*route)->isInternal && identity->workspace.isEmpty()),
--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -21,6 +21,8 @@
 constexpr core::Duration FirstPause = std::chrono::milliseconds(2);
 constexpr core::Duration LongestPause = std::chrono::milliseconds(100);
 constexpr core::Duration OverloadRetryAfter = std::chrono::seconds(1);
+/** A node that has no room for a request answers at once, so asking others costs little and loads no endpoint. */
+constexpr std::uint32_t MaxSpills = 2;
 /** The endpoint's node answers at the deadline itself; its answer needs time to arrive. */
 constexpr core::Duration AnswerMargin = std::chrono::milliseconds(50);
 
@@ -77,7 +79,9 @@
     core::TimePoint deadline;
     std::vector<core::HostId> hosts; ///< Tried so far.
     std::uint32_t retries = 0; ///< Spent here and by nested calls.
+    std::uint32_t spills = 0; ///< Endpoints whose node had no room, so that the request did not reach them.
     bool mayHaveRun = false;
+    double pressure = 0; ///< By the last response.
     bool wasShed = false; ///< An endpoint was left out since it admits only higher priorities.
 };
 
@@ -110,12 +114,17 @@
                           call->retryAllowance - std::min(call->retryAllowance, attempts.retries));
             const wire::CallResponse response = co_await attempt(sent, *decision.host);
             attempts.retries += response->retriesSpent;
+            attempts.pressure = response->pressure;
             if (!response->refusal) {
                 m_budgets.onSuccess(call->service);
                 co_return response.with(&wire::CallResponseFields::retriesSpent, attempts.retries);
             }
             refusal = *response->refusal;
             attempts.mayHaveRun = attempts.mayHaveRun || refusal.outcome() == Outcome::Unknown;
+            if (maySpill(refusal, attempts)) {
+                ++attempts.spills;
+                continue;
+            }
             if (mayRetry(call, refusal, attempts)) {
                 ++attempts.retries;
                 m_hooks.retried();
@@ -124,7 +133,11 @@
             }
         }
         const Outcome outcome = attempts.mayHaveRun ? Outcome::Unknown : refusal.outcome();
-        co_return refused(refusal.withOutcome(outcome)).with(&wire::CallResponseFields::retriesSpent, attempts.retries);
+        wire::CallResponseFields fields;
+        fields.refusal = refusal.withOutcome(outcome);
+        fields.retriesSpent = attempts.retries;
+        fields.pressure = attempts.pressure;
+        co_return wire::CallResponse(std::move(fields));
     }
 }
 
@@ -133,7 +146,8 @@
 {
     const std::shared_ptr<const EndpointViews> endpoints = m_hooks.endpoints(call->service);
     routing::RoutingRequest request{call->service, m_dataCentre, call->priority, attempts.hosts};
-    if (m_areControlsOn) {
+    // The levels shed new work; a nested call continues work that was admitted.
+    if (m_areControlsOn && !call->isNested) {
         for (const routing::EndpointView &endpoint : *endpoints) {
             if (!m_shedding.admits({endpoint->host, call->service}, call->priority, now)) {
                 request.excludedHosts.push_back(endpoint->host);
@@ -183,9 +197,29 @@
     traffic.result = resultOf(response);
     traffic.inFlight = response->inFlight;
     m_shedding.learn({host, call->service}, response->admittedLevel, m_hooks.now());
+    if (call->isNested) {
+        noteNestedPressure(call, response);
+    }
     co_return response;
 }
 
+void Dispatcher::noteNestedPressure(const wire::CallRequest &call, const wire::CallResponse &response)
+{
+    const core::TimePoint now = m_hooks.now();
+    m_nestedPressure.update(call->service, [&](std::optional<admission::Pressure> &pressure) {
+        pressure = pressure.value_or(admission::Pressure()).withSample(response->pressure, now);
+    });
+}
+
+double Dispatcher::nestedPressure(core::TimePoint now) const
+{
+    double highest = 0;
+    m_nestedPressure.forEach([&](const core::ServiceId &, const admission::Pressure &pressure) {
+        highest = std::max(highest, pressure.value(now));
+    });
+    return highest;
+}
+
 asio::awaitable<wire::CallResponse> Dispatcher::send(wire::CallRequest call, core::HostId host)
 {
     if (host == m_self) {
@@ -204,6 +238,13 @@
         Refusal(RefusalReason::ConnectionLost, Outcome::Unknown, "unexpected answer of the endpoint's node"));
 }
 
+bool Dispatcher::maySpill(const Refusal &refusal, const Attempts &attempts)
+{
+    const bool wasTurnedAway =
+        refusal.reason() == RefusalReason::Overloaded || refusal.reason() == RefusalReason::Draining;
+    return refusal.outcome() == Outcome::NotRun && wasTurnedAway && attempts.spills < MaxSpills;
+}
+
 bool Dispatcher::mayRetry(const wire::CallRequest &call, const Refusal &refusal, const Attempts &attempts)
 {
     const retry::Failure failure(refusal, retry::FailureOrigin::NextHop);
--- a/src/node/entry.cpp
+++ b/src/node/entry.cpp
@@ -39,6 +39,26 @@
     return neverHadAName ? refusal : refusal.withOutcome(Outcome::Unknown);
 }
 
+admission::RootClass rootClassOf(const CallPlan &plan)
+{
+    return {.route = plan->route, .service = plan->service, .level = plan->priority, .routeLevel = plan->routeLevel};
+}
+
+bool isServerError(std::uint16_t status) noexcept
+{
+    constexpr std::uint16_t FirstServerError = 500;
+    return status >= FirstServerError;
+}
+
+/** Callers that were refused together must not come back together. */
+core::Duration spread(core::Duration base, std::uint64_t random)
+{
+    return base + core::Duration(static_cast<core::Duration::rep>(random % static_cast<std::uint64_t>(base.count())));
+}
+
+/** Time after which the entry may have found room for a request that it shed. */
+constexpr core::Duration ShedRetryAfter = std::chrono::milliseconds(700);
+
 /** @brief Lends a nested call a part of its parent's retry allowance. */
 class LentAllowance
 {
@@ -76,11 +96,12 @@
 
 }
 
-Entry::Entry(InFlightTable &inFlight, telemetry::Metrics &metrics, double sampleRatio, EntryHooks hooks)
+Entry::Entry(InFlightTable &inFlight, telemetry::Metrics &metrics, EntrySettings settings, EntryHooks hooks)
     : m_inFlight(inFlight)
     , m_metrics(metrics)
-    , m_sampleRatio(sampleRatio)
+    , m_settings(settings)
     , m_hooks(std::move(hooks))
+    , m_rootAdmission(m_hooks.random)
 {
 }
 
@@ -115,8 +136,8 @@
         co_return refused(refusalWithoutPlan(plan.error(), request, isKeyWithdrawn));
     }
     priority = (*plan)->priority;
-    if (!(*plan)->isNested && !(*plan)->workspace.isEmpty()) {
-        const auto admitted = co_await m_hooks.admit((*plan)->workspace);
+    if (!(*plan)->isNested) {
+        const auto admitted = co_await admit(*plan);
         if (!admitted) {
             co_return refused(refusalBeforeHome(admitted.error(), request, *plan));
         }
@@ -138,11 +159,38 @@
                                   .retryAllowance = allowance.amount(),
                                   .traceParent = trace.traceParent(),
                                   .requestId = request->requestId});
+    const core::TimePoint sentAt = m_hooks.now();
     const wire::CallResponse response = co_await forward(call, request, *plan);
+    if (!(*plan)->isNested) {
+        learn(*plan, response, m_hooks.now() - sentAt);
+    }
     allowance.setSpent(response->retriesSpent);
     co_return response;
 }
 
+asio::awaitable<tl::expected<void, Refusal>> Entry::admit(CallPlan plan)
+{
+    // Checked before the limit, so that a request that is shed takes no token of its workspace.
+    if (m_settings.areControlsOn && !m_rootAdmission.admits(rootClassOf(plan), m_hooks.now())) {
+        const Refusal refusal(RefusalReason::Overloaded, Outcome::NotRun, "a service behind the route is overloaded");
+        co_return tl::unexpected(refusal.withRetryAfter(spread(ShedRetryAfter, m_hooks.random())));
+    }
+    if (plan->workspace.isEmpty()) {
+        co_return tl::expected<void, Refusal>();
+    }
+    co_return co_await m_hooks.admit(plan->workspace);
+}
+
+void Entry::learn(const CallPlan &plan, const wire::CallResponse &response, core::Duration latency)
+{
+    admission::RootResult result{.latency = latency,
+                                 .isFailed = response->refusal.has_value() || isServerError(response->status)};
+    if (!response->refusal || response->pressure > 0) {
+        result.pressure = response->pressure;
+    }
+    m_rootAdmission.learn(rootClassOf(plan), result, m_hooks.now());
+}
+
 asio::awaitable<wire::CallResponse> Entry::forward(wire::CallRequest call, http::CallerRequest request, CallPlan plan)
 {
     // Without a name no other send of the request can exist, so it needs no home: it is dispatched at most once here.
@@ -175,7 +223,8 @@
 telemetry::TraceContext Entry::traceOf(const http::CallerRequest &request) const
 {
     const auto parent = telemetry::TraceContext::fromTraceParent(request->traceParent);
-    return parent ? parent->child(m_hooks.random) : telemetry::TraceContext::root(m_hooks.random, m_sampleRatio);
+    return parent ? parent->child(m_hooks.random)
+                  : telemetry::TraceContext::root(m_hooks.random, m_settings.sampleRatio);
 }
 
 void Entry::finish(const http::CallerRequest &request,
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -87,7 +87,10 @@
     , m_endpoint(m_executor, m_settings->maxBodyBytes, m_protocols, m_inFlight, m_random, spanSink())
     , m_admission(makeAdmission())
     , m_dispatcher(m_settings->host, m_settings->dataCentre, m_settings->areControlsOn, dispatcherHooks())
-    , m_entry(m_inFlight, m_metrics, m_settings->sampleRatio, entryHooks())
+    , m_entry(m_inFlight,
+              m_metrics,
+              {.sampleRatio = m_settings->sampleRatio, .areControlsOn = m_settings->areControlsOn},
+              entryHooks())
     , m_operatorApi(operatorHooks())
     , m_callerServer(m_executor,
                      serverOptions(m_settings),
--- a/src/node/node_handlers.cpp
+++ b/src/node/node_handlers.cpp
@@ -85,6 +85,9 @@
     const auto parent = telemetry::TraceContext::fromTraceParent(call->traceParent);
     const core::WallTime start = std::chrono::system_clock::now();
     wire::CallResponse response = co_await service->run(std::move(call));
+    // What the endpoint calls is as much a part of its service as the endpoint itself.
+    const double pressure = std::max(response->pressure, m_dispatcher.nestedPressure(now()));
+    response = response.with(&wire::CallResponseFields::pressure, pressure);
     m_metrics.observe(telemetry::Hop::Queue, response->queueTime);
     m_metrics.observe(telemetry::Hop::Endpoint, response->serviceTime);
     if (parent && parent->isSampled()) {
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -185,8 +185,8 @@
         fields.service = core::ServiceId(reader.validName("node.service"));
     }
     fields.stopTimeout = reader.milliseconds("node.stop_timeout_ms", 30'000, 100, 600'000);
-    const auto timeoutMs = static_cast<std::uint64_t>(
-        std::chrono::duration_cast<std::chrono::milliseconds>(fields.stopTimeout).count());
+    const auto timeoutMs =
+        static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(fields.stopTimeout).count());
     fields.stopLinger = reader.milliseconds("node.stop_linger_ms", 0, 0, timeoutMs);
     fields.callerPort = reader.port("ports.caller");
     fields.endpointPort = reader.port("ports.endpoint");
--- a/src/routing/ranking.cpp
+++ b/src/routing/ranking.cpp
@@ -11,6 +11,12 @@
 /** Weight of an endpoint that has just appeared: it must get some requests to warm up. */
 constexpr double FirstWeight = 0.1;
 
+/**
+ * An endpoint in another data centre must be better by this factor. When all are short alike, requests would only
+ * cross each other between the data centres.
+ */
+constexpr double RemoteCost = 1.3;
+
 double discounted(double load, core::TimePoint at, const RouterSettings &settings, core::TimePoint now)
 {
     if (load <= 0 || settings.reportHalfLife <= core::Duration::zero()) {
@@ -56,6 +62,27 @@
 
 }
 
+namespace {
+
+/** @return The better of two random candidates, or null without any. */
+const Candidate *betterOfTwo(std::span<const Candidate *const> pool,
+                             const RandomPair &random,
+                             const RouterSettings &settings,
+                             core::TimePoint now)
+{
+    if (pool.empty()) {
+        return nullptr;
+    }
+    const std::size_t first = random.first % pool.size();
+    if (pool.size() == 1) {
+        return pool[first];
+    }
+    const std::size_t second = (first + 1 + random.second % (pool.size() - 1)) % pool.size();
+    return score(*pool[second], settings, now) < score(*pool[first], settings, now) ? pool[second] : pool[first];
+}
+
+}
+
 double loadShare(const Candidate &candidate, const RouterSettings &settings, core::TimePoint now)
 {
     return inFlightOf(candidate, settings, now) / std::max(1U, (*candidate.view)->slots);
@@ -73,30 +100,27 @@
                       const RouterSettings &settings,
                       core::TimePoint now)
 {
-    std::vector<const Candidate *> pool;
-    pool.reserve(eligible.size());
+    std::vector<const Candidate *> own;
+    std::vector<const Candidate *> others;
     bool areAllShort = true;
     for (const Candidate &candidate : eligible) {
         if ((*candidate.view)->dataCentre == ownDataCentre) {
-            pool.push_back(&candidate);
+            own.push_back(&candidate);
             areAllShort = areAllShort && loadShare(candidate, settings, now) > 1;
+        } else {
+            others.push_back(&candidate);
         }
     }
-    if (areAllShort) {
-        pool.clear();
-        for (const Candidate &candidate : eligible) {
-            pool.push_back(&candidate);
-        }
-    }
-    if (pool.empty()) {
-        return nullptr;
+    const Candidate *local = betterOfTwo(own, random, settings, now);
+    if (local != nullptr && !areAllShort) {
+        return local;
     }
-    const std::size_t first = random.first % pool.size();
-    if (pool.size() == 1) {
-        return pool[first];
+    const Candidate *remote = betterOfTwo(others, random, settings, now);
+    if (local == nullptr || remote == nullptr) {
+        return local == nullptr ? remote : local;
     }
-    const std::size_t second = (first + 1 + random.second % (pool.size() - 1)) % pool.size();
-    return score(*pool[second], settings, now) < score(*pool[first], settings, now) ? pool[second] : pool[first];
+    const bool isWorthwhile = score(*remote, settings, now) * RemoteCost < score(*local, settings, now);
+    return isWorthwhile ? remote : local;
 }
 
 }
--- a/src/wire/envelope_decode.cpp
+++ b/src/wire/envelope_decode.cpp
@@ -177,6 +177,7 @@
         fields.retriesSpent = value.retries_spent();
         fields.admittedLevel = admittedLevel(value.admitted_level());
         fields.inFlight = value.in_flight();
+        fields.pressure = static_cast<double>(value.pressure());
         fields.queueTime = duration(value.queue_time_ns());
         fields.serviceTime = duration(value.service_time_ns());
         return CallResponse(std::move(fields));
--- a/src/wire/envelope_encode.cpp
+++ b/src/wire/envelope_encode.cpp
@@ -171,7 +171,8 @@
                                           value->admittedLevel,
                                           value->inFlight,
                                           value->queueTime.count(),
-                                          value->serviceTime.count());
+                                          value->serviceTime.count(),
+                                          static_cast<float>(value->pressure));
     }
     Offset<schema::HomeRequest> write(const HomeRequest &value)
     {
--- a/tests/config/fleet.cpp
+++ b/tests/config/fleet.cpp
@@ -1,6 +1,8 @@
 #include "config/fleet.h"
 
+#include <algorithm>
 #include <chrono>
+#include <optional>
 #include <utility>
 
 #include <CppUTest/TestHarness.h>
@@ -87,6 +89,12 @@
     hooks.isReader = [&node] { return node.isReader; };
     hooks.snapshotRank = [&node] { return node.snapshotRank; };
     hooks.peers = [this, name] { return peersOf(name); };
+    hooks.reader = [this, name]() -> std::optional<core::HostId> {
+        const auto reader =
+            std::find_if(m_nodes.begin(), m_nodes.end(), [](const auto &entry) { return entry.second.isReader; });
+        const bool isOther = reader != m_nodes.end() && reader->first != name;
+        return isOther ? std::optional(core::HostId(reader->first)) : std::nullopt;
+    };
     hooks.report = [&node](std::string text) { node.reports.push_back(std::move(text)); };
     return hooks;
 }
--- a/tests/http/a_server_and_its_client.cpp
+++ b/tests/http/a_server_and_its_client.cpp
@@ -3,18 +3,22 @@
 #include "berylspring/http/server.h"
 #include "support/section.h"
 
+#include <array>
 #include <atomic>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/thread_pool.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/use_future.hpp>
+#include <boost/asio/write.hpp>
 
 #include <CppUTest/TestHarness.h>
 
@@ -65,6 +69,10 @@
     {
         return m_pool;
     }
+    [[nodiscard]] int started() const
+    {
+        return m_started;
+    }
     [[nodiscard]] int cancelled() const
     {
         return m_cancelled;
@@ -79,6 +87,7 @@
             stream.write = [](http::ChunkWriter writer) { return writeLines(std::move(writer)); };
             co_return http::Reply(std::move(stream));
         }
+        ++m_started;
         if (request->target == "/never") {
             asio::steady_timer timer(co_await asio::this_coro::executor, asio::steady_timer::time_point::max());
             boost::system::error_code error;
@@ -108,12 +117,63 @@
         }
     }
 
+    std::atomic<int> m_started{0};
     std::atomic<int> m_cancelled{0};
     asio::thread_pool m_pool{3};
     http::Server m_server;
     std::uint16_t m_port;
 };
 
+/** @return A request as it stands on the wire. */
+std::string get(const std::string &target, const std::string &body)
+{
+    return "GET " + target + " HTTP/1.1\r\nHost: test\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n"
+           + body;
+}
+
+/** @brief A client connection that sends bytes as they are. */
+class PlainConnection
+{
+public:
+    explicit PlainConnection(const std::string &address)
+        : m_socket(m_context)
+    {
+        const auto port = static_cast<std::uint16_t>(std::stoi(address.substr(address.find(':') + 1)));
+        m_socket.connect({asio::ip::make_address("127.0.0.1"), port});
+    }
+
+    void write(const std::string &bytes)
+    {
+        asio::write(m_socket, asio::buffer(bytes));
+    }
+    /** @return All bytes up to the one byte body behind the last of `count` header fields. */
+    std::string readUntil(const std::string &field, int count)
+    {
+        std::string bytes;
+        std::array<char, 1024> piece{};
+        const auto isWhole = [&] {
+            std::size_t place = 0;
+            for (int found = 0; found < count; ++found) {
+                place = bytes.find(field, place);
+                if (place == std::string::npos) {
+                    return false;
+                }
+                place += field.size();
+            }
+            const std::size_t end = bytes.find("\r\n\r\n", place);
+            return end != std::string::npos && bytes.size() > end + 4;
+        };
+        while (!isWhole()) {
+            bytes.append(piece.data(), m_socket.read_some(asio::buffer(piece)));
+        }
+        return bytes;
+    }
+
+private:
+    asio::io_context m_context;
+    asio::ip::tcp::socket m_socket;
+};
+
 /** @brief Sends a request again and again, each after the answer to the one before, until one has none. */
 asio::awaitable<void> sendInTurn(http::Client &client, http::Request request, int count, std::atomic<int> &answered)
 {
@@ -235,6 +295,69 @@
     LONGS_EQUAL(1, server.cancelled());
 }
 
+// Guards against answers that are written in the order in which they are ready.
+TEST(AServerAndItsClient, answerPipelinedRequestsInTheirOrder)
+{
+    EchoServer server;
+    PlainConnection connection(server.address());
+    connection.write(get("/later", "1") + get("/soon", "2") + get("/", "3"));
+    const std::string answers = connection.readUntil("X-Method: GET", 3);
+    CHECK(answers.find("\r\n\r\n1") < answers.find("\r\n\r\n2"));
+    CHECK(answers.find("\r\n\r\n2") < answers.find("\r\n\r\n3"));
+}
+
+// Guards against work that goes on for a client that has left with further requests unanswered.
+TEST(AServerAndItsClient, cancelAllPipelinedRequestsOfAClientThatLeaves)
+{
+    EchoServer server;
+    {
+        PlainConnection connection(server.address());
+        connection.write(get("/never", "1") + get("/never", "2"));
+        while (server.started() < 2) {
+            std::this_thread::sleep_for(1ms);
+        }
+    }
+    while (server.cancelled() < 2) {
+        std::this_thread::sleep_for(1ms);
+    }
+    LONGS_EQUAL(2, server.cancelled());
+}
+
+// Guards against an answer that arrives late and is taken for that of the next request.
+TEST(AServerAndItsClient, dropAnswersOfOtherRequests)
+{
+    const auto body = [](const std::string &text) {
+        return "HTTP/1.1 200 OK\r\nX-Id: " + text + "\r\nContent-Length: 1\r\n\r\n" + text;
+    };
+    asio::thread_pool pool{2};
+    asio::ip::tcp::acceptor acceptor(pool, {asio::ip::make_address("127.0.0.1"), 0});
+    const auto serve = [&](const std::string &bytes) -> asio::awaitable<void> {
+        asio::ip::tcp::socket socket = co_await acceptor.async_accept(asio::use_awaitable);
+        std::array<char, 1024> request{};
+        co_await socket.async_read_some(asio::buffer(request), asio::use_awaitable);
+        co_await asio::async_write(socket, asio::buffer(bytes), asio::use_awaitable);
+        co_await socket.async_read_some(asio::buffer(request), asio::use_awaitable);
+    };
+    const std::string address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+    const auto isAnswerTo = [](const http::Request &request, const http::Response &response) {
+        return request->target == "/" + std::string(http::headerValue(response->headers, "X-Id"));
+    };
+    const auto exchange = [&](const std::string &bytes) {
+        http::Client client(pool.get_executor(), address, {.isAnswerTo = isAnswerTo});
+        asio::co_spawn(pool, serve(bytes), asio::detached);
+        const http::Request request({.method = "GET", .target = "/b"});
+        return asio::co_spawn(pool, client.send(request, Patience), asio::use_future).get();
+    };
+    section("the next answer is the right one",
+            [&] { STRCMP_EQUAL("b", (*exchange(body("a") + body("b")))->body.c_str()); });
+    section("a connection with only foreign answers is given up", [&] {
+        const auto response = exchange(body("a") + body("a") + body("a"));
+        CHECK(response.error().code() == http::ErrorCode::Malformed);
+        CHECK(response.error().maybeSent());
+    });
+    pool.stop();
+}
+
 TEST(AServerAndItsClient, tellWhenNothingWasSent)
 {
     EchoServer server;
--- a/tests/node/a_refusal_at_the_entry.cpp
+++ b/tests/node/a_refusal_at_the_entry.cpp
@@ -43,7 +43,7 @@
 {
 public:
     explicit EntryThatRefuses(std::optional<config::Catalogue> catalogue)
-        : m_entry(m_inFlight, m_metrics, 0, hooks(std::move(catalogue)))
+        : m_entry(m_inFlight, m_metrics, {}, hooks(std::move(catalogue)))
     {
     }
 
--- /dev/null
+++ b/tests/node/heartbeats_of_an_endpoint.cpp
@@ -0,0 +1,82 @@
+#include "berylspring/node/local_endpoint.h"
+#include "support/section.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace berylspring;
+using namespace std::chrono_literals;
+using node::LocalEndpoint;
+using test::section;
+using Heartbeat = LocalEndpoint::Heartbeat;
+
+namespace {
+
+http::EndpointHeartbeat told(std::uint64_t incarnation, std::uint64_t sequence, bool isDraining = false)
+{
+    return {.announcement = {.service = core::ServiceId("visits"),
+                             .address = "127.0.0.1:9",
+                             .slots = 4,
+                             .id = "i-" + std::to_string(incarnation),
+                             .incarnation = incarnation},
+            .sequence = sequence,
+            .isDraining = isDraining};
+}
+
+}
+
+TEST_GROUP(HeartbeatsOfAnEndpoint)
+{
+    boost::asio::io_context context;
+    node::Protocols protocols = node::ownProtocols();
+    node::InFlightTable inFlight{core::systemRandom()};
+    LocalEndpoint endpoint{
+        context.get_executor(), 1024, protocols, inFlight, core::systemRandom(), [](const telemetry::Span &) {}};
+    core::TimePoint now{1h};
+
+    Heartbeat tell(const http::EndpointHeartbeat &heartbeat)
+    {
+        return endpoint.heartbeat(heartbeat, now);
+    }
+};
+
+// Guards against a heartbeat that was delayed on its way and brings back an endpoint that has gone.
+TEST(HeartbeatsOfAnEndpoint, countInTheOrderInWhichTheyWereSent)
+{
+    CHECK(tell(told(5, 1)) == Heartbeat::Started);
+    CHECK(tell(told(5, 2)) == Heartbeat::Renewed);
+    section("an earlier one is ignored", [&] { CHECK(tell(told(5, 1)) == Heartbeat::Stale); });
+    section("one of a later start takes over, with counts of its own", [&] {
+        CHECK(tell(told(6, 1)) == Heartbeat::Started);
+        CHECK(endpoint.isNamed("i-6"));
+    });
+    section("one of an earlier start is ignored, whatever its count", [&] {
+        CHECK(tell(told(5, 99)) == Heartbeat::Stale);
+        CHECK(endpoint.isNamed("i-6"));
+    });
+}
+
+// Guards against new work for an endpoint that was told to be leaving.
+TEST(HeartbeatsOfAnEndpoint, doNotEndADrain)
+{
+    CHECK(tell(told(5, 1)) == Heartbeat::Started);
+    CHECK(tell(told(5, 2, true)) == Heartbeat::Draining);
+    CHECK(endpoint.isDraining());
+    section("not by a later one", [&] {
+        CHECK(tell(told(5, 3)) == Heartbeat::Renewed);
+        CHECK(endpoint.isDraining());
+    });
+    section("only another start does", [&] {
+        CHECK(tell(told(6, 1)) == Heartbeat::Started);
+        CHECK_FALSE(endpoint.isDraining());
+    });
+}
+
+// Guards against requests to an endpoint that has stopped without a word.
+TEST(HeartbeatsOfAnEndpoint, mustComeAgain)
+{
+    CHECK(tell(told(5, 1)) == Heartbeat::Started);
+    LONGS_EQUAL(4, endpoint.slots(now + LocalEndpoint::AnnouncementLifetime));
+    LONGS_EQUAL(0, endpoint.slots(now + LocalEndpoint::AnnouncementLifetime + 1ms));
+}
--- /dev/null
+++ b/tests/platform/a_document_becomes_resources.cpp
@@ -0,0 +1,128 @@
+#include "berylspring/config/catalogue.h"
+#include "platform/config_document.h"
+#include "support/section.h"
+
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace berylspring;
+using test::checkProperty;
+using test::section;
+
+namespace {
+
+const std::string Document = R"({"Version":7,
+    "Services":[{"Name":"history","HealthPath":"/health","MaxConnections":472,"Protocol":"h1","Tls":false}],
+    "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":67108864,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},
+    "Tenants":[{"Name":"garden","ApiKeys":["first-key","second-key"],"Priority":1,"RatePerS":63,"Burst":63},
+               {"Name":"free","ApiKeys":["third-key"],"RatePerS":0}],
+    "VirtualHosts":[{"Host":"Visits.Example","Paths":[
+        {"Name":"r-history","PathPrefix":"/past/","Kind":"safe","TimeoutMs":800,"TargetLatencyMs":1500,"Priority":2,
+         "TrafficSplit":[{"Service":"history","Weight":90},{"Service":"booking","Weight":10}],"MaxAttempts":3,
+         "Public":false},
+        {"Name":"r-ledger","PathPrefix":"/past/ledger/","Kind":"upload","TimeoutMs":500,"Service":"booking",
+         "MaxAttempts":1,"Public":true}]}]})";
+
+constexpr core::Duration KeyStaleness = std::chrono::seconds(4);
+
+config::Catalogue catalogueOf(const std::string &document)
+{
+    const auto decoded = platform::decodeConfigDocument(document, KeyStaleness);
+    const auto result = config::Catalogue().withRecord(5, platform::toLogRecord(decoded.value()));
+    CHECK_TRUE(result.verdict == config::Verdict::Accepted);
+    return result.catalogue;
+}
+
+std::string replaced(std::string text, const std::string &from, const std::string &to)
+{
+    return text.replace(text.find(from), from.size(), to);
+}
+
+}
+
+TEST_GROUP(ADocumentBecomesResources){};
+
+// Guards against a field of the operator's document that is read as something else.
+TEST(ADocumentBecomesResources, withAllThatItDeclares)
+{
+    const config::Catalogue catalogue = catalogueOf(Document);
+    section("routes are found by host and longest prefix", [&] {
+        const config::Route *route = catalogue.findRoute("visits.example:80", "/past/2f");
+        CHECK_TRUE(route != nullptr);
+        CHECK_TRUE((*route)->name == core::RouteId("r-history"));
+        CHECK_TRUE(
+            (*route)->services
+            == (std::vector<config::ServiceShare>{{core::ServiceId("history"), 90}, {core::ServiceId("booking"), 10}}));
+        CHECK_TRUE((*route)->timeout == std::chrono::milliseconds(800));
+        LONGS_EQUAL(2, (*route)->retries);
+        CHECK_TRUE(config::isIdempotent(*route, "POST"));
+        CHECK_FALSE((*route)->isOpen);
+        CHECK_TRUE((*catalogue.findRoute("visits.example", "/past/ledger/1"))->name == core::RouteId("r-ledger"));
+        CHECK_TRUE(catalogue.findRoute("other.example", "/past/2f") == nullptr);
+    });
+    section("an upload runs once, and a public route is one for calls of endpoints", [&] {
+        const config::Route *route = catalogue.findRoute("visits.example", "/past/ledger/1");
+        CHECK_FALSE(config::isIdempotent(*route, "GET"));
+        CHECK_TRUE((*route)->isOpen && (*route)->isInternal);
+    });
+    section("keys lead to their workspace, with limit, rank and bounded age", [&] {
+        const config::Key *key = catalogue.findKey(core::sha256("second-key"));
+        CHECK_TRUE(key != nullptr && (*key)->workspace == core::WorkspaceId("garden"));
+        const config::Workspace *workspace = catalogue.findWorkspace((*key)->workspace);
+        CHECK_TRUE((*workspace)->stalenessLimit == KeyStaleness);
+        CHECK_TRUE((*workspace)->staleness == config::Staleness::Refuse);
+        LONGS_EQUAL(core::MaxPriority - 1, (*catalogue.findPriority((*workspace)->priority))->level);
+        DOUBLES_EQUAL(63, (*catalogue.findLimit((*key)->workspace))->rate, 0);
+        CHECK_TRUE(catalogue.findLimit(core::WorkspaceId("free")) == nullptr);
+    });
+}
+
+// Guards against keys and routes of an older version that stay in force.
+TEST(ADocumentBecomesResources, inPlaceOfTheVersionBefore)
+{
+    const std::string next = replaced(
+        replaced(Document, R"(["first-key","second-key"])", R"(["first-key"])"), "\"Version\":7", "\"Version\":9");
+    const auto decoded = platform::decodeConfigDocument(next, KeyStaleness);
+    const auto result = catalogueOf(Document).withRecord(9, platform::toLogRecord(decoded.value()));
+    CHECK_TRUE(result.catalogue.findKey(core::sha256("first-key")) != nullptr);
+    CHECK_TRUE(result.catalogue.findKey(core::sha256("second-key")) == nullptr);
+}
+
+// Guards against a document that is used in part although a part of it cannot be read.
+TEST(ADocumentBecomesResources, orNotAtAll)
+{
+    const auto isRefused = [](const std::string &text) {
+        return !platform::decodeConfigDocument(text, KeyStaleness).has_value();
+    };
+    section("cut short", [&] { CHECK_TRUE(isRefused(Document.substr(0, Document.size() / 2))); });
+    section("a route without a service", [&] {
+        CHECK_TRUE(isRefused(replaced(Document, R"("TimeoutMs":500,"Service":"booking",)", R"("TimeoutMs":500,)")));
+    });
+    section("a split without weight", [&] {
+        const std::string document =
+            replaced(replaced(Document, "\"Weight\":90", "\"Weight\":0"), "\"Weight\":10", "\"Weight\":0");
+        CHECK_TRUE(isRefused(document));
+    });
+    section("a prefix that does not end with a slash",
+            [&] { CHECK_TRUE(isRefused(replaced(Document, "\"/past/\"", "\"/past\""))); });
+    section("keys that are no texts", [&] { CHECK_TRUE(isRefused(replaced(Document, "\"third-key\"", "3"))); });
+}
+
+// Guards against a crash or an endless loop in the decoder.
+TEST(ADocumentBecomesResources, whateverTheBytesAre)
+{
+    checkProperty("a changed document is refused or gives a record that can be folded", [] {
+        std::string text = Document;
+        const auto changes = *rc::gen::container<std::vector<std::pair<std::size_t, char>>>(
+            rc::gen::pair(rc::gen::inRange<std::size_t>(0, Document.size()), rc::gen::arbitrary<char>()));
+        for (const auto &[place, byte] : changes) {
+            text[place] = byte;
+        }
+        const auto decoded = platform::decodeConfigDocument(text, KeyStaleness);
+        if (decoded) {
+            const auto result = config::Catalogue().withRecord(5, platform::toLogRecord(*decoded));
+            RC_ASSERT(result.catalogue.appliedOffset() == 6U);
+        }
+    });
+}
--- /dev/null
+++ b/tests/platform/a_heartbeat_of_an_endpoint.cpp
@@ -0,0 +1,80 @@
+#include "platform/heartbeat_codec.h"
+#include "support/section.h"
+
+#include <optional>
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace berylspring;
+using test::checkProperty;
+using test::section;
+
+namespace {
+
+const std::string Heartbeat = R"({"Address":"10.128.0.9:8080",
+    "Info":{"Service":"history","Version":"v1","Zone":"bole","Slots":54},
+    "Status":{"State":"ready","Seq":4,"ColdRemainingMs":0},"born":1700000000123})";
+
+std::string replaced(std::string text, const std::string &from, const std::string &to)
+{
+    return text.replace(text.find(from), from.size(), to);
+}
+
+bool isRefused(const std::string &text)
+{
+    return !platform::decodeHeartbeat("i-1", text).has_value();
+}
+
+}
+
+TEST_GROUP(AHeartbeatOfAnEndpoint){};
+
+TEST(AHeartbeatOfAnEndpoint, tellsWhoItIsAndHowItIs)
+{
+    const auto heartbeat = platform::decodeHeartbeat("i-1", Heartbeat);
+    CHECK_TRUE(heartbeat.has_value());
+    STRCMP_EQUAL("i-1", heartbeat->announcement.id.c_str());
+    STRCMP_EQUAL("10.128.0.9:8080", heartbeat->announcement.address.c_str());
+    CHECK_TRUE(heartbeat->announcement.service == core::ServiceId("history"));
+    LONGS_EQUAL(54, heartbeat->announcement.slots);
+    CHECK_TRUE(heartbeat->announcement.incarnation == 1700000000123U);
+    LONGS_EQUAL(4, heartbeat->sequence);
+    CHECK_FALSE(heartbeat->isDraining);
+    CHECK_TRUE(platform::decodeHeartbeat("i-1", replaced(Heartbeat, "ready", "draining"))->isDraining);
+}
+
+// Guards against the use of an endpoint that another writer has described.
+TEST(AHeartbeatOfAnEndpoint, isRefusedWhenAPartIsMissingOrOfAnotherType)
+{
+    section("no slots", [] { CHECK_TRUE(isRefused(replaced(Heartbeat, ",\"Slots\":54", ""))); });
+    section("slots as a text", [] { CHECK_TRUE(isRefused(replaced(Heartbeat, "54", "\"54\""))); });
+    section("slots below one", [] { CHECK_TRUE(isRefused(replaced(Heartbeat, "54", "0"))); });
+    section("an unknown state", [] { CHECK_TRUE(isRefused(replaced(Heartbeat, "ready", "resting"))); });
+    section("a negative sequence", [] { CHECK_TRUE(isRefused(replaced(Heartbeat, "\"Seq\":4", "\"Seq\":-4"))); });
+    section("a service that is no name", [] { CHECK_TRUE(isRefused(replaced(Heartbeat, "history", "His tory"))); });
+    section("no object", [] { CHECK_TRUE(isRefused("[1,2]")); });
+    section("any bytes",
+            [] { checkProperty("are refused", [](const std::string &bytes) { RC_ASSERT(isRefused(bytes)); }); });
+}
+
+// Guards against an endpoint that leaves and gets no acknowledgement, or whose leaving nobody takes.
+TEST(AHeartbeatOfAnEndpoint, isAnsweredAtTheEndpointPort)
+{
+    std::optional<http::EndpointHeartbeat> told;
+    std::string left;
+    const node::EndpointApiHooks hooks{.heartbeat = [&](const http::EndpointHeartbeat &value) { told = value; },
+                                       .leave = [&](const std::string &id) { left = id; },
+                                       .reportLoad = {}};
+    const auto status = [&](const std::string &method, const std::string &target, const std::string &body) {
+        return platform::handleHeartbeat(http::Request({.method = method, .target = target, .body = body}), hooks)
+            ->status;
+    };
+    LONGS_EQUAL(200, status("PUT", "/api/instances/i-9", Heartbeat));
+    CHECK_TRUE(told && told->announcement.id == "i-9");
+    LONGS_EQUAL(200, status("DELETE", "/api/instances/i-9", ""));
+    STRCMP_EQUAL("i-9", left.c_str());
+    LONGS_EQUAL(400, status("PUT", "/api/instances/i-9", "{}"));
+    LONGS_EQUAL(404, status("PUT", "/api/other", Heartbeat));
+    LONGS_EQUAL(405, status("POST", "/api/instances/i-9", Heartbeat));
+}
--- /dev/null
+++ b/tests/platform/a_request_through_the_adapter.cpp
@@ -0,0 +1,140 @@
+#include "platform/caller_codec.h"
+#include "platform/endpoint_codec.h"
+#include "support/section.h"
+
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace berylspring;
+using test::section;
+
+namespace {
+
+using core::Outcome;
+using core::RefusalReason;
+
+const core::ServiceId OwnService("visits");
+
+http::Request callerRequest()
+{
+    return http::Request({.method = "GET",
+                          .target = "/past/2f?x=1",
+                          .host = "visits.example",
+                          .headers = {{"Berylspring-Request-Id", "r-1"},
+                                      {"Berylspring-Deadline-Ms", "1500"},
+                                      {"Berylspring-Key", "secret"},
+                                      {"Berylspring-Tenant", "forged"},
+                                      {"Berylspring-Caller-Service", "forged"},
+                                      {"Berylspring-Target-Instance", "forged"},
+                                      {"X-Other", "kept"}}});
+}
+
+std::string field(const wire::Headers &headers, std::string_view name)
+{
+    return std::string(http::headerValue(headers, name));
+}
+
+http::Response refusalFor(RefusalReason reason, Outcome outcome)
+{
+    const core::Refusal refusal = core::Refusal(reason, outcome).withRetryAfter(std::chrono::milliseconds(1250));
+    return platform::encodeAnswer(wire::CallResponse({.refusal = refusal}), callerRequest());
+}
+
+}
+
+TEST_GROUP(ARequestThroughTheAdapter){};
+
+// Guards against an endpoint that sees a key, or that believes what a caller claims to be.
+TEST(ARequestThroughTheAdapter, reachesTheEndpointWithTheFieldsOfTheSystemOnly)
+{
+    const auto call = platform::decodeCall(callerRequest(), OwnService);
+    CHECK_TRUE(call.has_value());
+    CHECK_TRUE((*call)->key == "secret");
+    CHECK_TRUE((*call)->timeout == std::chrono::milliseconds(1500));
+    STRCMP_EQUAL("r-1", (*call)->requestId.c_str());
+    const wire::CallRequest request({.method = (*call)->method,
+                                     .target = (*call)->target,
+                                     .headers = (*call)->headers,
+                                     .workspace = core::WorkspaceId("garden"),
+                                     .remaining = std::chrono::milliseconds(900)});
+    const http::Request sent = platform::encodeEndpointCall({request, "i-7", "token", "trace"});
+    STRCMP_EQUAL("/past/2f?x=1", sent->target.c_str());
+    STRCMP_EQUAL("visits.example", sent->host.c_str());
+    STRCMP_EQUAL("r-1", field(sent->headers, "Berylspring-Request-Id").c_str());
+    STRCMP_EQUAL("900", field(sent->headers, "Berylspring-Deadline-Ms").c_str());
+    STRCMP_EQUAL("garden", field(sent->headers, "Berylspring-Tenant").c_str());
+    STRCMP_EQUAL("visits", field(sent->headers, "Berylspring-Caller-Service").c_str());
+    STRCMP_EQUAL("i-7", field(sent->headers, "Berylspring-Target-Instance").c_str());
+    STRCMP_EQUAL("kept", field(sent->headers, "X-Other").c_str());
+    STRCMP_EQUAL("", field(sent->headers, "Berylspring-Key").c_str());
+}
+
+TEST(ARequestThroughTheAdapter, isRefusedWithoutAnId)
+{
+    const http::Request request({.method = "GET", .target = "/past/2f"});
+    CHECK_TRUE(platform::decodeCall(request, OwnService).error().reason() == RefusalReason::BadRequest);
+    const http::Request negative =
+        callerRequest().with(&http::RequestFields::headers,
+                             wire::Headers{{"Berylspring-Request-Id", "r-1"}, {"Berylspring-Deadline-Ms", "-5"}});
+    CHECK_TRUE(platform::decodeCall(negative, OwnService).error().reason() == RefusalReason::BadRequest);
+}
+
+// Guards against a status that promises more than is known.
+TEST(ARequestThroughTheAdapter, isAnsweredWithAStatusThatIsTrue)
+{
+    section("what may have run has no promise", [] {
+        LONGS_EQUAL(504, refusalFor(RefusalReason::DeadlineExceeded, Outcome::Unknown)->status);
+        for (const auto reason : {RefusalReason::Overloaded,
+                                  RefusalReason::ConnectionLost,
+                                  RefusalReason::Cancelled,
+                                  RefusalReason::LimitExceeded,
+                                  RefusalReason::KeyInvalid}) {
+            LONGS_EQUAL(502, refusalFor(reason, Outcome::Unknown)->status);
+        }
+    });
+    section("what has not run may be sent again", [] {
+        LONGS_EQUAL(429, refusalFor(RefusalReason::LimitExceeded, Outcome::NotRun)->status);
+        for (const auto reason : {RefusalReason::Overloaded,
+                                  RefusalReason::NotReady,
+                                  RefusalReason::DeadlineExceeded,
+                                  RefusalReason::ConnectionLost,
+                                  RefusalReason::Draining,
+                                  RefusalReason::NoEndpoint}) {
+            LONGS_EQUAL(503, refusalFor(reason, Outcome::NotRun)->status);
+        }
+    });
+    section("the wait has fractions of seconds", [] {
+        const http::Response response = refusalFor(RefusalReason::Overloaded, Outcome::NotRun);
+        STRCMP_EQUAL("1.250", field(response->headers, "Retry-After").c_str());
+        STRCMP_EQUAL("", field(response->headers, "Berylspring-Response-Stamp").c_str());
+    });
+}
+
+// Guards against bytes that are no answer of the endpoint and reach a caller as a success.
+TEST(ARequestThroughTheAdapter, hasTheEndpointsOwnAnswerOrNone)
+{
+    const wire::Headers own{{"Berylspring-Request-Id", "r-1"}, {"Berylspring-Response-Stamp", "stamp"}};
+    const auto decoded = [](std::uint16_t status, wire::Headers headers) {
+        return platform::decodeEndpointAnswer(http::Response({.status = status, .headers = std::move(headers)}));
+    };
+    section("a success needs signature and id and a plain body", [&] {
+        CHECK_TRUE(decoded(200, own).has_value());
+        CHECK_TRUE(decoded(200, {}).error().outcome() == Outcome::Unknown);
+        CHECK_TRUE(decoded(200, {own[0]}).error().outcome() == Outcome::Unknown);
+        wire::Headers encoded = own;
+        encoded.push_back({"Content-Encoding", "gzip"});
+        CHECK_TRUE(decoded(200, encoded).error().outcome() == Outcome::Unknown);
+    });
+    section("a failure of the endpoint is passed on", [&] { LONGS_EQUAL(500, (*decoded(500, own))->status); });
+    section("only the endpoint itself says that it has not run a request", [&] {
+        CHECK_TRUE(decoded(503, own).has_value());
+        CHECK_TRUE(decoded(503, {{"Berylspring-Not-Executed", "1"}}).error().outcome() == Outcome::NotRun);
+        CHECK_TRUE(decoded(421, {}).error().outcome() == Outcome::NotRun);
+    });
+    section("an answer names its request", [&] {
+        const http::Response late({.status = 200, .headers = {{"Berylspring-Request-Id", "r-0"}}});
+        CHECK_FALSE(platform::isAnswerTo(callerRequest(), late));
+        CHECK_TRUE(platform::isAnswerTo(callerRequest(), http::Response({.status = 503})));
+    });
+}
--- a/tests/wire/generators.h
+++ b/tests/wire/generators.h
@@ -122,6 +122,7 @@
     fields.retriesSpent = value<std::uint32_t>();
     fields.admittedLevel = priority();
     fields.inFlight = value<std::uint32_t>();
+    fields.pressure = value<bool>() ? 0.5 : 3;
     fields.queueTime = duration();
     fields.serviceTime = duration();
     return wire::CallResponse(fields);
