--- a/src/node/node_handlers.cpp
+++ b/src/node/node_handlers.cpp
@@ -16,6 +16,8 @@
 
 constexpr core::Duration NoticeTimeout = std::chrono::seconds(1);
 constexpr core::Duration PublishInterval = std::chrono::milliseconds(100);
+/** Often enough to see in the logs what a node believed when a request failed. */
+constexpr core::Duration StatusInterval = std::chrono::seconds(10);
 constexpr std::uint32_t WatchPageRecords = 200;
 
 std::string_view nameOf(wire::MemberState state) noexcept
@@ -177,11 +179,28 @@
     m_membership->setEndpoint(m_endpoint.state(service->state(), time));
 }
 
+void Node::Implementation::logStatus() const
+{
+    std::vector<telemetry::LogField> fields;
+    const std::vector<telemetry::Sample> samples = this->samples();
+    for (const telemetry::Sample &sample : samples) {
+        fields.push_back({sample.name, sample.value});
+    }
+    const double ageMs = std::chrono::duration<double, std::milli>(configurationAge()).count();
+    fields.push_back({"configuration_age_ms", ageMs});
+    telemetry::log(telemetry::Severity::Info, "status", fields);
+}
+
 asio::awaitable<void> Node::Implementation::publishLoop()
 {
     asio::steady_timer timer(m_executor);
+    core::TimePoint lastStatus = now();
     while (true) {
         publishEndpoint();
+        if (now() - lastStatus >= StatusInterval) {
+            lastStatus = now();
+            logStatus();
+        }
         timer.expires_after(PublishInterval);
         co_await timer.async_wait(asio::use_awaitable);
     }
--- a/src/node/node_parts.h
+++ b/src/node/node_parts.h
@@ -65,6 +65,7 @@
     void takeHeartbeat(const http::EndpointHeartbeat &heartbeat);
     void drainEndpoint();
     void publishEndpoint();
+    void logStatus() const;
     boost::asio::awaitable<void> publishLoop();
     boost::asio::awaitable<void> linger();
     boost::asio::awaitable<bool> finishWork();
--- a/tests/admission/roots_are_shed_for_a_deep_service.cpp
+++ b/tests/admission/roots_are_shed_for_a_deep_service.cpp
@@ -10,7 +10,6 @@
 using namespace berylspring;
 using admission::RootAdmission;
 using admission::RootClass;
-using admission::RootResult;
 using test::section;
 
 namespace {
