Take another data centre only when it is three times better, and refuse roots at once

Part of them were requests that a slightly better endpoint elsewhere attracted, and roots that were carried on after a refusal.

--- a/include/berylspring/node/dispatcher.h
+++ b/include/berylspring/node/dispatcher.h
@@ -54,7 +54,8 @@
     chooseEndpoint(const wire::CallRequest &call, Attempts &attempts, core::TimePoint now);
     [[nodiscard]] boost::asio::awaitable<wire::CallResponse> attempt(wire::CallRequest call, core::HostId host);
     [[nodiscard]] boost::asio::awaitable<wire::CallResponse> send(wire::CallRequest call, core::HostId host);
-    [[nodiscard]] static bool maySpill(const core::Refusal &refusal, const Attempts &attempts);
+    [[nodiscard]] static bool
+    maySpill(const wire::CallRequest &call, const core::Refusal &refusal, const Attempts &attempts);
     [[nodiscard]] bool mayRetry(const wire::CallRequest &call, const core::Refusal &refusal, const Attempts &attempts);
     void noteNestedPressure(const wire::CallRequest &call, const wire::CallResponse &response);
     [[nodiscard]] boost::asio::awaitable<void> pauseBeforeRetry(const Attempts &attempts);
--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -121,7 +121,7 @@
             }
             refusal = *response->refusal;
             attempts.mayHaveRun = attempts.mayHaveRun || refusal.outcome() == Outcome::Unknown;
-            if (maySpill(refusal, attempts)) {
+            if (maySpill(call, refusal, attempts)) {
                 ++attempts.spills;
                 continue;
             }
@@ -238,10 +238,11 @@
         Refusal(RefusalReason::ConnectionLost, Outcome::Unknown, "unexpected answer of the endpoint's node"));
 }
 
-bool Dispatcher::maySpill(const Refusal &refusal, const Attempts &attempts)
+bool Dispatcher::maySpill(const wire::CallRequest &call, const Refusal &refusal, const Attempts &attempts)
 {
-    const bool wasTurnedAway =
-        refusal.reason() == RefusalReason::Overloaded || refusal.reason() == RefusalReason::Draining;
+    // A root that finds no room is better refused at once than carried to other data centres.
+    const bool wasTurnedAway = refusal.reason() == RefusalReason::Draining
+                               || (refusal.reason() == RefusalReason::Overloaded && call->isNested);
     return refusal.outcome() == Outcome::NotRun && wasTurnedAway && attempts.spills < MaxSpills;
 }
 
--- a/src/routing/ranking.cpp
+++ b/src/routing/ranking.cpp
@@ -15,7 +15,7 @@
  * An endpoint in another data centre must be better by this factor. When all are short alike, requests would only
  * cross each other between the data centres.
  */
-constexpr double RemoteCost = 1.3;
+constexpr double RemoteCost = 3;
 
 double discounted(double load, core::TimePoint at, const RouterSettings &settings, core::TimePoint now)
 {
