Start new and nested requests in turn at an endpoint

Change: the bound of the queue for new entries does not count nested ones, and both kinds start in turn.

--- a/include/berylspring/admission/admission_queue.h
+++ b/include/berylspring/admission/admission_queue.h
@@ -50,8 +50,9 @@
 /**
  * @brief Waiting requests of one endpoint. Not thread-safe: guarded by the lock of its shard.
  *
- * Order: priority, nested before new, then fair between workspaces by weight (start-time fair queueing), then
- * deadline within a workspace.
+ * Order: priority, then nested and new entries in turn, nested first, then fair between workspaces by weight
+ * (start-time fair queueing), then deadline within a workspace. In turn, because a service deep in many call chains
+ * always has nested entries waiting, and new ones would never start.
  */
 class AdmissionQueue
 {
@@ -61,7 +62,7 @@
      *
      * When the queue is full, the entry displaces one of a lower priority, or one of the same priority whose
      * workspace holds more of the queue in relation to its weight.
-     * @param maxLength Length from which the queue is full.
+     * @param maxLength Length from which the queue is full; for a new entry, nested ones do not count.
      */
     OfferResult offer(const QueueEntry &entry, std::size_t maxLength);
     /**
@@ -111,9 +112,12 @@
     void insert(const QueueEntry &entry);
     [[nodiscard]] std::uint64_t takeFrom(Lane &lane);
     static void forgetPast(Lane &lane);
+    void takeFromLane(Lane &lane, core::TimePoint now, core::Duration minServiceTime, TakeResult &result);
 
     std::array<Lane, LaneCount> m_lanes; ///< By ascending precedence.
     std::unordered_map<std::uint64_t, QueueEntry> m_entries;
+    std::size_t m_newCount = 0; ///< Entries that are not nested.
+    bool m_isNewNext = false; ///< The last start was a nested entry.
 };
 
 }
--- a/src/admission/admission_queue.cpp
+++ b/src/admission/admission_queue.cpp
@@ -44,7 +44,8 @@
 OfferResult AdmissionQueue::offer(const QueueEntry &entry, std::size_t maxLength)
 {
     OfferResult result;
-    if (m_entries.size() >= maxLength) {
+    const std::size_t length = entry->isNested ? m_entries.size() : m_newCount;
+    if (length >= maxLength) {
         result.displaced = displaceFor(entry);
         if (!result.displaced) {
             return result;
@@ -80,6 +81,7 @@
 
 void AdmissionQueue::insert(const QueueEntry &entry)
 {
+    m_newCount += entry->isNested ? 0 : 1;
     Lane &lane = m_lanes[laneOf(entry)];
     Backlog &backlog = lane.backlogs[entry->workspace];
     backlog.weight = weightOf(entry);
@@ -110,25 +112,38 @@
 TakeResult AdmissionQueue::take(core::TimePoint now, core::Duration minServiceTime)
 {
     TakeResult result;
-    for (std::size_t i = LaneCount; i-- > 0;) {
-        Lane &lane = m_lanes[i];
-        while (lane.size > 0) {
-            const std::uint64_t id = takeFrom(lane);
-            const QueueEntry entry = *remove(id);
-            if (entry->deadline - now <= minServiceTime) {
-                result.tooLate.push_back(id);
-                continue;
-            }
-            Backlog &backlog = lane.backlogs[entry->workspace];
-            backlog.virtualStart = std::max(backlog.virtualStart, lane.virtualTime) + 1 / backlog.weight;
-            forgetPast(lane);
-            result.next = entry;
-            return result;
+    for (std::size_t priority = std::size_t{core::MaxPriority} + 1; priority-- > 0 && !result.next;) {
+        const std::size_t newLane = 2 * priority;
+        const std::size_t nestedLane = newLane + 1;
+        const bool isNewFirst = m_isNewNext;
+        takeFromLane(m_lanes[isNewFirst ? newLane : nestedLane], now, minServiceTime, result);
+        if (!result.next) {
+            takeFromLane(m_lanes[isNewFirst ? nestedLane : newLane], now, minServiceTime, result);
         }
     }
+    if (result.next) {
+        m_isNewNext = (*result.next)->isNested;
+    }
     return result;
 }
 
+void AdmissionQueue::takeFromLane(Lane &lane, core::TimePoint now, core::Duration minServiceTime, TakeResult &result)
+{
+    while (lane.size > 0) {
+        const std::uint64_t id = takeFrom(lane);
+        const QueueEntry entry = *remove(id);
+        if (entry->deadline - now <= minServiceTime) {
+            result.tooLate.push_back(id);
+            continue;
+        }
+        Backlog &backlog = lane.backlogs[entry->workspace];
+        backlog.virtualStart = std::max(backlog.virtualStart, lane.virtualTime) + 1 / backlog.weight;
+        forgetPast(lane);
+        result.next = entry;
+        return;
+    }
+}
+
 void AdmissionQueue::forgetPast(Lane &lane)
 {
     std::erase_if(lane.backlogs, [&](const auto &backlog) {
@@ -147,6 +162,7 @@
     Backlog &backlog = lane.backlogs[entry->workspace];
     backlog.entries.erase({entry->deadline, id});
     --lane.size;
+    m_newCount -= entry->isNested ? 0 : 1;
     m_entries.erase(found);
     return entry;
 }
--- a/tests/admission/the_queue_keeps_its_order.cpp
+++ b/tests/admission/the_queue_keeps_its_order.cpp
@@ -57,6 +57,23 @@
     CHECK((takeAll(queue) == std::vector<std::uint64_t>{2, 3, 4, 1}));
 }
 
+// Guards against a deep service whose own callers starve behind the calls of other services, and the reverse.
+TEST(TheQueueKeepsItsOrder, withNestedAndNewEntriesInTurn)
+{
+    AdmissionQueue queue;
+    for (std::uint64_t id = 1; id <= 4; ++id) {
+        CHECK(queue.offer(entry(id, 2).with(&QueueEntryFields::isNested, true), 4).isAccepted);
+    }
+    section("nested entries do not fill the queue for new ones", [&] {
+        CHECK(queue.offer(entry(5, 2), 2).isAccepted);
+        CHECK(queue.offer(entry(6, 2), 2).isAccepted);
+        CHECK_FALSE(queue.offer(entry(7, 2), 2).isAccepted);
+    });
+    section("each kind gets every second start while both wait", [&] {
+        CHECK((takeAll(queue) == std::vector<std::uint64_t>{1, 5, 2, 6, 3, 4}));
+    });
+}
+
 TEST(TheQueueKeepsItsOrder, dropsWhatCannotFinishInTime)
 {
     AdmissionQueue queue;
