--- a/src/programs/berylspringd.cpp
+++ b/src/programs/berylspringd.cpp
@@ -66,8 +66,7 @@
     {
         const auto loaded = node::loadSettings(m_path);
         if (!loaded) {
-            telemetry::log(
-                telemetry::Severity::Error, "settings not reloaded", {{"error", loaded.error().detail()}});
+            telemetry::log(telemetry::Severity::Error, "settings not reloaded", {{"error", loaded.error().detail()}});
             return;
         }
         using Fields = node::SettingsFields;
