--- /dev/null
+++ b/tests/integration/harness/store_stand_in.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "berylspring/http/server.h"
+
+#include <atomic>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/any_io_executor.hpp>
+
+namespace berylspring::test {
+
+/**
+ * @brief The keyed topics of the users' platform's store on a port of 127.0.0.1: append, read with a wait, and newest
+ * record of each key.
+ */
+class StoreStandIn
+{
+public:
+    explicit StoreStandIn(boost::asio::any_io_executor executor);
+    ~StoreStandIn();
+    StoreStandIn(const StoreStandIn &) = delete;
+    StoreStandIn &operator=(const StoreStandIn &) = delete;
+
+    [[nodiscard]] std::uint16_t port() const noexcept
+    {
+        return m_port;
+    }
+    /** @brief Appends a record, as the operator does. */
+    void put(const std::string &topic, const std::string &key, const std::string &value);
+    /** @brief Answers 503 to all calls. */
+    void refuse(bool isRefusing)
+    {
+        m_isRefusing = isRefusing;
+    }
+    /** @brief Forgets the records of a topic but the newest of each key. */
+    void forgetHistory(const std::string &topic);
+
+private:
+    struct Record
+    {
+        std::string key;
+        std::string value;
+    };
+    struct Topic
+    {
+        std::uint64_t first = 0; ///< First offset that a read may name.
+        std::vector<Record> records;
+    };
+
+    boost::asio::awaitable<http::Reply> answer(http::Request request);
+    boost::asio::awaitable<http::Response> read(http::Request request);
+    http::Response append(const http::Request &request);
+    http::Response newest(const http::Request &request);
+
+    std::atomic<bool> m_isRefusing{false};
+    std::mutex m_mutex;
+    std::map<std::string, Topic> m_topics;
+    http::Server m_server;
+    std::uint16_t m_port;
+};
+
+}
