--- a/tests/integration/nodes_on_the_platform.cpp
+++ b/tests/integration/nodes_on_the_platform.cpp
@@ -109,7 +109,7 @@
                                 std::uint16_t storePort,
                                 const test::TemporaryDirectory &directory)
     {
-        const std::string path = directory.file(host + ".ini");
+        std::string path = directory.file(host + ".ini");
         std::ofstream(path) << "[node]\nhost = " << host << "\ndata_centre = " << dataCentre
                             << "\naddress = 127.0.0.1\nservice = " << service
                             << "\n[fleet]\ndata_centres = a,b\nsecret = at-least-16-characters\n"
