--- a/include/berylspring/node/entry.h
+++ b/include/berylspring/node/entry.h
@@ -6,7 +6,7 @@
 #include "berylspring/http/caller_request.h"
 #include "berylspring/node/call_plan.h"
 #include "berylspring/node/in_flight_table.h"
-#include "berylspring/routing/traffic_splitter.h"
+#include "berylspring/routing/weighted_splitter.h"
 #include "berylspring/telemetry/metrics.h"
 #include "berylspring/telemetry/span.h"
 #include "berylspring/wire/messages.h"
@@ -66,7 +66,7 @@
     telemetry::Metrics &m_metrics;
     EntrySettings m_settings;
     EntryHooks m_hooks;
-    routing::TrafficSplitter m_splitter;
+    routing::WeightedSplitter m_splitter;
     admission::RootAdmission m_rootAdmission;
 };
 
--- a/include/berylspring/routing/traffic_splitter.h
+++ b/include/berylspring/routing/weighted_splitter.h
@@ -15,7 +15,7 @@
  * Smooth weighted round robin: after any number of requests each service is less than one request per service off
  * its exact share, which a random choice is not.
  */
-class TrafficSplitter
+class WeightedSplitter
 {
 public:
     /** @param shares Services of the route with their weights, at least one of them positive. */
--- a/src/routing/traffic_splitter.cpp
+++ b/src/routing/weighted_splitter.cpp
@@ -1,4 +1,4 @@
-#include "berylspring/routing/traffic_splitter.h"
+#include "berylspring/routing/weighted_splitter.h"
 
 #include <algorithm>
 #include <cstddef>
@@ -6,7 +6,7 @@
 
 namespace berylspring::routing {
 
-core::ServiceId TrafficSplitter::choose(const core::RouteId &route, const std::vector<config::ServiceShare> &shares)
+core::ServiceId WeightedSplitter::choose(const core::RouteId &route, const std::vector<config::ServiceShare> &shares)
 {
     if (shares.size() == 1) {
         return shares.front().service;
--- a/tests/routing/a_route_is_divided.cpp
+++ b/tests/routing/a_route_is_divided.cpp
@@ -1,4 +1,4 @@
-#include "berylspring/routing/traffic_splitter.h"
+#include "berylspring/routing/weighted_splitter.h"
 #include "support/section.h"
 
 #include <cmath>
@@ -17,7 +17,7 @@
 const core::RouteId TheRoute("route");
 
 std::map<std::string, int>
-countsOf(routing::TrafficSplitter &splitter, const std::vector<config::ServiceShare> &shares, int requests)
+countsOf(routing::WeightedSplitter &splitter, const std::vector<config::ServiceShare> &shares, int requests)
 {
     std::map<std::string, int> counts;
     for (int i = 0; i < requests; ++i) {
@@ -43,7 +43,7 @@
         }
         const double sum = std::accumulate(weights.begin(), weights.end(), 0.0);
         const int requests = *rc::gen::inRange(1, 400);
-        routing::TrafficSplitter splitter;
+        routing::WeightedSplitter splitter;
         auto counts = countsOf(splitter, shares, requests);
         for (const config::ServiceShare &share : shares) {
             const double exact = requests * share.weight / sum;
@@ -54,7 +54,7 @@
 
 TEST(ARouteIsDivided, anewWhenTheWeightsChange)
 {
-    routing::TrafficSplitter splitter;
+    routing::WeightedSplitter splitter;
     const std::vector<config::ServiceShare> before{{core::ServiceId("a"), 9}, {core::ServiceId("b"), 1}};
     const std::vector<config::ServiceShare> after{{core::ServiceId("a"), 0}, {core::ServiceId("c"), 1}};
     LONGS_EQUAL(90, countsOf(splitter, before, 100)["a"]);
