Pause between reads of the log that do not wait

A node whose reader is silent reads the log without a wait and counted that as a read that had waited, so it read again at once; with a log that answers at once the loop never gave its thread back. Change: only a read with a wait may be followed at once. Ruled out: the other tests of the group, which pass alone; the stack shows the following loop.

--- a/src/config/service_core.cpp
+++ b/src/config/service_core.cpp
@@ -151,7 +151,7 @@
     if (state == SyncState::UpToDate) {
         self->m_failures = 0;
         // A log that answers at once instead of waiting must not be asked without a pause.
-        const bool hasWaited = context->now() - start >= wait / 4;
+        const bool hasWaited = wait > core::Duration::zero() && context->now() - start >= wait / 4;
         co_return isFollowing &&hasWaited ? core::Duration::zero() : settings.retryDelay;
     }
     if (state != SyncState::Failed || !context->isReady() || mustProve) {
