Keep a stopping node's endpoint drained, and shed roots only for what lies behind

Change: heartbeats are ignored while the node stops; the most important class is left to the endpoints; roots are told the pressure behind their first service only. Ruled out: load of the machine as the cause of the second, which failed alone, too.

--- a/include/berylspring/admission/root_admission.h
+++ b/include/berylspring/admission/root_admission.h
@@ -28,7 +28,7 @@
 /** @brief How a root request that was sent has ended. */
 struct RootResult
 {
-    std::optional<double> pressure; ///< On the service and on those that it calls, if the response tells it.
+    std::optional<double> pressure; ///< On the services behind the first one, if the response tells it.
     core::Duration latency{};
     bool isFailed = false; ///< Its endpoint failed, or a service behind it.
     [[nodiscard]] bool operator==(const RootResult &) const = default;
@@ -40,9 +40,10 @@
  * Refusing a nested call wastes the work that its root has done, so a shortage in a deep service is met where roots
  * enter. For each first service an integrating controller turns the pressure, which responses carry up the chain,
  * into the amount to shed, counted in classes of importance: the least important class is shed first, and the next
- * one only when that is not enough. As all first services in front of one bottleneck see the same pressure and all
- * nodes rank the same classes, nodes agree without talking to each other. A route that answers as fast and as well as
- * ever does not depend on the bottleneck and is not shed.
+ * one only when that is not enough; the most important class is left to the queues of the endpoints. As all first
+ * services in front of one bottleneck see the same pressure and all nodes rank the same classes, nodes agree without
+ * talking to each other. A route that answers as fast and as well as ever does not depend on the bottleneck and is not
+ * shed.
  */
 class RootAdmission
 {
--- a/include/berylspring/wire/messages.h
+++ b/include/berylspring/wire/messages.h
@@ -57,7 +57,8 @@
     std::uint32_t retriesSpent = 0; ///< By this request and its nested calls.
     core::PriorityLevel admittedLevel = 0; ///< Lowest level that the answering node now admits.
     std::uint32_t inFlight = 0; ///< Requests running on the endpoint when it answered.
-    double pressure = 0; ///< Highest on the service and on those that it calls; 1: requests wait for the target time.
+    /** Highest on the services that the endpoint calls, for a nested call on its own, too; 1: the target wait. */
+    double pressure = 0;
     core::Duration queueTime{};
     core::Duration serviceTime{};
     [[nodiscard]] bool operator==(const CallResponseFields &) const = default;
--- a/src/admission/root_admission.cpp
+++ b/src/admission/root_admission.cpp
@@ -12,9 +12,6 @@
 constexpr double Gain = 1.0;
 /** Longest time that one step of the controller accounts for. */
 constexpr double LongestStepSeconds = 0.1;
-/** A part of the most important class is always sent, so that the end of the shortage is noticed. */
-constexpr double LeastSent = 0.05;
-
 /** Routes that were not called for this time are left out of the ranks. */
 constexpr core::Duration RouteMemory = std::chrono::seconds(5);
 constexpr core::Duration RankInterval = std::chrono::milliseconds(200);
@@ -76,7 +73,7 @@
     const double step = std::min(LongestStepSeconds, secondsBetween(service.controlledAt, now));
     service.controlledAt = std::max(service.controlledAt, now);
     const double excess = service.pressure.value(now) - 1;
-    const double most = std::max(0.0, classes - LeastSent);
+    const double most = std::max(0.0, classes - 1);
     service.shedding = std::clamp(service.shedding + Gain * excess * step, 0.0, most);
 }
 
--- a/src/node/node_handlers.cpp
+++ b/src/node/node_handlers.cpp
@@ -86,9 +86,11 @@
     const std::shared_ptr<admission::AdmissionService> service = admission();
     const auto parent = telemetry::TraceContext::fromTraceParent(call->traceParent);
     const core::WallTime start = std::chrono::system_clock::now();
+    const bool isNested = call->isNested;
     wire::CallResponse response = co_await service->run(std::move(call));
-    // What the endpoint calls is as much a part of its service as the endpoint itself.
-    const double pressure = std::max(response->pressure, m_dispatcher.nestedPressure(now()));
+    // A root that waits at its first service is shed there without waste, so its entry is told only what lies behind.
+    const double own = isNested ? response->pressure : 0;
+    const double pressure = std::max(own, m_dispatcher.nestedPressure(now()));
     response = response.with(&wire::CallResponseFields::pressure, pressure);
     m_metrics.observe(telemetry::Hop::Queue, response->queueTime);
     m_metrics.observe(telemetry::Hop::Endpoint, response->serviceTime);
@@ -139,6 +141,10 @@
 
 void Node::Implementation::takeHeartbeat(const http::EndpointHeartbeat &heartbeat)
 {
+    if (m_isStopping) {
+        // The endpoint was drained with this node, and a heartbeat must not bring it back.
+        return;
+    }
     using Heartbeat = LocalEndpoint::Heartbeat;
     const http::EndpointAnnouncement &told = heartbeat.announcement;
     const Heartbeat news = m_endpoint.heartbeat(heartbeat, now());
@@ -156,7 +162,7 @@
         const std::scoped_lock lock(m_admissionMutex);
         m_admission = makeAdmission();
     }
-    if (m_endpoint.isDraining() || m_isStopping) {
+    if (m_endpoint.isDraining()) {
         admission()->startDrain();
     }
     if (news != Heartbeat::Stale) {
