Log what decided a refusal and which requests are rejected unread

Callers see: a 4xx without a trace of its cause at the node. Cause: the log line of a refusal named neither the offset nor the age of the configuration that decided; requests that the server rejects while reading (400, 413, 431) and answers of endpoints outside 2xx wrote no line; a configuration document that was not accepted was counted nowhere. Change: 'request refused' has configuration_offset and configuration_age_ms; http::Server reports rejected requests to a hook, which the node logs as 'request rejected' and counts; 'endpoint answered with a failure' has the status; a replacement of all resources that is void is reported with its reason. Evidence: the new case of limits_that_change.cpp; test-http, test-config and test-node pass.

--- a/include/berylspring/config/catalogue.h
+++ b/include/berylspring/config/catalogue.h
@@ -126,6 +126,7 @@
     Catalogue catalogue;
     Verdict verdict = Verdict::Malformed;
     VoidReason reason = VoidReason::None; ///< Set if the verdict is Void.
+    bool isReplacement = false; ///< The record replaces all resources.
 };
 
 }
--- a/include/berylspring/http/server.h
+++ b/include/berylspring/http/server.h
@@ -49,13 +49,28 @@
 /** @brief Returns the current limits; called for each request on the threads of the server. */
 using ServerOptionsSource = std::function<ServerOptions()>;
 
+/** @brief A request that the server answered itself because it could not be read. */
+struct RejectedRequest
+{
+    std::uint16_t status = 0; ///< Status that the client receives.
+    std::string target; ///< Request target; empty if the request line could not be read.
+    std::string detail;
+    [[nodiscard]] bool operator==(const RejectedRequest &) const = default;
+};
+
+/** @brief Called for each rejected request on the threads of the server. */
+using RejectionHook = std::function<void(const RejectedRequest &)>;
+
 /** @brief HTTP/1.1 server; each connection has its own strand. */
 class Server
 {
 public:
     Server(boost::asio::any_io_executor executor, ServerOptions options, Handler handler);
     /** @param options Limits that may change at run time; the read limits of a request are those at its first byte. */
-    Server(boost::asio::any_io_executor executor, Handler handler, ServerOptionsSource options);
+    Server(boost::asio::any_io_executor executor,
+           Handler handler,
+           ServerOptionsSource options,
+           RejectionHook rejected = {});
     ~Server();
     Server(const Server &) = delete;
     Server &operator=(const Server &) = delete;
--- a/src/config/catalogue.cpp
+++ b/src/config/catalogue.cpp
@@ -82,7 +82,8 @@
     auto tables = effect.tables.withOperation((*record)->operationId, {offset, effect.reason});
     return {Catalogue(offset + 1, std::make_shared<const CatalogueTables>(std::move(tables))),
             effect.verdict,
-            effect.reason};
+            effect.reason,
+            (*record)->kind == RecordKind::Replace};
 }
 
 const Key *Catalogue::findKey(const core::Digest &digest) const
--- a/src/config/catalogue_store.cpp
+++ b/src/config/catalogue_store.cpp
@@ -45,7 +45,7 @@
     const std::scoped_lock changing(m_changeMutex);
     Catalogue next = *catalogue();
     const core::Offset before = next.appliedOffset();
-    StoreChange change{before, false, 0};
+    StoreChange change{.appliedOffset = before};
     if (from > before) {
         return change;
     }
@@ -53,6 +53,9 @@
     for (const wire::LogEntry &entry : entries) {
         FoldResult result = next.withRecord(entry.offset, entry.data);
         change.malformedCount += result.verdict == Verdict::Malformed ? 1 : 0;
+        if (result.isReplacement) {
+            change.rejection = result.reason;
+        }
         next = std::move(result.catalogue);
     }
     if (entries.empty()) {
@@ -79,7 +82,7 @@
     const core::Offset before = appliedOffset();
     const core::Offset after = catalogue.appliedOffset();
     if (after <= before) {
-        return {before, false, 0};
+        return {.appliedOffset = before};
     }
     {
         const std::scoped_lock lock(m_historyMutex);
@@ -88,7 +91,7 @@
         m_historyEnd = after;
     }
     publish(std::make_shared<const Catalogue>(std::move(catalogue)));
-    return {after, true, 0};
+    return {.appliedOffset = after, .hasAdvanced = true};
 }
 
 std::optional<wire::RecordBatch> CatalogueStore::batchFromHistory(core::Offset from, std::uint32_t limit) const
--- a/src/config/catalogue_store.h
+++ b/src/config/catalogue_store.h
@@ -19,6 +19,7 @@
     core::Offset appliedOffset = 0;
     bool hasAdvanced = false;
     std::size_t malformedCount = 0;
+    VoidReason rejection = VoidReason::None; ///< Why the last replacement of all resources was not accepted.
 };
 
 /** @brief The current catalogue and its most recent records. Thread-safe. */
--- a/src/config/service_context.cpp
+++ b/src/config/service_context.cpp
@@ -55,6 +55,9 @@
     if (change.malformedCount > 0) {
         report(std::to_string(change.malformedCount) + " malformed records of the configuration log were ignored");
     }
+    if (change.rejection != VoidReason::None) {
+        report("the newest configuration document was not accepted: " + std::string(toString(change.rejection)));
+    }
     if (!change.hasAdvanced) {
         return;
     }
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -118,10 +118,11 @@
 class Server::Implementation : public std::enable_shared_from_this<Server::Implementation>
 {
 public:
-    Implementation(asio::any_io_executor executor, ServerOptionsSource options, Handler handler)
+    Implementation(asio::any_io_executor executor, ServerOptionsSource options, Handler handler, RejectionHook rejected)
         : m_executor(std::move(executor))
         , m_options(std::move(options))
         , m_handler(std::move(handler))
+        , m_rejected(std::move(rejected))
         , m_acceptor(asio::make_strand(m_executor))
     {
     }
@@ -300,6 +301,9 @@
             if (!response) {
                 throw boost::system::system_error(error);
             }
+            if (m_rejected) {
+                m_rejected({(*response)->status, std::string(parser.get().target()), error.message()});
+            }
             exchange->isDone = true;
             exchange->reply = *response;
             session->exchanges.push_back(exchange);
@@ -464,6 +468,7 @@
     asio::any_io_executor m_executor;
     ServerOptionsSource m_options;
     Handler m_handler;
+    RejectionHook m_rejected; ///< May be empty.
     tcp::acceptor m_acceptor;
     std::atomic<bool> m_isStopping{false};
     std::atomic<bool> m_isClosing{false};
@@ -476,8 +481,9 @@
 {
 }
 
-Server::Server(asio::any_io_executor executor, Handler handler, ServerOptionsSource options)
-    : m_implementation(std::make_shared<Implementation>(std::move(executor), std::move(options), std::move(handler)))
+Server::Server(asio::any_io_executor executor, Handler handler, ServerOptionsSource options, RejectionHook rejected)
+    : m_implementation(std::make_shared<Implementation>(
+        std::move(executor), std::move(options), std::move(handler), std::move(rejected)))
 {
 }
 
--- a/src/node/entry.cpp
+++ b/src/node/entry.cpp
@@ -44,6 +44,11 @@
     return {.route = plan->route, .service = plan->service, .level = plan->priority, .routeLevel = plan->routeLevel};
 }
 
+double milliseconds(core::Duration duration)
+{
+    return std::chrono::duration<double, std::milli>(duration).count();
+}
+
 bool isServerError(std::uint16_t status) noexcept
 {
     constexpr std::uint16_t FirstServerError = 500;
@@ -236,6 +241,8 @@
     if (response->refusal) {
         const Refusal &refusal = *response->refusal;
         m_metrics.countRequest(refusal.outcome(), refusal.reason(), priority);
+        const std::shared_ptr<const config::Catalogue> catalogue = m_hooks.catalogue();
+        const auto offset = catalogue ? static_cast<std::int64_t>(catalogue->appliedOffset()) : std::int64_t{0};
         telemetry::logRequestEvent("request refused",
                                    {{"request", request->requestId},
                                     {"target", request->target},
@@ -243,8 +250,10 @@
                                     {"reason", std::string(core::toString(refusal.reason()))},
                                     {"detail", refusal.detail()},
                                     {"priority", std::int64_t{priority}},
+                                    {"configuration_offset", offset},
+                                    {"configuration_age_ms", milliseconds(m_hooks.configurationAge())},
                                     {"retries", std::int64_t{response->retriesSpent}},
-                                    {"ms", std::chrono::duration<double, std::milli>(time).count()}},
+                                    {"ms", milliseconds(time)}},
                                    m_hooks.now());
     } else {
         m_metrics.countRequest(Outcome::Answered, std::nullopt, priority);
--- a/src/node/local_endpoint.cpp
+++ b/src/node/local_endpoint.cpp
@@ -281,6 +281,13 @@
                                    core::bootTime());
         co_return failed(refusal, false);
     }
+    constexpr std::uint16_t FirstRedirection = 300;
+    if ((*response)->status >= FirstRedirection) {
+        telemetry::logRequestEvent(
+            "endpoint answered with a failure",
+            {{"request", request->requestId}, {"endpoint", target.id}, {"status", std::int64_t{(*response)->status}}},
+            core::bootTime());
+    }
     co_return admission::EndpointResult{
         .response = response->with(&wire::CallResponseFields::retriesSpent, entry.retriesSpent())};
 }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -114,7 +114,8 @@
     , m_callerServer(
           m_executor,
           [this](http::Request request) { return handleCaller(std::move(request)); },
-          [this] { return callerOptions(m_settings, *m_config.catalogue()); })
+          [this] { return callerOptions(m_settings, *m_config.catalogue()); },
+          [this](const http::RejectedRequest &request) { recordRejection(request); })
     , m_endpointServer(m_executor,
                        serverOptions(m_settings),
                        [this](http::Request request) { return handleEndpoint(std::move(request)); })
--- a/src/node/node_handlers.cpp
+++ b/src/node/node_handlers.cpp
@@ -112,12 +112,26 @@
     auto parsed = m_protocols.decodeCall(request);
     if (!parsed) {
         const wire::CallResponse refusal({.refusal = parsed.error()});
-        co_return m_protocols.encodeResponse(refusal, request);
+        const http::Response response = m_protocols.encodeResponse(refusal, request);
+        recordRejection({response->status, request->target, parsed.error().detail()});
+        co_return response;
     }
     const wire::CallResponse response = co_await m_entry.call(std::move(*parsed));
     co_return m_protocols.encodeResponse(response, request);
 }
 
+void Node::Implementation::recordRejection(const http::RejectedRequest &request)
+{
+    constexpr std::uint16_t PayloadTooLarge = 413;
+    const core::RefusalReason reason =
+        request.status == PayloadTooLarge ? core::RefusalReason::BodyTooLarge : core::RefusalReason::BadRequest;
+    m_metrics.countRequest(core::Outcome::NotRun, reason, 0);
+    telemetry::logRequestEvent(
+        "request rejected",
+        {{"status", std::int64_t{request.status}}, {"target", request.target}, {"detail", request.detail}},
+        now());
+}
+
 asio::awaitable<http::Reply> Node::Implementation::handleOperator(http::Request request)
 {
     if (request->target == m_protocols.readinessPath) {
--- a/src/node/node_implementation.h
+++ b/src/node/node_implementation.h
@@ -56,6 +56,7 @@
     boost::asio::awaitable<wire::Message> handlePeer(core::HostId from, wire::Message message);
     boost::asio::awaitable<wire::CallResponse> runAdmitted(wire::CallRequest call);
     boost::asio::awaitable<http::Reply> handleCaller(http::Request request);
+    void recordRejection(const http::RejectedRequest &request);
     boost::asio::awaitable<http::Reply> handleEndpoint(http::Request request);
     boost::asio::awaitable<http::ChangePage> changes(core::Offset from);
     std::vector<http::NodeStatus> nodeStatus() const;
--- a/tests/http/limits_that_change.cpp
+++ b/tests/http/limits_that_change.cpp
@@ -29,7 +29,11 @@
 {
 public:
     LimitedServer()
-        : m_server(m_pool.get_executor(), accept, [this] { return options(); })
+        : m_server(
+            m_pool.get_executor(),
+            accept,
+            [this] { return options(); },
+            [this](const http::RejectedRequest &request) { record(request); })
         , m_port(m_server.listen("127.0.0.1", 0).value())
     {
     }
@@ -53,6 +57,12 @@
         const auto response = asio::co_spawn(m_pool, client.send(request, DefaultTimeout), asio::use_future).get();
         return response ? (*response)->status : 0;
     }
+    /** @return The last request that the server rejected. */
+    http::RejectedRequest lastRejected()
+    {
+        const std::scoped_lock lock(m_mutex);
+        return m_rejected;
+    }
     /** @return Whether the server closes a connection after only these bytes were sent. */
     [[nodiscard]] bool closesAfter(const std::string &bytes) const
     {
@@ -78,9 +88,15 @@
         const std::scoped_lock lock(m_mutex);
         return m_options;
     }
+    void record(const http::RejectedRequest &request)
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_rejected = request;
+    }
 
     std::mutex m_mutex;
     http::ServerOptions m_options;
+    http::RejectedRequest m_rejected;
     asio::thread_pool m_pool{2};
     http::Server m_server;
     std::uint16_t m_port;
@@ -110,3 +126,19 @@
         CHECK_TRUE(server.closesAfter("GET / HTTP/1.1\r\nHost: "));
     });
 }
+
+// Guards against requests that are rejected without a trace in the log of the node.
+TEST(LimitsThatChange, reportTheRequestsThatTheyReject)
+{
+    LimitedServer server;
+    section("a body over the limit is reported with its target", [&] {
+        server.setOptions({.bodyLimitBytes = 999});
+        LONGS_EQUAL(413, server.post(1000));
+        LONGS_EQUAL(413, server.lastRejected().status);
+        STRCMP_EQUAL("/", server.lastRejected().target.c_str());
+    });
+    section("a request that cannot be parsed is reported", [&] {
+        CHECK_TRUE(server.closesAfter("no request\r\n\r\n"));
+        LONGS_EQUAL(400, server.lastRejected().status);
+    });
+}
