Apply changes of a compacted log that was down meanwhile

Callers see: after an outage of the store in which the operator changed the configuration, 503 'not-ready' for all keyed requests and 401 or 404 for what was added, until the processes are restarted. Cause: after a failed read the follower reads its last record again to notice a log with another history. A log that keeps only the newest record returns a later one instead; the follower took that for another history, reported 'differ from those already applied' and ignored the log from then on. If all nodes were in that state, no peer could help. Change: a later record than the one asked for leaves nothing to compare, so the follower goes on with it. A log that is shorter, or has other data at the same offset, is still ignored.

--- a/include/berylspring/eventlog/log_hooks.h
+++ b/include/berylspring/eventlog/log_hooks.h
@@ -22,7 +22,8 @@
     /**
      * @brief Reads at most `limit` records from the offset `from` on.
      *
-     * Waits up to `wait` if there are none. Fails with Expired if `from` is below the first retained offset.
+     * Waits up to `wait` if there are none. Fails with Expired if `from` is below the first retained offset. A log that
+     * keeps only the newest records may skip others instead.
      */
     std::function<boost::asio::awaitable<Result<LogPage>>(
         std::string stream, core::Offset from, std::uint32_t limit, core::Duration wait)>
--- a/src/config/log_follower.cpp
+++ b/src/config/log_follower.cpp
@@ -130,6 +130,10 @@
         co_return isExpired ? SyncState::UpToDate : SyncState::Failed;
     }
     const auto &records = (*page)->records;
+    if (!records.empty() && records.front().offset > from - 1) {
+        // A compacted log has only later records; there is nothing to compare with.
+        co_return SyncState::UpToDate;
+    }
     if (records.empty() || records.front().offset != from - 1 || records.front().data != *known) {
         self->reportOnce(SyncState::Diverged,
                          "the records of the configuration log differ from those already applied below offset "
--- a/tests/config/a_change_reaches_every_node.cpp
+++ b/tests/config/a_change_reaches_every_node.cpp
@@ -1,4 +1,5 @@
 #include "config/fleet.h"
+#include "config/records.h"
 #include "support/section.h"
 
 #include <CppUTest/TestHarness.h>
@@ -6,6 +7,7 @@
 using namespace berylspring;
 using config::ResourceType;
 using test::Fleet;
+using test::putRecord;
 using test::section;
 
 namespace {
@@ -184,6 +186,25 @@
     LONGS_EQUAL(applied, fleet.service("a").catalogue()->appliedOffset());
 }
 
+// Guards against a follower that takes the records after its own for a changed history and ignores the log for good.
+TEST(AChangeReachesEveryNode, fromACompactedLogThatWasDownMeanwhile)
+{
+    Fleet fleet;
+    fleet.log.keepsOnlyNewest = true;
+    fleet.log.push("config", putRecord("op-0", ResourceType::Priority, "none", LevelThree));
+    fleet.log.push("config", putRecord("op-1", ResourceType::Priority, "p", LevelThree));
+    auto &node = fleet.add("a");
+    fleet.until([&] { return hasPriority(fleet, "a", "p"); });
+    fleet.log.isDown = true;
+    fleet.until([&] { return !node.reports.empty(); });
+    node.reports.clear();
+    fleet.log.push("config", putRecord("op-2", ResourceType::Priority, "q", LevelThree));
+    fleet.log.isDown = false;
+    fleet.until([&] { return hasPriority(fleet, "a", "q") || !node.reports.empty(); });
+    CHECK_TRUE(hasPriority(fleet, "a", "q"));
+    CHECK_TRUE(node.reports.empty());
+}
+
 TEST(AChangeReachesEveryNode, fromPeerToPeer)
 {
     Fleet fleet;
--- a/tests/config/in_memory_log.cpp
+++ b/tests/config/in_memory_log.cpp
@@ -90,6 +90,10 @@
         co_return tl::unexpected(eventlog::Error::expired(known.first));
     }
     eventlog::LogPageFields page{{}, known.first, end()};
+    if (keepsOnlyNewest && from < end()) {
+        page.records = {{end() - 1, known.records.back()}};
+        co_return eventlog::LogPage(std::move(page));
+    }
     for (core::Offset offset = from; offset < end() && page.records.size() < limit; ++offset) {
         page.records.push_back({offset, known.records[offset - known.first]});
         page.next = offset + 1;
--- a/tests/config/in_memory_log.h
+++ b/tests/config/in_memory_log.h
@@ -30,6 +30,7 @@
     [[nodiscard]] const std::vector<std::string> &records(const std::string &stream);
 
     bool isDown = false;
+    bool keepsOnlyNewest = false; ///< Reads return only the last record, as a log of whole documents does.
     std::uint32_t answersToLose = 0; ///< Number of next appends that take effect but fail with a timeout.
     std::uint32_t appendsToLose = 0; ///< Number of next appends that fail with a timeout without effect.
 
