Deny no request because of what an old configuration lacks

Callers see: 401, 403 or 404, which no client repeats, for a proper request at a node that has had no contact with the store and no peer with a newer configuration. Cause: planCall() looked up route, key and workspace before it considered the age of the configuration; the bound on the age covered only keys that were found. A withdrawn key is still denied at any age. New case isNoDenialIfTheConfigurationIsOld of test-node.

--- a/include/berylspring/node/call_plan.h
+++ b/include/berylspring/node/call_plan.h
@@ -39,6 +39,8 @@
     std::optional<InFlight> parent; ///< Request that the context token identifies.
     std::function<bool(const core::Digest &)> isKeyWithdrawn;
     core::Duration configurationAge{}; ///< Time since the catalogue was last confirmed to be current.
+    /** Maximum configuration age at which a request is denied because of what the catalogue lacks; 0: any age. */
+    core::Duration denialStaleness{};
     std::function<core::ServiceId(const config::Route &)> chooseService; ///< Picks one of a route's services.
 };
 
@@ -47,6 +49,9 @@
  *
  * A context token replaces the key; a key sent along with a token is ignored, so that an endpoint can act only on
  * behalf of the request that it runs. A key is validated even if the route is open.
+ *
+ * A denial is final for a caller. If the catalogue is older than `denialStaleness`, a newer one may hold the route or
+ * key that it lacks, so the request is refused as NotReady with a time to come back instead.
  * @return The plan, or a refusal, whose outcome is always NotRun.
  */
 [[nodiscard]] tl::expected<CallPlan, core::Refusal>
--- a/include/berylspring/node/entry.h
+++ b/include/berylspring/node/entry.h
@@ -39,6 +39,7 @@
 {
     double sampleRatio = 0; ///< Fraction of new traces that is sampled, 0 to 1.
     bool areControlsOn = true; ///< False: the entry sheds no request.
+    core::Duration denialStaleness{}; ///< See PlanContext.
 };
 
 /** @brief Handles callers' requests on the node that receives them. Thread-safe. */
--- a/include/berylspring/node/settings.h
+++ b/include/berylspring/node/settings.h
@@ -44,6 +44,7 @@
     core::Duration proofRefresh{}; ///< Age at which the configuration is confirmed with a peer; 0: never.
     core::Duration proofFallback{}; ///< Age at which it is confirmed by reading the log directly; 0: never.
     std::uint32_t readersPerDataCentre = 3; ///< Nodes of each data centre that tail the log.
+    core::Duration denialStaleness{}; ///< Maximum configuration age for denying unknown keys and routes; 0: any.
     core::Duration keyStaleness{}; ///< Maximum configuration age for accepting keys; 0: set by each workspace.
 
     std::uint32_t maxHeaderBytes = 0;
--- a/src/node/call_plan.cpp
+++ b/src/node/call_plan.cpp
@@ -23,12 +23,29 @@
     return {reason, Outcome::NotRun, std::move(detail)};
 }
 
+/** Until the configuration has been confirmed again, which a node tries several times a second. */
+constexpr core::Duration StaleRetryAfter = std::chrono::seconds(1);
+
+/** @return The denial, or NotReady if a newer configuration may allow the request. */
+Refusal denied(RefusalReason reason, const std::string &detail, const PlanContext &context)
+{
+    const bool isBounded = context.denialStaleness > core::Duration::zero();
+    if (isBounded && context.configurationAge > context.denialStaleness) {
+        return notRun(RefusalReason::NotReady, "the configuration is too old to deny the request: " + detail)
+            .withRetryAfter(StaleRetryAfter);
+    }
+    return notRun(reason, detail);
+}
+
 tl::expected<Identity, Refusal> identityOfKey(const std::string &key, const PlanContext &context)
 {
     const core::Digest digest = core::sha256(key);
     const config::Key *known = context.catalogue.findKey(digest);
-    if (known == nullptr || context.isKeyWithdrawn(digest)) {
-        return unexpected(notRun(RefusalReason::KeyInvalid, "the key is not known or was withdrawn"));
+    if (context.isKeyWithdrawn(digest)) {
+        return unexpected(notRun(RefusalReason::KeyInvalid, "the key was withdrawn"));
+    }
+    if (known == nullptr) {
+        return unexpected(denied(RefusalReason::KeyInvalid, "the key is not known", context));
     }
     return Identity{(*known)->workspace, digest};
 }
@@ -57,7 +74,7 @@
     if (route->isOpen) {
         return Identity{};
     }
-    return unexpected(notRun(RefusalReason::KeyMissing, "the route needs a key"));
+    return unexpected(denied(RefusalReason::KeyMissing, "the route needs a key", context));
 }
 
 std::optional<Refusal>
@@ -70,7 +87,7 @@
     }
     const config::Workspace *workspace = context.catalogue.findWorkspace(name);
     if (workspace == nullptr) {
-        return notRun(RefusalReason::WorkspaceRefused, "the workspace does not exist");
+        return denied(RefusalReason::WorkspaceRefused, "the workspace does not exist", context);
     }
     const bool isStale = context.configurationAge > (*workspace)->stalenessLimit;
     if ((*workspace)->staleness == config::Staleness::Refuse && isStale) {
@@ -117,7 +134,7 @@
 {
     const config::Route *route = context.catalogue.findRoute(request->host, http::pathOf(request->target));
     if (route == nullptr) {
-        return unexpected(notRun(RefusalReason::RouteUnknown, "no route has a prefix of the path"));
+        return unexpected(denied(RefusalReason::RouteUnknown, "no route has a prefix of the path", context));
     }
     const auto identity = identityOf(request, *route, context);
     if (!identity) {
--- a/src/node/entry.cpp
+++ b/src/node/entry.cpp
@@ -219,6 +219,7 @@
                               .parent = request->contextToken ? m_inFlight.find(*request->contextToken) : std::nullopt,
                               .isKeyWithdrawn = m_hooks.isKeyWithdrawn,
                               .configurationAge = age,
+                              .denialStaleness = m_settings.denialStaleness,
                               .chooseService = [this](const config::Route &route) {
                                   return m_splitter.choose(route->name, route->services);
                               }};
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -108,7 +108,9 @@
     , m_dispatcher(m_settings->host, m_settings->dataCentre, m_settings->areControlsOn, dispatcherHooks())
     , m_entry(m_inFlight,
               m_metrics,
-              {.sampleRatio = m_settings->sampleRatio, .areControlsOn = m_settings->areControlsOn},
+              {.sampleRatio = m_settings->sampleRatio,
+               .areControlsOn = m_settings->areControlsOn,
+               .denialStaleness = m_settings->denialStaleness},
               entryHooks())
     , m_operatorApi(operatorHooks())
     , m_callerServer(
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -243,6 +243,7 @@
     fields.proofRefresh = reader.milliseconds("platform.proof_refresh_ms", 0, 0, 600'000);
     fields.proofFallback = reader.milliseconds("platform.proof_fallback_ms", 0, 0, 600'000);
     fields.readersPerDataCentre = static_cast<std::uint32_t>(reader.number("platform.readers", 3, 1, 100));
+    fields.denialStaleness = reader.milliseconds("platform.denial_staleness_ms", 300'000, 0, 3'600'000);
     fields.keyStaleness = reader.milliseconds("platform.key_staleness_ms", 0, 0, 600'000);
     fields.snapshotInterval = reader.milliseconds("platform.snapshot_interval_ms", 600'000, 100, 86'400'000);
 }
--- a/tests/integration/harness/platform_fleet.cpp
+++ b/tests/integration/harness/platform_fleet.cpp
@@ -23,7 +23,7 @@
                         << "[operator]\ntoken_digest = " << std::string(64, 'f')
                         << "\n[platform]\nkind = store\nlog = 127.0.0.1:" << storePort
                         << "\nreaders = 1\npoll_ms = 200\nproof_refresh_ms = 100\nproof_fallback_ms = 500\n"
-                        << "key_staleness_ms = 4000\n";
+                        << "denial_staleness_ms = 3000\nkey_staleness_ms = 4000\n";
     return path;
 }
 
--- a/tests/node/a_refusal_at_the_entry.cpp
+++ b/tests/node/a_refusal_at_the_entry.cpp
@@ -23,6 +23,7 @@
 using core::RefusalReason;
 
 constexpr const char *Withdrawn = "withdrawn-key";
+constexpr core::Duration DenialStaleness = std::chrono::seconds(3);
 
 config::Catalogue catalogueWithRoute()
 {
@@ -43,10 +44,12 @@
 {
 public:
     explicit EntryThatRefuses(std::optional<config::Catalogue> catalogue)
-        : m_entry(m_inFlight, m_metrics, {}, hooks(std::move(catalogue)))
+        : m_entry(m_inFlight, m_metrics, {.denialStaleness = DenialStaleness}, hooks(std::move(catalogue)))
     {
     }
 
+    core::Duration configurationAge{};
+
     core::Refusal refusalOf(const http::CallerRequest &request)
     {
         auto response = asio::co_spawn(m_context, m_entry.call(request), asio::use_future);
@@ -56,7 +59,7 @@
     }
 
 private:
-    static node::EntryHooks hooks(std::optional<config::Catalogue> catalogue)
+    node::EntryHooks hooks(std::optional<config::Catalogue> catalogue)
     {
         node::EntryHooks hooks;
         std::shared_ptr<const config::Catalogue> shared;
@@ -65,7 +68,7 @@
         }
         hooks.catalogue = [shared] { return shared; };
         hooks.isKeyWithdrawn = [](const core::Digest &digest) { return digest == core::sha256(Withdrawn); };
-        hooks.configurationAge = [] { return core::Duration::zero(); };
+        hooks.configurationAge = [this] { return configurationAge; };
         hooks.now = [] { return core::TimePoint(); };
         hooks.random = core::systemRandom();
         hooks.spans = [](const telemetry::Span &) {};
@@ -111,3 +114,30 @@
     section("a request without an idempotency key",
             [&] { CHECK(entry.refusalOf(booking("/visits", Withdrawn, std::nullopt)).outcome() == Outcome::NotRun); });
 }
+
+// Guards against a proper request that is ended for good by a node whose configuration is too old to know its key or
+// route.
+TEST(ARefusalAtTheEntry, isNoDenialIfTheConfigurationIsOld)
+{
+    EntryThatRefuses entry(catalogueWithRoute());
+    const auto reasonOf = [&](const std::string &target, std::optional<std::string> key) {
+        return entry.refusalOf(booking(target, std::move(key), std::nullopt)).reason();
+    };
+    section("a recent configuration denies what it does not know", [&] {
+        entry.configurationAge = DenialStaleness;
+        CHECK(reasonOf("/added", "key") == RefusalReason::RouteUnknown);
+        CHECK(reasonOf("/visits", "added") == RefusalReason::KeyInvalid);
+        CHECK(reasonOf("/visits", std::nullopt) == RefusalReason::KeyMissing);
+    });
+    entry.configurationAge = DenialStaleness + std::chrono::milliseconds(1);
+    section("an older one tells the caller to come back", [&] {
+        CHECK(reasonOf("/added", "key") == RefusalReason::NotReady);
+        CHECK(reasonOf("/visits", "added") == RefusalReason::NotReady);
+        CHECK(reasonOf("/visits", std::nullopt) == RefusalReason::NotReady);
+        const auto refusal = entry.refusalOf(booking("/added", "key", std::nullopt));
+        CHECK(refusal.outcome() == Outcome::NotRun);
+        CHECK(refusal.retryAfter().has_value());
+    });
+    section("a withdrawn key never becomes valid again, so it is denied at any age",
+            [&] { CHECK(reasonOf("/visits", Withdrawn) == RefusalReason::KeyInvalid); });
+}
