--- a/tests/integration/harness/store_stand_in.cpp
+++ b/tests/integration/harness/store_stand_in.cpp
@@ -3,10 +3,12 @@
 #include <chrono>
 #include <set>
 
+#include <boost/asio/error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
+#include <boost/system/system_error.hpp>
 #include <openssl/evp.h>
 
 namespace berylspring::test {
@@ -36,6 +38,13 @@
     return text;
 }
 
+http::Response withEra(const http::Response &response, std::uint64_t era)
+{
+    http::ResponseFields fields = *response;
+    fields.headers.push_back({"Store-Era", std::to_string(era)});
+    return http::Response(std::move(fields));
+}
+
 }
 
 StoreStandIn::StoreStandIn(asio::any_io_executor executor)
@@ -61,25 +70,48 @@
     m_topics[topic].first = m_topics[topic].records.size();
 }
 
+StoreStandIn::Topics StoreStandIn::copy()
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_topics;
+}
+
+void StoreStandIn::restore(const Topics &copy)
+{
+    const std::scoped_lock lock(m_mutex);
+    m_topics = copy;
+    ++m_era;
+}
+
+void StoreStandIn::requireEra(std::uint64_t era) const
+{
+    if (m_era != era) {
+        // The server sends no response to a request whose handler was cancelled and closes the connection.
+        throw boost::system::system_error(asio::error::operation_aborted);
+    }
+}
+
 asio::awaitable<http::Reply> StoreStandIn::answer(http::Request request)
 {
+    const std::uint64_t era = m_era;
     if (m_isUnavailable) {
-        co_return http::jsonResponse(503, "{}");
+        co_return withEra(http::jsonResponse(503, "{}"), era);
     }
-    const http::Response response = co_await execute(request);
+    const http::Response response = co_await execute(request, era);
     const std::chrono::milliseconds delay = m_delay;
     if (delay > std::chrono::milliseconds::zero()) {
         asio::steady_timer timer(co_await asio::this_coro::executor, delay);
         co_await timer.async_wait(asio::use_awaitable);
     }
-    co_return response;
+    requireEra(era);
+    co_return withEra(response, era);
 }
 
-asio::awaitable<http::Response> StoreStandIn::execute(http::Request request)
+asio::awaitable<http::Response> StoreStandIn::execute(http::Request request, std::uint64_t era)
 {
     const std::string_view path = http::pathOf(request->target);
     if (path == "/api/log-read") {
-        const http::Response response = co_await read(request);
+        const http::Response response = co_await read(request, era);
         co_return response;
     }
     if (path == "/api/log-newest") {
@@ -91,7 +123,7 @@
     co_return http::jsonResponse(404, "{}");
 }
 
-asio::awaitable<http::Response> StoreStandIn::read(http::Request request)
+asio::awaitable<http::Response> StoreStandIn::read(http::Request request, std::uint64_t era)
 {
     const std::string name = http::queryParameter(request->target, "Topic");
     const std::uint64_t from = std::stoull("0" + http::queryParameter(request->target, "From"));
@@ -101,8 +133,9 @@
     while (true) {
         {
             const std::scoped_lock lock(m_mutex);
+            requireEra(era);
             const Topic &topic = m_topics[name];
-            if (from < topic.first) {
+            if (from < topic.first || from > topic.records.size()) {
                 co_return http::jsonResponse(410, R"({"First":)" + std::to_string(topic.first) + "}");
             }
             if (from < topic.records.size() || std::chrono::steady_clock::now() >= until) {
