--- a/tests/integration/harness/platform_fleet.cpp
+++ b/tests/integration/harness/platform_fleet.cpp
@@ -88,11 +88,18 @@
 PlatformFleet::PlatformFleet()
     : store(m_calls.pool().get_executor())
     , upstream(m_calls.pool().get_executor())
+    , secondToStore(std::make_shared<tools::FaultRoute>(m_calls.pool().get_executor(), store.port()))
     , first("h1", "a", "visits", store.port(), m_directory)
-    , second("h2", "b", "other", store.port(), m_directory)
+    , second("h2", "b", "other", secondToStore->listen(0), m_directory)
 {
 }
 
+PlatformNode
+PlatformFleet::start(const std::string &host, const std::string &dataCentre, const std::string &service) const
+{
+    return {host, dataCentre, service, store.port(), m_directory};
+}
+
 int PlatformFleet::status(std::uint16_t port,
                           const std::string &method,
                           const std::string &target,
--- a/tests/integration/harness/platform_fleet.h
+++ b/tests/integration/harness/platform_fleet.h
@@ -4,9 +4,11 @@
 #include "integration/harness/http_calls.h"
 #include "integration/harness/process.h"
 #include "integration/harness/store_stand_in.h"
+#include "tools/common/fault_route.h"
 
 #include <atomic>
 #include <cstdint>
+#include <memory>
 #include <mutex>
 #include <string>
 
@@ -71,7 +73,10 @@
     std::uint16_t operatorPort;
 };
 
-/** @brief Two nodes in two data centres; the endpoint of the routes is attached to the first. */
+/**
+ * @brief Two nodes in two data centres; the endpoint of the routes is attached to the first. The second node reaches
+ * the store through a route of its own.
+ */
 class PlatformFleet
 {
 public:
@@ -88,6 +93,9 @@
     /** @brief Repeats a request until its answer has the status; keeps the endpoint announced. @return False on
      * timeout. */
     bool waitForStatus(int expected, std::uint16_t port, const std::string &target, const std::string &key);
+    /** @brief Starts a further node, which reaches the store directly. */
+    [[nodiscard]] PlatformNode
+    start(const std::string &host, const std::string &dataCentre, const std::string &service) const;
 
 private:
     TemporaryDirectory m_directory;
@@ -98,6 +106,7 @@
 public:
     StoreStandIn store;
     StampingEndpoint upstream;
+    std::shared_ptr<tools::FaultRoute> secondToStore;
     PlatformNode first;
     PlatformNode second;
 };
