--- a/include/berylspring/config/config_service.h
+++ b/include/berylspring/config/config_service.h
@@ -8,6 +8,7 @@
 #include "berylspring/core/digest.h"
 #include "berylspring/wire/messages.h"
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -89,6 +90,12 @@
     /** @return Time of the last response of the log. */
     [[nodiscard]] std::optional<core::TimePoint> lastLogContact() const;
 
+    /** @return Highest generation of the log that this node has read itself; 0 if it has read none. */
+    [[nodiscard]] std::uint64_t logGeneration() const;
+
+    /** @return Whether the log, when last read, lacked records that this node has or had others in their place. */
+    [[nodiscard]] bool isLogBehind() const;
+
     /** @return Whether the key is withdrawn in the catalogue or by a pending tombstone. */
     [[nodiscard]] bool isKeyWithdrawn(const core::Digest &digest) const;
 
--- a/src/config/config_service.cpp
+++ b/src/config/config_service.cpp
@@ -70,6 +70,16 @@
     return m_core->context()->lastLogContact();
 }
 
+std::uint64_t ConfigService::logGeneration() const
+{
+    return m_core->context()->logGeneration();
+}
+
+bool ConfigService::isLogBehind() const
+{
+    return m_core->follower()->lacksRecords();
+}
+
 bool ConfigService::isKeyWithdrawn(const core::Digest &digest) const
 {
     return m_core->withdrawals()->contains(digest) || catalogue()->isWithdrawn(digest);
--- a/src/config/log_follower.cpp
+++ b/src/config/log_follower.cpp
@@ -1,5 +1,6 @@
 #include "config/log_follower.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace berylspring::config::detail {
@@ -67,12 +68,15 @@
 
 SyncState LogFollower::foldPage(core::Offset from, const eventlog::LogPage &page, core::TimePoint sentAt)
 {
-    if (page->records.empty() && page->next < from) {
+    m_context->recordLogGeneration(page->generation);
+    const bool isShort = page->records.empty() && page->next < from;
+    const SyncState state = isShort ? onShortLog(from, page) : SyncState::UpToDate;
+    if (state == SyncState::Diverged) {
         m_mustCheckContinuity = true;
-        reportOnce(SyncState::Diverged,
-                   "the configuration log ends at offset " + std::to_string(page->next) + ", below the applied offset "
-                       + std::to_string(from) + "; ignoring its records");
-        return SyncState::Diverged;
+        return state;
+    }
+    if (!isShort) {
+        recordEnd({page->generation, page->next});
     }
     std::vector<wire::LogEntry> entries;
     entries.reserve(page->records.size());
@@ -88,7 +92,9 @@
         m_context->recordProof(sentAt);
     }
     m_context->notifyChange(change);
-    m_reported = SyncState::UpToDate;
+    if (!isShort) {
+        m_reported = SyncState::UpToDate;
+    }
     return change.hasAdvanced ? SyncState::Advanced : SyncState::UpToDate;
 }
 
@@ -129,12 +135,17 @@
         const bool isExpired = page.error().code() == eventlog::ErrorCode::Expired;
         co_return isExpired ? SyncState::UpToDate : SyncState::Failed;
     }
+    self->m_context->recordLogGeneration((*page)->generation);
     const auto &records = (*page)->records;
-    if (!records.empty() && records.front().offset > from - 1) {
+    if (records.empty()) {
+        const SyncState state = self->onShortLog(from, *page);
+        co_return state == SyncState::Behind ? SyncState::UpToDate : state;
+    }
+    if (records.front().offset > from - 1) {
         // A compacted log has only later records; there is nothing to compare with.
         co_return SyncState::UpToDate;
     }
-    if (records.empty() || records.front().offset != from - 1 || records.front().data != *known) {
+    if (records.front().offset != from - 1 || records.front().data != *known) {
         self->reportOnce(SyncState::Diverged,
                          "the records of the configuration log differ from those already applied below offset "
                              + std::to_string(from) + "; ignoring them");
@@ -143,6 +154,28 @@
     co_return SyncState::UpToDate;
 }
 
+SyncState LogFollower::onShortLog(core::Offset from, const eventlog::LogPage &page)
+{
+    const bool isRestored = page->generation > 0 && recordEnd({page->generation, page->next});
+    const SyncState state = isRestored ? SyncState::Behind : SyncState::Diverged;
+    reportOnce(state,
+               "the configuration log ends at offset " + std::to_string(page->next) + ", below the applied offset "
+                   + std::to_string(from)
+                   + (isRestored ? ", since it was restored from a copy; keeping the applied records"
+                                 : "; ignoring its records"));
+    return state;
+}
+
+bool LogFollower::recordEnd(const LogEnd &end)
+{
+    const std::scoped_lock lock(m_mutex);
+    if (end.generation == m_end.generation && end.offset < m_end.offset) {
+        return false;
+    }
+    m_end = std::max(m_end, end);
+    return true;
+}
+
 void LogFollower::reportOnce(SyncState state, const std::string &text)
 {
     if (m_reported.exchange(state) != state) {
--- a/src/config/service_context.cpp
+++ b/src/config/service_context.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cstdio>
+#include <utility>
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -15,26 +16,45 @@
 void ServiceContext::recordLogContact()
 {
     const core::TimePoint time = now();
-    const std::scoped_lock lock(m_timesMutex);
+    const std::scoped_lock lock(m_logMutex);
     m_lastLogContact = time;
     m_lastContact = time;
 }
 
+void ServiceContext::recordLogGeneration(std::uint64_t generation)
+{
+    std::uint64_t before = 0;
+    {
+        const std::scoped_lock lock(m_logMutex);
+        before = std::exchange(m_logGeneration, std::max(m_logGeneration, generation));
+    }
+    if (before > 0 && generation > before) {
+        report("the log was restored from a copy; its generation rose from " + std::to_string(before) + " to "
+               + std::to_string(generation));
+    }
+}
+
+std::uint64_t ServiceContext::logGeneration() const
+{
+    const std::scoped_lock lock(m_logMutex);
+    return m_logGeneration;
+}
+
 std::optional<core::TimePoint> ServiceContext::lastLogContact() const
 {
-    const std::scoped_lock lock(m_timesMutex);
+    const std::scoped_lock lock(m_logMutex);
     return m_lastLogContact;
 }
 
 void ServiceContext::recordProof(core::TimePoint at)
 {
-    const std::scoped_lock lock(m_timesMutex);
+    const std::scoped_lock lock(m_logMutex);
     m_provenAt = m_provenAt ? std::max(*m_provenAt, at) : at;
 }
 
 std::optional<core::TimePoint> ServiceContext::provenAt() const
 {
-    const std::scoped_lock lock(m_timesMutex);
+    const std::scoped_lock lock(m_logMutex);
     return m_provenAt;
 }
 
@@ -46,7 +66,7 @@
 
 std::optional<core::TimePoint> ServiceContext::lastContact() const
 {
-    const std::scoped_lock lock(m_timesMutex);
+    const std::scoped_lock lock(m_logMutex);
     return m_lastContact;
 }
 
@@ -63,7 +83,7 @@
     }
     const core::TimePoint time = now();
     {
-        const std::scoped_lock lock(m_timesMutex);
+        const std::scoped_lock lock(m_logMutex);
         m_lastContact = time;
     }
     if (m_hooks.applied) {
--- a/src/config/service_context.h
+++ b/src/config/service_context.h
@@ -5,6 +5,7 @@
 #include "config/catalogue_store.h"
 
 #include <atomic>
+#include <cstdint>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -69,6 +70,10 @@
     }
 
     void recordLogContact();
+    /** @brief Records the generation of a page of the log; lower ones are ignored. */
+    void recordLogGeneration(std::uint64_t generation);
+    /** @return Highest generation of the log that this node has read; 0 if it has read none. */
+    [[nodiscard]] std::uint64_t logGeneration() const;
     [[nodiscard]] std::optional<core::TimePoint> lastLogContact() const;
     /** @brief Records that the store holds all records that the log had at `at`; earlier times are ignored. */
     void recordProof(core::TimePoint at);
@@ -95,10 +100,11 @@
     CatalogueStore m_store;
     std::atomic<bool> m_isUpToDate = false;
     std::atomic<bool> m_isStopped = false;
-    mutable std::mutex m_timesMutex;
+    mutable std::mutex m_logMutex;
     std::optional<core::TimePoint> m_lastLogContact;
     std::optional<core::TimePoint> m_lastContact;
     std::optional<core::TimePoint> m_provenAt;
+    std::uint64_t m_logGeneration = 0;
 };
 using ContextPtr = std::shared_ptr<ServiceContext>;
 
--- a/src/config/service_core.h
+++ b/src/config/service_core.h
@@ -27,6 +27,10 @@
     {
         return m_context;
     }
+    [[nodiscard]] const FollowerPtr &follower() const noexcept
+    {
+        return m_follower;
+    }
     [[nodiscard]] const PeerSyncPtr &peerSync() const noexcept
     {
         return m_peerSync;
--- a/src/node/announcer.cpp
+++ b/src/node/announcer.cpp
@@ -46,24 +46,38 @@
                                .port = static_cast<std::uint16_t>(port->as_int64())});
 }
 
+/** @brief How far the stream has been read. */
+struct Position
+{
+    std::uint64_t generation = 0; ///< Generation of the log that the offset belongs to.
+    core::Offset from = 0;
+};
+
 /** @return Whether the stream was read up to its end. */
-asio::awaitable<bool> readContacts(const AnnouncerHooks &hooks, core::Offset &from)
+asio::awaitable<bool> readContacts(const AnnouncerHooks &hooks, Position &position)
 {
     while (true) {
-        const auto page = co_await hooks.log.read(Stream, from, PageRecords, core::Duration::zero());
-        if (!page && page.error().code() == eventlog::ErrorCode::Expired && page.error().first() > from) {
-            from = *page.error().first();
+        const auto page = co_await hooks.log.read(Stream, position.from, PageRecords, core::Duration::zero());
+        if (!page && page.error().code() == eventlog::ErrorCode::Expired && page.error().first() > position.from) {
+            position.from = *page.error().first();
             continue;
         }
         if (!page) {
             co_return false;
         }
+        if ((*page)->generation != position.generation) {
+            const bool isFromStart = position.from == 0;
+            position = {.generation = (*page)->generation};
+            if (!isFromStart) {
+                continue;
+            }
+        }
         for (const eventlog::LogEntry &record : (*page)->records) {
             if (const auto member = fromJson(record.data)) {
                 hooks.addContact(*member);
             }
         }
-        from = (*page)->next;
+        position.from = (*page)->next;
         if ((*page)->records.empty()) {
             co_return true;
         }
@@ -75,13 +89,19 @@
 asio::awaitable<void> announceThroughLog(AnnouncerHooks hooks)
 {
     asio::steady_timer timer(co_await asio::this_coro::executor);
-    core::Offset from = 0;
+    Position position;
     while (!hooks.isStopping()) {
+        const std::uint64_t generation = hooks.logGeneration();
         // Appends before it reads, so that of two hosts that start together the second one in the log finds the first.
         const auto appended = co_await hooks.log.append(Stream, toJson(hooks.self()));
-        const bool hasRead = co_await readContacts(hooks, from);
-        timer.expires_after(appended && hasRead ? core::Duration(RefreshInterval) : core::Duration(RetryInterval));
-        co_await timer.async_wait(asio::use_awaitable);
+        const bool hasRead = co_await readContacts(hooks, position);
+        const auto interval =
+            appended && hasRead ? std::chrono::seconds(RefreshInterval) : std::chrono::seconds(RetryInterval);
+        const auto next = std::chrono::steady_clock::now() + interval;
+        do {
+            timer.expires_after(RetryInterval);
+            co_await timer.async_wait(asio::use_awaitable);
+        } while (std::chrono::steady_clock::now() < next && hooks.logGeneration() == generation);
     }
 }
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -156,6 +156,7 @@
                        {.log = m_log,
                         .self = [this] { return m_membership->self().record(); },
                         .addContact = [this](const wire::MemberUpdate &member) { m_membership->addContact(member); },
+                        .logGeneration = [this] { return m_config.logGeneration(); },
                         .isStopping = [this] { return m_isStopping.load(); }}),
                    asio::detached);
     detail::startSpanExport(
@@ -271,6 +272,8 @@
     add("berylspring_peer_answers_dropped", peers.droppedAnswers);
     add("berylspring_members_live", m_membership->snapshot()->liveMembers().size());
     add("berylspring_config_applied_offset", m_config.catalogue()->appliedOffset());
+    add("berylspring_config_log_behind", m_config.isLogBehind() ? 1 : 0);
+    add("berylspring_config_log_generation", m_config.logGeneration());
     add("berylspring_requests_in_flight", m_inFlight.size());
     add("berylspring_spans_dropped", m_spans->dropped());
     return samples;
--- a/src/node/node_hooks.cpp
+++ b/src/node/node_hooks.cpp
@@ -15,6 +15,8 @@
 
 namespace asio = boost::asio;
 
+/** Generation of a log that has never been restored. */
+constexpr std::uint64_t FirstLogGeneration = 1;
 /** Time in which a new node receives the whole member table after its first contact with a member. */
 constexpr core::Duration JoinDelay = std::chrono::seconds(1);
 /** A node without contact to another member after this time assumes that it is the only one. */
@@ -209,7 +211,7 @@
 EntryHooks Node::Implementation::entryHooks()
 {
     EntryHooks hooks;
-    hooks.catalogue = [this] { return m_config.isReady() ? m_config.catalogue() : nullptr; };
+    hooks.catalogue = [this] { return isConfigurationUsable() ? m_config.catalogue() : nullptr; };
     hooks.isKeyWithdrawn = [this](const core::Digest &digest) { return m_config.isKeyWithdrawn(digest); };
     hooks.configurationAge = [this] { return configurationAge(); };
     hooks.admit = [this](core::WorkspaceId workspace) {
@@ -265,6 +267,13 @@
     return age >= SoloJoinDelay || (hasPeerContact && age >= JoinDelay);
 }
 
+bool Node::Implementation::isConfigurationUsable() const
+{
+    // Other members may have a newer configuration than a log that was restored from a copy.
+    const bool mayLogBeBehind = m_config.logGeneration() > FirstLogGeneration;
+    return m_config.isReady() && (!mayLogBeBehind || hasJoined());
+}
+
 bool Node::Implementation::isReady() const
 {
     return m_config.isReady() && hasJoined() && !m_isStopping;
--- a/src/node/node_implementation.h
+++ b/src/node/node_implementation.h
@@ -79,6 +79,8 @@
     [[nodiscard]] std::vector<core::HostId> liveHosts(const core::DataCentreId &dataCentre) const;
     [[nodiscard]] std::vector<core::HostId> claimHosts(const core::DataCentreId &dataCentre) const;
     [[nodiscard]] bool hasJoined() const;
+    /** @return Whether callers' requests may be decided by the configuration of this node. */
+    [[nodiscard]] bool isConfigurationUsable() const;
     [[nodiscard]] bool isReady() const;
     [[nodiscard]] core::Duration timeSinceExternalContact() const;
     [[nodiscard]] core::Duration configurationAge() const;
--- a/tests/config/a_node_proves_its_configuration.cpp
+++ b/tests/config/a_node_proves_its_configuration.cpp
@@ -100,3 +100,40 @@
     const core::TimePoint start = now();
     fleet.until([&] { return fleet.provenAt("b") > start; });
 }
+
+// Guards against nodes that go back to an older configuration, or refuse all keys, after the log was restored from a
+// copy that lacks their last record.
+TEST(ANodeProvesItsConfiguration, byALogThatWasRestored)
+{
+    ProvingFleet fleet(1h);
+    fleet.log.generation = 1;
+    fleet.add("a");
+    fleet.log.push("config", putRecord("op-2", ResourceType::Priority, "q", LevelThree));
+    const auto has = [&](const char *name) {
+        return fleet.service("a").catalogue()->findPriority(config::PriorityId(name)) != nullptr;
+    };
+    fleet.until([&] { return has("q"); });
+    section("without the lost record, the node keeps it and proves its configuration", [&] {
+        fleet.log.restore("config", 2);
+        const core::TimePoint restored = now();
+        fleet.until([&] { return fleet.provenAt("a") > restored; });
+        CHECK_TRUE(has("q"));
+        CHECK_TRUE(fleet.service("a").isLogBehind());
+        LONGS_EQUAL(2, fleet.service("a").logGeneration());
+    });
+    section("after the lost record was written again, later ones apply", [&] {
+        fleet.log.push("config", putRecord("op-2", ResourceType::Priority, "q", LevelThree));
+        fleet.log.push("config", putRecord("op-3", ResourceType::Priority, "r", LevelThree));
+        fleet.until([&] { return has("r"); });
+        CHECK_TRUE(has("q"));
+        fleet.until([&] { return !fleet.service("a").isLogBehind(); });
+    });
+    section("a log that becomes shorter without a restore proves nothing", [&] {
+        fleet.log.clear("config");
+        fleet.until([&] { return fleet.service("a").isLogBehind(); });
+        const core::TimePoint proven = fleet.provenAt("a");
+        fleet.until([&, until = now() + 50ms] { return now() > until; });
+        CHECK_TRUE(fleet.provenAt("a") == proven);
+        CHECK_TRUE(has("r"));
+    });
+}
--- a/tests/config/in_memory_log.cpp
+++ b/tests/config/in_memory_log.cpp
@@ -45,6 +45,13 @@
     m_changed.cancel();
 }
 
+void InMemoryLog::restore(const std::string &stream, std::size_t count)
+{
+    m_streams[stream].records.resize(count);
+    ++generation;
+    m_changed.cancel();
+}
+
 std::size_t InMemoryLog::size(const std::string &stream) const
 {
     const auto known = m_streams.find(stream);
@@ -89,7 +96,7 @@
     if (from < known.first) {
         co_return tl::unexpected(eventlog::Error::expired(known.first));
     }
-    eventlog::LogPageFields page{{}, known.first, end()};
+    eventlog::LogPageFields page{.records = {}, .first = known.first, .next = end(), .generation = generation};
     if (keepsOnlyNewest && from < end()) {
         page.records = {{end() - 1, known.records.back()}};
         co_return eventlog::LogPage(std::move(page));
--- a/tests/config/in_memory_log.h
+++ b/tests/config/in_memory_log.h
@@ -26,10 +26,13 @@
     void dropBefore(const std::string &stream, core::Offset offset);
     /** @brief Drops all records; offsets start at 0 again. */
     void clear(const std::string &stream);
+    /** @brief Returns to the first `count` records, as a restore from an older copy does; the generation rises. */
+    void restore(const std::string &stream, std::size_t count);
     [[nodiscard]] std::size_t size(const std::string &stream) const;
     [[nodiscard]] const std::vector<std::string> &records(const std::string &stream);
 
     bool isDown = false;
+    std::uint64_t generation = 0; ///< Reported with each page.
     bool keepsOnlyNewest = false; ///< Reads return only the last record, as a log of whole documents does.
     std::uint32_t answersToLose = 0; ///< Number of next appends that take effect but fail with a timeout.
     std::uint32_t appendsToLose = 0; ///< Number of next appends that fail with a timeout without effect.
