Register the signals of the daemon before its threads start

A signal during the start ends the daemon at once. Cause: two coroutines constructed the first two signal sets of the io_context on two threads. Boost.Asio 1.81 creates a service outside the lock of its registry and destroys the one that comes second; for signals that deregisters the pipe which both share, so the handler writes to a pipe that no thread polls. The class: services of a context that are created by several threads at once. Sockets, timers and strands get theirs in Node::start(), before the threads. Change: both signal sets are members of one object that is created before the node and its threads. Evidence: integration-a_daemon_that_is_stopped starts and stops 80 daemons in each of four ways beside busy threads.

--- a/src/programs/berylspringd.cpp
+++ b/src/programs/berylspringd.cpp
@@ -89,9 +89,25 @@
     std::filesystem::file_time_type m_modifiedAt;
 };
 
-asio::awaitable<void> reloadOnSignal(asio::io_context &context, SettingsReloader &reloader)
+/**
+ * @brief The signals that the daemon handles. Created before its threads start: two threads that create the first
+ * signal sets of a context at the same time also create its signal service twice, and the end of the second one stops
+ * the first from ever receiving a signal.
+ */
+struct Signals
+{
+    explicit Signals(asio::io_context &context)
+        : stop(context, SIGTERM, SIGINT)
+        , reload(context, SIGHUP)
+    {
+    }
+
+    asio::signal_set stop;
+    asio::signal_set reload;
+};
+
+asio::awaitable<void> reloadOnSignal(asio::signal_set &signals, SettingsReloader &reloader)
 {
-    asio::signal_set signals(context, SIGHUP);
     while (true) {
         co_await signals.async_wait(asio::use_awaitable);
         reloader.reload();
@@ -108,9 +124,8 @@
     }
 }
 
-asio::awaitable<void> stopOnSignal(asio::io_context &context, node::Node &node)
+asio::awaitable<void> stopOnSignal(asio::io_context &context, asio::signal_set &signals, node::Node &node)
 {
-    asio::signal_set signals(context, SIGTERM, SIGINT);
     co_await signals.async_wait(asio::use_awaitable);
     co_await node.stop();
     context.stop();
@@ -120,6 +135,7 @@
 {
     telemetry::startLogging(settings->host.value(), settings->logLevel);
     asio::io_context context(static_cast<int>(settings->threads));
+    Signals signals(context);
     node::Node node(context.get_executor(),
                     settings,
                     settings->protocolKind == node::ProtocolKind::Store ? platform::makeProtocols(settings)
@@ -131,11 +147,11 @@
     }
     printPorts(*ports);
     telemetry::log(telemetry::Severity::Info, "started", {{"data_centre", settings->dataCentre.value()}});
-    asio::co_spawn(context, stopOnSignal(context, node), asio::detached);
+    asio::co_spawn(context, stopOnSignal(context, signals.stop, node), asio::detached);
     // Both run on one strand, so the reloader needs no lock.
     SettingsReloader reloader(path, settings);
     const auto strand = asio::make_strand(context);
-    asio::co_spawn(strand, reloadOnSignal(context, reloader), asio::detached);
+    asio::co_spawn(strand, reloadOnSignal(signals.reload, reloader), asio::detached);
     asio::co_spawn(strand, reloadOnChange(context, reloader), asio::detached);
     std::vector<std::jthread> threads;
     for (std::uint32_t i = 1; i < settings->threads; ++i) {
