Accept 'not run' from an endpoint only with the request's own id

Callers see: 503, 'not run, try again', for a request that the endpoint runs, or a second run at another endpoint, after a faulty endpoint wrote an earlier refusal once more on a kept connection. Cause: an answer without an id counted as the answer to the request in progress, and 421 or Berylspring-Not-Executed in it as proof that the request had not run. A connection on which answers of other requests had been read was used again, and so was one that had carried a refusal, whose repetition cannot be told from a refusal of a later request with the same id. Change: an answer without an id ends the exchange with an unknown outcome, whatever its status. A connection carries no further request after an answer that was dropped, after one without id or signature, and after a refusal (ClientOptions::allowsReuse). Tests: one check of a_request_through_the_adapter held that a 503 and a 421 without an id mean 'not run'. It now checks that they do with an id and do not without one.

--- a/include/berylspring/http/client.h
+++ b/include/berylspring/http/client.h
@@ -27,6 +27,11 @@
      * read; a server may respond late to an earlier request. If empty, every response belongs to the request.
      */
     std::function<bool(const Request &, const Response &)> isAnswerTo;
+    /**
+     * Whether the connection may carry another request after the response; a faulty server may write the response once
+     * more. If empty, it may after every response.
+     */
+    std::function<bool(const Response &)> allowsReuse;
 };
 
 /** @brief HTTP/1.1 client of one server with keep-alive connections; never retries a request. */
--- a/include/berylspring/node/protocols.h
+++ b/include/berylspring/node/protocols.h
@@ -41,6 +41,8 @@
     std::function<tl::expected<wire::CallResponse, core::Refusal>(const http::Response &)> decodeEndpointResponse;
     /** Whether a response on an endpoint's connection belongs to the request. */
     std::function<bool(const http::Request &, const http::Response &)> isAnswerTo;
+    /** Whether an endpoint's connection may carry another request after the response. */
+    std::function<bool(const http::Response &)> allowsReuse;
     std::function<http::Response(const http::Request &, const EndpointApiHooks &)> handleEndpoint;
     std::function<eventlog::LogHooks(boost::asio::any_io_executor, const Settings &)> makeLog;
     /** Samples for the dictionary that compresses short frames between data centres; empty: no dictionary. */
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -200,8 +200,10 @@
         for (int unrelated = 0; unrelated < MaxUnrelatedResponses; ++unrelated) {
             Result<Response> response = co_await readResponse(connection, request->method == "HEAD", keepAlive);
             if (!response || !m_options.isAnswerTo || m_options.isAnswerTo(request, *response)) {
-                // Bytes after a complete response belong to no request.
-                keepAlive = keepAlive && connection.buffer.size() == 0;
+                // Bytes after a complete response belong to no request, and a server that has written responses to
+                // other requests may write more of them.
+                keepAlive = keepAlive && connection.buffer.size() == 0 && unrelated == 0
+                            && (!response || !m_options.allowsReuse || m_options.allowsReuse(*response));
                 co_return response;
             }
         }
--- a/src/node/local_endpoint.cpp
+++ b/src/node/local_endpoint.cpp
@@ -132,7 +132,8 @@
 LocalEndpoint::Registration LocalEndpoint::makeRegistration(const http::EndpointHeartbeat &heartbeat,
                                                             core::TimePoint now) const
 {
-    http::ClientOptions options{.bodyLimitBytes = m_maxBodyBytes, .isAnswerTo = m_protocols.isAnswerTo};
+    http::ClientOptions options{
+        .bodyLimitBytes = m_maxBodyBytes, .isAnswerTo = m_protocols.isAnswerTo, .allowsReuse = m_protocols.allowsReuse};
     const std::string &address = heartbeat.announcement.address;
     return Registration{.announcement = heartbeat.announcement,
                         .renewedAt = now,
--- a/src/node/protocols.cpp
+++ b/src/node/protocols.cpp
@@ -40,6 +40,7 @@
                         {.status = response->status, .headers = response->headers, .body = response->body});
                 },
             .isAnswerTo = [](const http::Request &, const http::Response &) { return true; },
+            .allowsReuse = [](const http::Response &) { return true; },
             .handleEndpoint = handleEndpointRequest,
             .makeLog = makeLog,
             .readinessPath = "/readyz"};
--- a/tests/http/a_server_and_its_client.cpp
+++ b/tests/http/a_server_and_its_client.cpp
@@ -359,6 +359,22 @@
         CHECK(response.error().code() == http::ErrorCode::Malformed);
         CHECK(response.error().maybeSent());
     });
+    const auto answersNextRequestAfter = [&](const std::string &bytes, http::ClientOptions options) {
+        http::Client client(pool.get_executor(), address, std::move(options));
+        const http::Request request({.method = "GET", .target = "/b"});
+        bool isAnswered = false;
+        for (int i = 0; i < 2; ++i) {
+            asio::co_spawn(pool, serve(bytes), asio::detached);
+            isAnswered = asio::co_spawn(pool, client.send(request, DefaultTimeout), asio::use_future).get().has_value();
+        }
+        return isAnswered;
+    };
+    section("a connection with a response to another request carries no further request",
+            [&] { CHECK(answersNextRequestAfter(body("a") + body("b"), {.isAnswerTo = isAnswerTo})); });
+    section("nor does one whose response excludes it", [&] {
+        const auto never = [](const http::Response &) { return false; };
+        CHECK(answersNextRequestAfter(body("b"), {.isAnswerTo = isAnswerTo, .allowsReuse = never}));
+    });
     pool.stop();
 }
 
--- a/tests/platform/a_request_through_the_adapter.cpp
+++ b/tests/platform/a_request_through_the_adapter.cpp
@@ -129,8 +129,12 @@
     section("a failure of the endpoint is passed on", [&] { LONGS_EQUAL(500, (*decoded(500, own))->status); });
     section("only an explicit field or status 421 means that the request has not run", [&] {
         CHECK_TRUE(decoded(503, own).has_value());
-        CHECK_TRUE(decoded(503, {{"Berylspring-Not-Executed", "1"}}).error().outcome() == Outcome::NotRun);
-        CHECK_TRUE(decoded(421, {}).error().outcome() == Outcome::NotRun);
+        CHECK_TRUE(decoded(503, {own[0], {"Berylspring-Not-Executed", "1"}}).error().outcome() == Outcome::NotRun);
+        CHECK_TRUE(decoded(421, {own[0]}).error().outcome() == Outcome::NotRun);
+    });
+    section("and only with the id of the request", [&] {
+        CHECK_TRUE(decoded(503, {{"Berylspring-Not-Executed", "1"}}).error().outcome() == Outcome::Unknown);
+        CHECK_TRUE(decoded(421, {}).error().outcome() == Outcome::Unknown);
     });
     section("a response with the id of another request is not accepted", [&] {
         const http::Response late({.status = 200, .headers = {{"Berylspring-Request-Id", "r-0"}}});
@@ -138,3 +142,18 @@
         CHECK_TRUE(platform::isAnswerTo(callerRequest(), http::Response({.status = 503})));
     });
 }
+
+// Guards against a connection that carries another request after a response that the endpoint may write again.
+TEST(ARequestThroughTheAdapter, leavesTheConnectionToOthersAfterASignedAnswerOnly)
+{
+    const wire::Headers own{{"Berylspring-Request-Id", "r-1"}, {"Berylspring-Response-Stamp", "stamp"}};
+    const auto allowsReuse = [](std::uint16_t status, wire::Headers headers) {
+        return platform::allowsReuse(http::Response({.status = status, .headers = std::move(headers)}));
+    };
+    CHECK_TRUE(allowsReuse(200, own));
+    CHECK_TRUE(allowsReuse(500, own));
+    CHECK_FALSE(allowsReuse(200, {own[0]}));
+    CHECK_FALSE(allowsReuse(404, {own[1]}));
+    CHECK_FALSE(allowsReuse(421, own));
+    CHECK_FALSE(allowsReuse(503, {own[0], own[1], {"Berylspring-Not-Executed", "1"}}));
+}
