--- a/tests/node/answers_of_a_faulty_endpoint.cpp
+++ b/tests/node/answers_of_a_faulty_endpoint.cpp
@@ -311,6 +311,20 @@
     });
 }
 
+// Guards against a final status that the endpoint did not give: a caller does not repeat a request after a 404.
+TEST(AnswersOfAFaultyEndpoint, giveNoStatusThatTheEndpointDidNotGive)
+{
+    ScriptedEndpoint endpoint;
+    section("a 404 without a stamp may have come from anyone",
+            [&] { CHECK(outcomeOf(endpoint.call("a", {.own = Kind::NotFound})) == Outcome::Unknown); });
+    section("an informational answer is not the last one", [&] {
+        const auto result = endpoint.call("b", {.before = answer(Kind::Informational, "b"), .own = Kind::Success});
+        LONGS_EQUAL(200, result.response->status);
+    });
+    section("a failure with stamp and id is passed on",
+            [&] { LONGS_EQUAL(500, endpoint.call("c", {.own = Kind::Failure}).response->status); });
+}
+
 // Guards against any sequence of repeated, foreign and unidentified answers that gives a request a wrong outcome.
 TEST(AnswersOfAFaultyEndpoint, neverGiveARequestAWrongOutcome)
 {
--- a/tests/platform/a_request_through_the_adapter.cpp
+++ b/tests/platform/a_request_through_the_adapter.cpp
@@ -143,6 +143,30 @@
     });
 }
 
+// Guards against a final status of unknown origin: a caller does not repeat a request after a 3xx or 4xx.
+TEST(ARequestThroughTheAdapter, getsNoFailureThatTheEndpointDidNotSend)
+{
+    const wire::Header id{"Berylspring-Request-Id", "r-1"};
+    const wire::Header stamp{"Berylspring-Response-Stamp", "stamp"};
+    const auto decoded = [](std::uint16_t status, wire::Headers headers) {
+        return platform::decodeEndpointResponse(http::Response({.status = status, .headers = std::move(headers)}));
+    };
+    for (const std::uint16_t status : {302, 400, 404, 413, 429, 500, 503, 504}) {
+        section("status " + std::to_string(status), [&] {
+            for (const wire::Headers &headers : {wire::Headers{}, wire::Headers{id}, wire::Headers{stamp}}) {
+                CHECK_TRUE(decoded(status, headers).error().outcome() == Outcome::Unknown);
+                CHECK_TRUE(decoded(status, headers).error().reason() == RefusalReason::ConnectionLost);
+            }
+            LONGS_EQUAL(status, (*decoded(status, {id, stamp}))->status);
+        });
+    }
+    section("an informational response does not end the exchange", [&] {
+        for (const std::uint16_t status : {100, 102, 103}) {
+            CHECK_FALSE(platform::isAnswerTo(callerRequest(), http::Response({.status = status, .headers = {id}})));
+        }
+    });
+}
+
 // Guards against a connection that carries another request after a response that the endpoint may write again.
 TEST(ARequestThroughTheAdapter, leavesTheConnectionToOthersAfterASignedAnswerOnly)
 {
