--- a/tests/platform/a_request_through_the_adapter.cpp
+++ b/tests/platform/a_request_through_the_adapter.cpp
@@ -129,8 +129,12 @@
     section("a failure of the endpoint is passed on", [&] { LONGS_EQUAL(500, (*decoded(500, own))->status); });
     section("only an explicit field or status 421 means that the request has not run", [&] {
         CHECK_TRUE(decoded(503, own).has_value());
-        CHECK_TRUE(decoded(503, {{"Berylspring-Not-Executed", "1"}}).error().outcome() == Outcome::NotRun);
-        CHECK_TRUE(decoded(421, {}).error().outcome() == Outcome::NotRun);
+        CHECK_TRUE(decoded(503, {own[0], {"Berylspring-Not-Executed", "1"}}).error().outcome() == Outcome::NotRun);
+        CHECK_TRUE(decoded(421, {own[0]}).error().outcome() == Outcome::NotRun);
+    });
+    section("and only with the id of the request", [&] {
+        CHECK_TRUE(decoded(503, {{"Berylspring-Not-Executed", "1"}}).error().outcome() == Outcome::Unknown);
+        CHECK_TRUE(decoded(421, {}).error().outcome() == Outcome::Unknown);
     });
     section("a response with the id of another request is not accepted", [&] {
         const http::Response late({.status = 200, .headers = {{"Berylspring-Request-Id", "r-0"}}});
@@ -138,3 +142,42 @@
         CHECK_TRUE(platform::isAnswerTo(callerRequest(), http::Response({.status = 503})));
     });
 }
+
+// Guards against a final status of unknown origin: a caller does not repeat a request after a 3xx or 4xx.
+TEST(ARequestThroughTheAdapter, getsNoFailureThatTheEndpointDidNotSend)
+{
+    const wire::Header id{"Berylspring-Request-Id", "r-1"};
+    const wire::Header stamp{"Berylspring-Response-Stamp", "stamp"};
+    const auto decoded = [](std::uint16_t status, wire::Headers headers) {
+        return platform::decodeEndpointResponse(http::Response({.status = status, .headers = std::move(headers)}));
+    };
+    for (const std::uint16_t status : {302, 400, 404, 413, 429, 500, 503, 504}) {
+        section("status " + std::to_string(status), [&] {
+            for (const wire::Headers &headers : {wire::Headers{}, wire::Headers{id}, wire::Headers{stamp}}) {
+                CHECK_TRUE(decoded(status, headers).error().outcome() == Outcome::Unknown);
+                CHECK_TRUE(decoded(status, headers).error().reason() == RefusalReason::ConnectionLost);
+            }
+            LONGS_EQUAL(status, (*decoded(status, {id, stamp}))->status);
+        });
+    }
+    section("an informational response does not end the exchange", [&] {
+        for (const std::uint16_t status : {100, 102, 103}) {
+            CHECK_FALSE(platform::isAnswerTo(callerRequest(), http::Response({.status = status, .headers = {id}})));
+        }
+    });
+}
+
+// Guards against a connection that carries another request after a response that the endpoint may write again.
+TEST(ARequestThroughTheAdapter, leavesTheConnectionToOthersAfterASignedAnswerOnly)
+{
+    const wire::Headers own{{"Berylspring-Request-Id", "r-1"}, {"Berylspring-Response-Stamp", "stamp"}};
+    const auto allowsReuse = [](std::uint16_t status, wire::Headers headers) {
+        return platform::allowsReuse(http::Response({.status = status, .headers = std::move(headers)}));
+    };
+    CHECK_TRUE(allowsReuse(200, own));
+    CHECK_TRUE(allowsReuse(500, own));
+    CHECK_FALSE(allowsReuse(200, {own[0]}));
+    CHECK_FALSE(allowsReuse(404, {own[1]}));
+    CHECK_FALSE(allowsReuse(421, own));
+    CHECK_FALSE(allowsReuse(503, {own[0], own[1], {"Berylspring-Not-Executed", "1"}}));
+}
