Test the client against servers that send heads and bodies without end

Evidence: each call fails as 'may have run', the server sees its connection closed, and the next request gets its own answer on another connection.

--- /dev/null
+++ b/tests/http/a_server_that_never_stops.cpp
@@ -0,0 +1,176 @@
+#include "berylspring/http/client.h"
+#include "http/scripted_server.h"
+#include "support/section.h"
+
+#include <chrono>
+#include <string>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/thread_pool.hpp>
+#include <boost/asio/use_future.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace berylspring;
+using namespace std::chrono_literals;
+using http::ErrorCode;
+using test::Script;
+using test::ScriptedServer;
+using test::section;
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr std::uint64_t BodyLimitBytes = 16 * 1024 * 1024;
+constexpr core::Duration CallTimeout = 1s;
+/** Far above the expected times, so that tests pass on a busy machine. */
+constexpr core::Duration Patience = 20s;
+/** Bytes of one connection that the kernel may hold for the two programs; the largest receive buffer is 32 MiB. */
+constexpr std::uint64_t KernelBytes = 36 * 1024 * 1024;
+/** Bytes of a head, a chunk extension or a trailer that the client may hold. */
+constexpr std::uint64_t UnparsedBytes = 64 * 1024;
+
+const std::string Id = "X-Id";
+
+/** @return The text `count` times. */
+std::string repeat(const std::string &text, std::size_t count)
+{
+    std::string whole;
+    whole.reserve(text.size() * count);
+    for (std::size_t i = 0; i < count; ++i) {
+        whole += text;
+    }
+    return whole;
+}
+
+/** @return A complete response to the request with this id. */
+std::string answer(const std::string &id, const std::string &body)
+{
+    return "HTTP/1.1 200 OK\r\n" + Id + ": " + id + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n"
+           + body;
+}
+
+bool isAnswerTo(const http::Request &request, const http::Response &response)
+{
+    const std::string_view id = http::headerValue(response->headers, Id);
+    return id.empty() || id == http::headerValue(request->headers, Id);
+}
+
+http::Request requestWithId(const std::string &id)
+{
+    return http::Request({.method = "GET", .target = "/", .headers = {{Id, id}}});
+}
+
+/** @brief A client of a server that sends a script on its first connection and an honest answer on all others. */
+class Exchange
+{
+public:
+    explicit Exchange(const Script &script)
+        : m_server(
+            [script](int connection) { return connection == 0 ? script : Script{.first = answer("b", "honest")}; })
+    {
+    }
+    ~Exchange()
+    {
+        m_pool.join();
+    }
+    Exchange(const Exchange &) = delete;
+    Exchange &operator=(const Exchange &) = delete;
+
+    http::Result<http::Response> send(const std::string &id)
+    {
+        const http::Request request = requestWithId(id);
+        const auto start = std::chrono::steady_clock::now();
+        auto response = asio::co_spawn(m_pool, m_client.send(request, CallTimeout), asio::use_future).get();
+        CHECK(std::chrono::steady_clock::now() - start < CallTimeout + Patience);
+        return response;
+    }
+    ScriptedServer &server()
+    {
+        return m_server;
+    }
+
+private:
+    ScriptedServer m_server;
+    asio::thread_pool m_pool{1}; ///< One thread, on which the timer of a read competes with the arriving bytes.
+    http::Client m_client{
+        m_pool.get_executor(), m_server.address(), {.bodyLimitBytes = BodyLimitBytes, .isAnswerTo = isAnswerTo}};
+};
+
+/** @brief Checks that bytes without end fail their own call only, by its timeout at the latest. */
+void checkEnds(const std::string &title, const Script &script, ErrorCode expected, std::uint64_t heldBytes)
+{
+    section(title, [&] {
+        Exchange exchange(script);
+        const auto response = exchange.send("a");
+        section("the call fails, and may have run", [&] {
+            CHECK_FALSE(response.has_value());
+            CHECK(response.error().maybeSent());
+            LONGS_EQUAL(expected, response.error().code());
+        });
+        section("the connection is closed", [&] { CHECK(exchange.server().waitUntilClosed(1, Patience)); });
+        section("few bytes were taken", [&] { CHECK(exchange.server().sentBytes() <= heldBytes + KernelBytes); });
+        section("the next request gets its own answer, on another connection", [&] {
+            const auto next = exchange.send("b");
+            CHECK(next.has_value());
+            STRCMP_EQUAL("honest", (*next)->body.c_str());
+            LONGS_EQUAL(2, exchange.server().accepted());
+        });
+    });
+}
+
+}
+
+TEST_GROUP(AServerThatNeverStops){};
+
+// Guards against a head that is collected until the memory is used up, and against bytes that are taken for a response.
+TEST(AServerThatNeverStops, sendsAHeadWithoutEnd)
+{
+    const std::string letters(8192, 'x');
+    checkEnds("a status line without end",
+              {.first = "HTTP/1.1 200 ", .repeated = letters},
+              ErrorCode::TooLarge,
+              UnparsedBytes);
+    checkEnds("header fields without end",
+              {.first = "HTTP/1.1 200 OK\r\n", .repeated = repeat("X-Field: value\r\n", 512)},
+              ErrorCode::TooLarge,
+              UnparsedBytes);
+    checkEnds("one header field without end",
+              {.first = "HTTP/1.1 200 OK\r\nX-Field: ", .repeated = letters},
+              ErrorCode::TooLarge,
+              UnparsedBytes);
+    checkEnds("bytes that are no HTTP", {.repeated = letters}, ErrorCode::Malformed, UnparsedBytes);
+    checkEnds("zero bytes", {.repeated = std::string(8192, '\0')}, ErrorCode::Malformed, UnparsedBytes);
+}
+
+// Guards against a body that is held beyond the limit or read beyond the timeout.
+TEST(AServerThatNeverStops, sendsABodyWithoutEnd)
+{
+    const std::string letters(65536, 'x');
+    checkEnds("a body without length",
+              {.first = "HTTP/1.1 200 OK\r\n\r\n", .repeated = letters},
+              ErrorCode::TooLarge,
+              BodyLimitBytes);
+    checkEnds("a length far above the limit",
+              {.first = "HTTP/1.1 200 OK\r\nContent-Length: 1000000000000\r\n\r\n", .repeated = letters},
+              ErrorCode::TooLarge,
+              UnparsedBytes);
+    checkEnds("bytes one at a time",
+              {.first = "HTTP/1.1 200 OK\r\n\r\n", .repeated = "x"},
+              ErrorCode::Timeout,
+              BodyLimitBytes);
+    checkEnds("bytes one at a time, slowly",
+              {.first = "HTTP/1.1 200 OK\r\n\r\n", .repeated = "x", .interval = 1ms},
+              ErrorCode::Timeout,
+              BodyLimitBytes);
+}
+
+// Guards against reading the responses to other requests without end.
+TEST(AServerThatNeverStops, sendsResponsesToOtherRequests)
+{
+    checkEnds("responses to other requests before the answer",
+              {.repeated = repeat(answer("other", "x"), 512)},
+              ErrorCode::Malformed,
+              UnparsedBytes);
+}
