Read on after an informational response

Callers saw: the client returned the status 100, 102 or 103 of an informational response as the answer of the request; the real answer that followed was dropped with the connection. Cause: Beast parses an informational response as a whole message, and readResponse() returned the first message. Change: readResponse() drops up to 32 informational responses before the final one; more of them, a 101 and a status below 100 are Malformed, with 'may have run'. Evidence: AServerThatNeverStops, sendsInformationalResponses; before, its first check got 100 instead of 200. Result: test-http passes.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -35,6 +35,8 @@
 constexpr std::uint64_t ReusableMsPerAnnouncedSecond = 800;
 /** Responses to other requests that are read before the connection is abandoned. */
 constexpr int MaxUnrelatedResponses = 3;
+/** Informational responses (1xx) to one request that are read before the connection is abandoned. */
+constexpr int MaxInformationalResponses = 32;
 
 /** @brief One connection; used by one exchange at a time. */
 struct Connection
@@ -83,6 +85,16 @@
     return now + std::chrono::milliseconds(std::uint64_t{seconds} * ReusableMsPerAnnouncedSecond);
 }
 
+constexpr unsigned FirstInformational = 100;
+constexpr unsigned SwitchingProtocols = 101;
+constexpr unsigned FirstSuccess = 200;
+
+/** @brief Whether a final response follows this one (RFC 9110, section 15.2). */
+bool isInformational(unsigned status) noexcept
+{
+    return status >= FirstInformational && status < FirstSuccess && status != SwitchingProtocols;
+}
+
 ErrorCode codeOf(const error_code &error)
 {
     if (error == beast::error::timeout) {
@@ -209,6 +221,29 @@
     }
 
     asio::awaitable<Result<Response>> readResponse(Connection &connection, bool isHeadRequest, bool &keepAlive)
+    {
+        for (int informational = 0; informational <= MaxInformationalResponses; ++informational) {
+            Result<detail::BeastResponse> message = co_await readMessage(connection, isHeadRequest);
+            if (!message) {
+                co_return tl::unexpected(message.error());
+            }
+            const unsigned status = message->result_int();
+            if (isInformational(status)) {
+                continue;
+            }
+            if (status < FirstSuccess) {
+                co_return tl::unexpected(Error(ErrorCode::Malformed, true, "status " + std::to_string(status)));
+            }
+            keepAlive = message->keep_alive();
+            const std::string keepAliveField((*message)[beast::http::field::keep_alive]);
+            connection.reusableUntil = reusableUntil(keepAliveField, std::chrono::steady_clock::now());
+            co_return detail::fromBeast(std::move(*message));
+        }
+        co_return tl::unexpected(Error(ErrorCode::Malformed, true, "informational responses without a final one"));
+    }
+
+    /** @return The next message on the connection, which may be informational. */
+    asio::awaitable<Result<detail::BeastResponse>> readMessage(Connection &connection, bool isHeadRequest)
     {
         error_code error;
         beast::http::response_parser<beast::http::string_body> parser;
@@ -219,10 +254,7 @@
         if (error) {
             co_return tl::unexpected(Error(codeOf(error), true, error.message()));
         }
-        keepAlive = parser.get().keep_alive();
-        const std::string keepAliveField(parser.get()[beast::http::field::keep_alive]);
-        connection.reusableUntil = reusableUntil(keepAliveField, std::chrono::steady_clock::now());
-        co_return detail::fromBeast(parser.release());
+        co_return parser.release();
     }
 
     /** @return An open connection, or null. */
--- a/tests/http/a_server_that_never_stops.cpp
+++ b/tests/http/a_server_that_never_stops.cpp
@@ -174,3 +174,34 @@
               ErrorCode::Malformed,
               UnparsedBytes);
 }
+
+// Guards against an informational response that is returned as the answer, and against reading them without end.
+TEST(AServerThatNeverStops, sendsInformationalResponses)
+{
+    for (const std::string status : {"100 Continue", "102 Processing", "103 Early Hints"}) {
+        const std::string informational = "HTTP/1.1 " + status + "\r\n\r\n";
+        section("one " + status + " before the answer", [&] {
+            Exchange exchange({.first = informational + answer("a", "real")});
+            const auto response = exchange.send("a");
+            CHECK(response.has_value());
+            LONGS_EQUAL(200, (*response)->status);
+            STRCMP_EQUAL("real", (*response)->body.c_str());
+        });
+        checkEnds(
+            status + " without end", {.repeated = repeat(informational, 512)}, ErrorCode::Malformed, UnparsedBytes);
+    }
+    section("several before the answer", [&] {
+        Exchange exchange({.first = repeat("HTTP/1.1 102 Processing\r\n\r\n", 5) + answer("a", "real")});
+        const auto response = exchange.send("a");
+        CHECK(response.has_value());
+        STRCMP_EQUAL("real", (*response)->body.c_str());
+    });
+    checkEnds("a status that HTTP does not have",
+              {.first = "HTTP/1.1 099 Odd\r\nContent-Length: 0\r\n\r\n", .repeated = "bytes"},
+              ErrorCode::Malformed,
+              UnparsedBytes);
+    checkEnds("a change of protocol that nobody asked for",
+              {.first = "HTTP/1.1 101 Switching Protocols\r\nUpgrade: other\r\n\r\n", .repeated = "bytes"},
+              ErrorCode::Malformed,
+              UnparsedBytes);
+}
