Limit the extension of a chunk and the trailer of an answer

Callers saw: a node that grows until the timeout of the call while an endpoint or the store sends the extension of a chunk or a trailer without end. Cause: Beast limits heads and bodies, but collects chunk framing in a buffer without a limit until it is complete. The line stream, which has no timeout, read in the same way. Change: the read buffer of the client and of the line stream holds at most 64 KiB; an overflow is TooLarge. Evidence: AServerThatNeverStops, sendsChunksWithoutEnd.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -3,6 +3,7 @@
 #include "berylspring/async/await_on.h"
 #include "http/address.h"
 #include "http/beast_convert.h"
+#include "http/read_buffer.h"
 
 #include <charconv>
 #include <chrono>
@@ -46,7 +47,7 @@
     {
     }
     beast::tcp_stream stream;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{detail::ReadBufferBytes};
     std::chrono::steady_clock::time_point reusableUntil = std::chrono::steady_clock::time_point::max(); ///< While idle.
 };
 using ConnectionPointer = std::shared_ptr<Connection>;
@@ -100,7 +101,8 @@
     if (error == beast::error::timeout) {
         return ErrorCode::Timeout;
     }
-    if (error == beast::http::error::body_limit || error == beast::http::error::header_limit) {
+    if (error == beast::http::error::body_limit || error == beast::http::error::header_limit
+        || error == beast::http::error::buffer_overflow) {
         return ErrorCode::TooLarge;
     }
     const bool isSystemError = error.category() == asio::error::get_system_category();
--- a/src/http/line_stream.cpp
+++ b/src/http/line_stream.cpp
@@ -2,6 +2,7 @@
 
 #include "http/address.h"
 #include "http/beast_convert.h"
+#include "http/read_buffer.h"
 
 #include <array>
 
@@ -76,7 +77,7 @@
     if (error) {
         co_return tl::unexpected(connectionLost(error));
     }
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer(detail::ReadBufferBytes);
     beast::http::response_parser<beast::http::buffer_body> parser;
     parser.body_limit(boost::none);
     co_await beast::http::async_read_header(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
--- a/tests/http/a_server_that_never_stops.cpp
+++ b/tests/http/a_server_that_never_stops.cpp
@@ -1,4 +1,5 @@
 #include "berylspring/http/client.h"
+#include "berylspring/http/line_stream.h"
 #include "http/scripted_server.h"
 #include "support/section.h"
 
@@ -205,3 +206,32 @@
               ErrorCode::Malformed,
               UnparsedBytes);
 }
+
+// Guards against framing of chunks, which is no part of the body, that is collected until the memory is used up.
+TEST(AServerThatNeverStops, sendsChunksWithoutEnd)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string letters(65536, 'x');
+    checkEnds("chunks",
+              {.first = head, .repeated = repeat("400\r\n" + std::string(1024, 'x') + "\r\n", 64)},
+              ErrorCode::TooLarge,
+              BodyLimitBytes);
+    checkEnds(
+        "an extension of a chunk", {.first = head + "1;x", .repeated = letters}, ErrorCode::TooLarge, UnparsedBytes);
+    checkEnds("a trailer",
+              {.first = head + "1\r\nx\r\n0\r\n", .repeated = repeat("X-Field: value\r\n", 4096)},
+              ErrorCode::TooLarge,
+              UnparsedBytes);
+    checkEnds("a field of a trailer",
+              {.first = head + "1\r\nx\r\n0\r\nX-Field: ", .repeated = letters},
+              ErrorCode::TooLarge,
+              UnparsedBytes);
+    section("an extension of a chunk in a stream of lines", [&] {
+        ScriptedServer server([&](int) { return Script{.first = head + "1;x", .repeated = letters}; });
+        asio::thread_pool pool{1};
+        auto lines = http::readLines(server.address(), requestWithId("a"), [](std::string_view) { return true; });
+        CHECK_FALSE(asio::co_spawn(pool, std::move(lines), asio::use_future).get().has_value());
+        CHECK(server.waitUntilClosed(1, Patience));
+        CHECK(server.sentBytes() <= UnparsedBytes + KernelBytes);
+    });
+}
