Close idle connections on which the server sends bytes

Callers saw: no foreign bytes, since such a connection was not reused; but it stayed open with the received bytes unread in the kernel, which count as memory of the process, until a later request came to it. Cause: an idle connection was checked only before its reuse, and the most recently used one is reused first. It is off by default, because its timer keeps the executor of a one-shot program such as berylspringctl busy.

--- a/include/berylspring/http/client.h
+++ b/include/berylspring/http/client.h
@@ -20,6 +20,12 @@
     std::uint64_t bodyLimitBytes = 1'048'576;
     core::Duration connectTimeout = std::chrono::seconds(1);
     std::size_t maxIdleConnections = 64; ///< Maximum number of connections kept open for later requests.
+    /**
+     * Time between two checks that close idle connections which the server has closed or has sent bytes on. If zero, an
+     * idle connection is checked only before it is reused. While connections are idle, the checks keep the executor
+     * busy.
+     */
+    core::Duration idleCheckInterval{};
     /** Whether a timeout closes the idle connections, since the server may not respond on them either. */
     bool dropsIdleOnTimeout = false;
     /**
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -15,6 +15,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -121,10 +122,19 @@
     Implementation(asio::any_io_executor executor, std::string address, ClientOptions options)
         : m_executor(std::move(executor))
         , m_address(std::move(address))
-        , m_options(options)
+        , m_options(std::move(options))
+        , m_idleCheckTimer(m_executor)
     {
     }
 
+    /** @brief Ends the checks of the idle connections. */
+    void close()
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_isClosed = true;
+        m_idleCheckTimer.cancel();
+    }
+
     asio::awaitable<Result<Response>> send(Request request, core::Duration timeout)
     {
         ConnectionPointer connection = acquireIdle();
@@ -279,22 +289,55 @@
         const std::scoped_lock lock(m_mutex);
         if (m_idle.size() < m_options.maxIdleConnections) {
             m_idle.push_back(std::move(connection));
+            scheduleIdleCheck();
         }
     }
 
+    /** Called with the lock held. */
+    void scheduleIdleCheck()
+    {
+        const bool isWanted = m_options.idleCheckInterval > core::Duration::zero() && !m_isClosed;
+        if (!isWanted || m_isIdleCheckScheduled || m_idle.empty()) {
+            return;
+        }
+        m_isIdleCheckScheduled = true;
+        m_idleCheckTimer.expires_after(m_options.idleCheckInterval);
+        m_idleCheckTimer.async_wait([weak = weak_from_this()](const error_code &error) {
+            const auto self = weak.lock();
+            if (self && !error) {
+                self->closeUnusableIdle();
+            }
+        });
+    }
+
+    /** @brief Closes idle connections whose server has closed them or has sent bytes, which belong to no request. */
+    void closeUnusableIdle()
+    {
+        const std::scoped_lock lock(m_mutex);
+        std::erase_if(m_idle, [](const ConnectionPointer &connection) { return !isReusable(*connection); });
+        m_isIdleCheckScheduled = false;
+        scheduleIdleCheck();
+    }
+
     asio::any_io_executor m_executor;
     std::string m_address;
     ClientOptions m_options;
     std::mutex m_mutex;
     std::vector<ConnectionPointer> m_idle;
+    asio::steady_timer m_idleCheckTimer;
+    bool m_isIdleCheckScheduled = false;
+    bool m_isClosed = false;
 };
 
 Client::Client(asio::any_io_executor executor, std::string address, ClientOptions options)
-    : m_implementation(std::make_shared<Implementation>(std::move(executor), std::move(address), options))
+    : m_implementation(std::make_shared<Implementation>(std::move(executor), std::move(address), std::move(options)))
 {
 }
 
-Client::~Client() = default;
+Client::~Client()
+{
+    m_implementation->close();
+}
 
 asio::awaitable<bool> Client::isRefusingConnections(core::Duration timeout)
 {
--- a/src/node/local_endpoint.cpp
+++ b/src/node/local_endpoint.cpp
@@ -14,6 +14,9 @@
 /** Short, because the kernel of this host refuses connections to a crashed endpoint at once. */
 constexpr core::Duration CrashProbeTimeout = std::chrono::milliseconds(200);
 
+/** Bounds how long bytes that an endpoint sends on an idle connection stay unread. */
+constexpr core::Duration IdleCheckInterval = std::chrono::seconds(1);
+
 /** Leaves that are remembered; a few are enough, since a host runs one endpoint at a time. */
 constexpr std::size_t MaxRecentLeaves = 8;
 
@@ -132,7 +135,8 @@
 LocalEndpoint::Registration LocalEndpoint::makeRegistration(const http::EndpointHeartbeat &heartbeat,
                                                             core::TimePoint now) const
 {
-    http::ClientOptions options{.bodyLimitBytes = m_maxBodyBytes, .isAnswerTo = m_protocols.isAnswerTo};
+    http::ClientOptions options{
+        .bodyLimitBytes = m_maxBodyBytes, .idleCheckInterval = IdleCheckInterval, .isAnswerTo = m_protocols.isAnswerTo};
     const std::string &address = heartbeat.announcement.address;
     return Registration{.announcement = heartbeat.announcement,
                         .renewedAt = now,
--- a/tests/http/a_server_that_never_stops.cpp
+++ b/tests/http/a_server_that_never_stops.cpp
@@ -4,6 +4,7 @@
 #include "support/section.h"
 
 #include <chrono>
+#include <memory>
 #include <string>
 
 #include <boost/asio/co_spawn.hpp>
@@ -74,6 +75,7 @@
     }
     ~Exchange()
     {
+        m_client.reset();
         m_pool.join();
     }
     Exchange(const Exchange &) = delete;
@@ -83,7 +85,7 @@
     {
         const http::Request request = requestWithId(id);
         const auto start = std::chrono::steady_clock::now();
-        auto response = asio::co_spawn(m_pool, m_client.send(request, CallTimeout), asio::use_future).get();
+        auto response = asio::co_spawn(m_pool, m_client->send(request, CallTimeout), asio::use_future).get();
         CHECK(std::chrono::steady_clock::now() - start < CallTimeout + Patience);
         return response;
     }
@@ -95,8 +97,10 @@
 private:
     ScriptedServer m_server;
     asio::thread_pool m_pool{1}; ///< One thread, on which the timer of a read competes with the arriving bytes.
-    http::Client m_client{
-        m_pool.get_executor(), m_server.address(), {.bodyLimitBytes = BodyLimitBytes, .isAnswerTo = isAnswerTo}};
+    std::unique_ptr<http::Client> m_client = std::make_unique<http::Client>(
+        m_pool.get_executor(),
+        m_server.address(),
+        http::ClientOptions{.bodyLimitBytes = BodyLimitBytes, .idleCheckInterval = 100ms, .isAnswerTo = isAnswerTo});
 };
 
 /** @brief Checks that bytes without end fail their own call only, by its timeout at the latest. */
@@ -235,3 +239,34 @@
         CHECK(server.sentBytes() <= UnparsedBytes + KernelBytes);
     });
 }
+
+// Guards against bytes after a complete response that reach a later request or are left unread on an idle connection.
+TEST(AServerThatNeverStops, sendsMoreAfterACompleteResponse)
+{
+    const auto checkLater = [](const std::string &title, const Script &script) {
+        section(title, [&] {
+            Exchange exchange(script);
+            const auto response = exchange.send("a");
+            CHECK(response.has_value());
+            STRCMP_EQUAL("mine", (*response)->body.c_str());
+            section("the connection is closed without another request",
+                    [&] { CHECK(exchange.server().waitUntilClosed(1, Patience)); });
+            section("few bytes were taken",
+                    [&] { CHECK(exchange.server().sentBytes() <= UnparsedBytes + KernelBytes); });
+            section("the next request gets its own answer", [&] {
+                const auto next = exchange.send("b");
+                CHECK(next.has_value());
+                STRCMP_EQUAL("honest", (*next)->body.c_str());
+            });
+        });
+    };
+    const std::string others = repeat(answer("other", "x"), 512);
+    checkLater("responses to other requests at once", {.first = answer("a", "mine"), .repeated = others});
+    checkLater("responses to other requests while the connection is idle",
+               {.first = answer("a", "mine"), .pause = 50ms, .repeated = others});
+    checkLater(
+        "responses without an id while the connection is idle",
+        {.first = answer("a", "mine"), .pause = 50ms, .repeated = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"});
+    checkLater("one byte while the connection is idle",
+               {.first = answer("a", "mine"), .pause = 50ms, .repeated = "x", .interval = 100ms});
+}
