--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -3,6 +3,7 @@
 #include "berylspring/async/await_on.h"
 #include "http/address.h"
 #include "http/beast_convert.h"
+#include "http/read_buffer.h"
 
 #include <charconv>
 #include <chrono>
@@ -14,6 +15,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -35,6 +37,8 @@
 constexpr std::uint64_t ReusableMsPerAnnouncedSecond = 800;
 /** Responses to other requests that are read before the connection is abandoned. */
 constexpr int MaxUnrelatedResponses = 3;
+/** Informational responses (1xx) to one request that are read before the connection is abandoned. */
+constexpr int MaxInformationalResponses = 32;
 
 /** @brief One connection; used by one exchange at a time. */
 struct Connection
@@ -44,7 +48,7 @@
     {
     }
     beast::tcp_stream stream;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{detail::ReadBufferBytes};
     std::chrono::steady_clock::time_point reusableUntil = std::chrono::steady_clock::time_point::max(); ///< While idle.
 };
 using ConnectionPointer = std::shared_ptr<Connection>;
@@ -83,12 +87,23 @@
     return now + std::chrono::milliseconds(std::uint64_t{seconds} * ReusableMsPerAnnouncedSecond);
 }
 
+constexpr unsigned FirstInformational = 100;
+constexpr unsigned SwitchingProtocols = 101;
+constexpr unsigned FirstSuccess = 200;
+
+/** @brief Whether a final response follows this one (RFC 9110, section 15.2). */
+bool isInformational(unsigned status) noexcept
+{
+    return status >= FirstInformational && status < FirstSuccess && status != SwitchingProtocols;
+}
+
 ErrorCode codeOf(const error_code &error)
 {
     if (error == beast::error::timeout) {
         return ErrorCode::Timeout;
     }
-    if (error == beast::http::error::body_limit || error == beast::http::error::header_limit) {
+    if (error == beast::http::error::body_limit || error == beast::http::error::header_limit
+        || error == beast::http::error::buffer_overflow) {
         return ErrorCode::TooLarge;
     }
     const bool isSystemError = error.category() == asio::error::get_system_category();
@@ -107,10 +122,19 @@
     Implementation(asio::any_io_executor executor, std::string address, ClientOptions options)
         : m_executor(std::move(executor))
         , m_address(std::move(address))
-        , m_options(options)
+        , m_options(std::move(options))
+        , m_idleCheckTimer(m_executor)
     {
     }
 
+    /** @brief Ends the checks of the idle connections. */
+    void close()
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_isClosed = true;
+        m_idleCheckTimer.cancel();
+    }
+
     asio::awaitable<Result<Response>> send(Request request, core::Duration timeout)
     {
         ConnectionPointer connection = acquireIdle();
@@ -211,6 +235,29 @@
     }
 
     asio::awaitable<Result<Response>> readResponse(Connection &connection, bool isHeadRequest, bool &keepAlive)
+    {
+        for (int informational = 0; informational <= MaxInformationalResponses; ++informational) {
+            Result<detail::BeastResponse> message = co_await readMessage(connection, isHeadRequest);
+            if (!message) {
+                co_return tl::unexpected(message.error());
+            }
+            const unsigned status = message->result_int();
+            if (isInformational(status)) {
+                continue;
+            }
+            if (status < FirstSuccess) {
+                co_return tl::unexpected(Error(ErrorCode::Malformed, true, "status " + std::to_string(status)));
+            }
+            keepAlive = message->keep_alive();
+            const std::string keepAliveField((*message)[beast::http::field::keep_alive]);
+            connection.reusableUntil = reusableUntil(keepAliveField, std::chrono::steady_clock::now());
+            co_return detail::fromBeast(std::move(*message));
+        }
+        co_return tl::unexpected(Error(ErrorCode::Malformed, true, "informational responses without a final one"));
+    }
+
+    /** @return The next message on the connection, which may be informational. */
+    asio::awaitable<Result<detail::BeastResponse>> readMessage(Connection &connection, bool isHeadRequest)
     {
         error_code error;
         beast::http::response_parser<beast::http::string_body> parser;
@@ -221,10 +268,7 @@
         if (error) {
             co_return tl::unexpected(Error(codeOf(error), true, error.message()));
         }
-        keepAlive = parser.get().keep_alive();
-        const std::string keepAliveField(parser.get()[beast::http::field::keep_alive]);
-        connection.reusableUntil = reusableUntil(keepAliveField, std::chrono::steady_clock::now());
-        co_return detail::fromBeast(parser.release());
+        co_return parser.release();
     }
 
     /** @return An open connection, or null. */
@@ -247,22 +291,55 @@
         const std::scoped_lock lock(m_mutex);
         if (m_idle.size() < m_options.maxIdleConnections) {
             m_idle.push_back(std::move(connection));
+            scheduleIdleCheck();
         }
     }
 
+    /** Called with the lock held. */
+    void scheduleIdleCheck()
+    {
+        const bool isWanted = m_options.idleCheckInterval > core::Duration::zero() && !m_isClosed;
+        if (!isWanted || m_isIdleCheckScheduled || m_idle.empty()) {
+            return;
+        }
+        m_isIdleCheckScheduled = true;
+        m_idleCheckTimer.expires_after(m_options.idleCheckInterval);
+        m_idleCheckTimer.async_wait([weak = weak_from_this()](const error_code &error) {
+            const auto self = weak.lock();
+            if (self && !error) {
+                self->closeUnusableIdle();
+            }
+        });
+    }
+
+    /** @brief Closes idle connections whose server has closed them or has sent bytes, which belong to no request. */
+    void closeUnusableIdle()
+    {
+        const std::scoped_lock lock(m_mutex);
+        std::erase_if(m_idle, [](const ConnectionPointer &connection) { return !isReusable(*connection); });
+        m_isIdleCheckScheduled = false;
+        scheduleIdleCheck();
+    }
+
     asio::any_io_executor m_executor;
     std::string m_address;
     ClientOptions m_options;
     std::mutex m_mutex;
     std::vector<ConnectionPointer> m_idle;
+    asio::steady_timer m_idleCheckTimer;
+    bool m_isIdleCheckScheduled = false;
+    bool m_isClosed = false;
 };
 
 Client::Client(asio::any_io_executor executor, std::string address, ClientOptions options)
-    : m_implementation(std::make_shared<Implementation>(std::move(executor), std::move(address), options))
+    : m_implementation(std::make_shared<Implementation>(std::move(executor), std::move(address), std::move(options)))
 {
 }
 
-Client::~Client() = default;
+Client::~Client()
+{
+    m_implementation->close();
+}
 
 asio::awaitable<bool> Client::isRefusingConnections(core::Duration timeout)
 {
