Refuse heartbeats whose address no request can be sent to

Callers would see: 503 at all nodes for requests to a service whose endpoint's node got one heartbeat with a port out of range, until the next proper heartbeat; each change also starts the admission control of the endpoint anew. Cause: decodeHeartbeat() took any Address with a colon, and the registration of the host's endpoint was replaced by one with that address. parseAddress(), which the native interface uses, took port 0, unspecified and multicast numbers, and text after a NUL byte. Change: http::isServerAddress() is the one check of an endpoint's address, for the heartbeats of the platform and the native announcements; IP numbers of other writers are read by core::parseHostAddress(). Evidence: AnOddHeartbeat.withAnAddressThatIsNoneIsRefused got 200 instead of 400 for 10.128.0.9:99999. Nesting of 10,000 levels, invalid UTF-8, NUL bytes and texts of 200 KB were refused before; their test stays as a guard.

--- a/include/berylspring/http/endpoint_announcement.h
+++ b/include/berylspring/http/endpoint_announcement.h
@@ -46,6 +46,9 @@
     [[nodiscard]] bool operator==(const LoadReport &) const = default;
 };
 
+/** @return Whether a text is the address of an HTTP server: an IP number of one host with a port from 1 to 65535. */
+[[nodiscard]] bool isServerAddress(std::string_view text);
+
 /** @return The announcement `{service, address, slots}`, or an error message that names the invalid member. */
 [[nodiscard]] tl::expected<EndpointAnnouncement, std::string> parseAnnouncement(std::string_view json);
 
--- a/src/http/address.cpp
+++ b/src/http/address.cpp
@@ -1,10 +1,10 @@
 #include "http/address.h"
 
+#include "berylspring/core/ip_address.h"
+
 #include <charconv>
 #include <string>
 
-#include <boost/asio/ip/address.hpp>
-
 namespace berylspring::http::detail {
 
 Result<boost::asio::ip::tcp::endpoint> parseAddress(std::string_view text)
@@ -24,12 +24,11 @@
     }
     std::uint16_t port = 0;
     const auto parsed = std::from_chars(portText.data(), portText.data() + portText.size(), port);
-    boost::system::error_code error;
-    const auto address = boost::asio::ip::make_address(std::string(host), error);
-    if (error || parsed.ec != std::errc{} || parsed.ptr != portText.data() + portText.size()) {
+    const auto address = core::parseHostAddress(host);
+    if (!address || parsed.ec != std::errc{} || parsed.ptr != portText.data() + portText.size() || port == 0) {
         return invalid();
     }
-    return boost::asio::ip::tcp::endpoint(address, port);
+    return boost::asio::ip::tcp::endpoint(*address, port);
 }
 
 }
--- a/src/http/address.h
+++ b/src/http/address.h
@@ -8,7 +8,7 @@
 
 namespace berylspring::http::detail {
 
-/** @return The TCP endpoint of "127.0.0.1:80" or "[::1]:80", or InvalidAddress. */
+/** @return The TCP endpoint of a server, "127.0.0.1:80" or "[::1]:80", or InvalidAddress. */
 [[nodiscard]] Result<boost::asio::ip::tcp::endpoint> parseAddress(std::string_view text);
 
 }
--- a/src/http/endpoint_announcement.cpp
+++ b/src/http/endpoint_announcement.cpp
@@ -55,6 +55,11 @@
 
 }
 
+bool isServerAddress(std::string_view text)
+{
+    return detail::parseAddress(text).has_value();
+}
+
 tl::expected<EndpointAnnouncement, std::string> parseAnnouncement(std::string_view json)
 {
     constexpr std::array<std::string_view, 3> Members{"service", "address", "slots"};
@@ -67,7 +72,7 @@
         return unexpected<std::string>("service is not a name of 1 to 63 characters a-z, 0-9 and '-'");
     }
     const auto address = textMember(*object, "address");
-    if (!address || !detail::parseAddress(*address)) {
+    if (!address || !isServerAddress(*address)) {
         return unexpected<std::string>("address is not an IP number with a port");
     }
     const auto slots = countMember(*object, "slots", 1, MaxSlots);
