Refuse heartbeats with a start in the future or a sequence number that cannot be

Callers would see: 503 for the requests to an endpoint whose node got one heartbeat of another writer with a 'born' or 'Seq' far ahead, until that node restarts: all heartbeats of the endpoint itself count as late, and it is dropped after 5 s. Cause: decodeHeartbeat() took any integer up to 2^63 - 1 for both, and a 'born' that it could not read for 'unknown'.

--- a/tests/platform/a_heartbeat_of_an_endpoint.cpp
+++ b/tests/platform/a_heartbeat_of_an_endpoint.cpp
@@ -1,6 +1,7 @@
 #include "platform/heartbeat_codec.h"
 #include "support/section.h"
 
+#include <chrono>
 #include <optional>
 #include <string>
 
@@ -12,6 +13,8 @@
 
 namespace {
 
+const core::WallTime now{std::chrono::seconds(1'700'400'000)};
+
 const std::string Heartbeat = R"({"Address":"10.128.0.9:8080",
     "Info":{"Service":"history","Version":"v1","Zone":"bole","Slots":54},
     "Status":{"State":"ready","Seq":4,"ColdRemainingMs":0},"born":1700000000123})";
@@ -23,7 +26,7 @@
 
 bool isRefused(const std::string &text)
 {
-    return !platform::decodeHeartbeat("i-1", text).has_value();
+    return !platform::decodeHeartbeat("i-1", text, now).has_value();
 }
 
 }
@@ -32,7 +35,7 @@
 
 TEST(AHeartbeatOfAnEndpoint, carriesIdentityAndState)
 {
-    const auto heartbeat = platform::decodeHeartbeat("i-1", Heartbeat);
+    const auto heartbeat = platform::decodeHeartbeat("i-1", Heartbeat, now);
     CHECK_TRUE(heartbeat.has_value());
     STRCMP_EQUAL("i-1", heartbeat->announcement.id.c_str());
     STRCMP_EQUAL("10.128.0.9:8080", heartbeat->announcement.address.c_str());
@@ -41,7 +44,7 @@
     CHECK_TRUE(heartbeat->announcement.incarnation == 1700000000123U);
     LONGS_EQUAL(4, heartbeat->sequence);
     CHECK_FALSE(heartbeat->isDraining);
-    CHECK_TRUE(platform::decodeHeartbeat("i-1", replaced(Heartbeat, "ready", "draining"))->isDraining);
+    CHECK_TRUE(platform::decodeHeartbeat("i-1", replaced(Heartbeat, "ready", "draining"), now)->isDraining);
 }
 
 // Guards against registering an endpoint from an incomplete or malformed heartbeat.
@@ -67,7 +70,7 @@
                                        .leave = [&](const http::EndpointLeave &told) { left = told.id; },
                                        .reportLoad = {}};
     const auto status = [&](const std::string &method, const std::string &target, const std::string &body) {
-        return platform::handleHeartbeat(http::Request({.method = method, .target = target, .body = body}), hooks)
+        return platform::handleHeartbeat(http::Request({.method = method, .target = target, .body = body}), hooks, now)
             ->status;
     };
     LONGS_EQUAL(200, status("PUT", "/api/instances/i-9", Heartbeat));
--- a/tests/platform/an_odd_heartbeat.cpp
+++ b/tests/platform/an_odd_heartbeat.cpp
@@ -3,6 +3,7 @@
 #include "platform/heartbeat_codec.h"
 #include "support/section.h"
 
+#include <chrono>
 #include <string>
 
 #include <boost/asio/io_context.hpp>
@@ -15,6 +16,9 @@
 
 namespace {
 
+/** Some days after the start of the proper endpoint. */
+const core::WallTime now{1'700'400'000s};
+
 const std::string Proper = R"({"Address":"10.128.0.9:8080",
     "Info":{"Service":"history","Version":"v1","Zone":"bole","Slots":54},
     "Status":{"State":"ready","Seq":4,"ColdRemainingMs":0},"born":1700000000123})";
@@ -52,13 +56,14 @@
     node::InFlightTable inFlight{core::systemRandom()};
     node::LocalEndpoint endpoint{
         context.get_executor(), 1024, protocols, inFlight, core::systemRandom(), [](const telemetry::Span &) {}};
-    core::TimePoint now{1h};
+    core::TimePoint monotonic{1h};
     int sequence = 4;
 
     int send(const std::string &method, const std::string &target, const std::string &body)
     {
         const node::EndpointApiHooks hooks{
-            .heartbeat = [&](const http::EndpointHeartbeat &heartbeat) { (void)endpoint.heartbeat(heartbeat, now); },
+            .heartbeat =
+                [&](const http::EndpointHeartbeat &heartbeat) { (void)endpoint.heartbeat(heartbeat, monotonic); },
             .leave =
                 [&](const http::EndpointLeave &leave) {
                     if (endpoint.leave(leave)) {
@@ -66,7 +71,7 @@
                     }
                 },
             .reportLoad = {}};
-        return platform::handleHeartbeat(http::Request({.method = method, .target = target, .body = body}), hooks)
+        return platform::handleHeartbeat(http::Request({.method = method, .target = target, .body = body}), hooks, now)
             ->status;
     }
     int put(const std::string &body, const std::string &id = "i-9")
@@ -76,10 +81,10 @@
     /** Whether the endpoint is still registered and its next heartbeat extends the registration. */
     bool isFollowed()
     {
-        now += 1s;
+        monotonic += 1s;
         const int status = put(withSequence(++sequence), "i-1");
         return status == 200 && endpoint.leave({.id = "i-1"}) && !endpoint.isDraining()
-               && endpoint.slots(now + node::LocalEndpoint::AnnouncementLifetime) == 54;
+               && endpoint.slots(monotonic + node::LocalEndpoint::AnnouncementLifetime) == 54;
     }
     void checkRefused(const std::string &title, const std::string &body)
     {
@@ -125,6 +130,34 @@
     section("an IPv6 number with a port is accepted", [&] { LONGS_EQUAL(200, put(withAddress("[::1]:8080"), "i-1")); });
 }
 
+// Guards against a start that cannot be: the heartbeats of the endpoint would count as those of an earlier incarnation.
+TEST(AnOddHeartbeat, withAnIncarnationThatCannotBeIsRefused)
+{
+    for (const std::string born : {"9223372036854775807",
+                                   "9223372036854775808",
+                                   "18446744073709551616",
+                                   "1e18",
+                                   "1e400",
+                                   "1700000000123.5",
+                                   "-1",
+                                   "\"1700000000123\"",
+                                   "null",
+                                   "[]",
+                                   "4102444800000"}) {
+        checkRefused(born, replaced(Proper, "1700000000123", born));
+    }
+}
+
+// Guards against numbers that cannot be: after a sequence number far ahead, all later heartbeats would count as late.
+TEST(AnOddHeartbeat, withNumbersOutOfRangeIsRefused)
+{
+    for (const std::string number :
+         {"9223372036854775807", "18446744073709551615", "18446744073709551616", "1e400", "-1", "1.5", "1e30"}) {
+        checkRefused("Seq " + number, replaced(Proper, R"("Seq":4)", R"("Seq":)" + number));
+        checkRefused("Slots " + number, replaced(Proper, "54", number));
+    }
+}
+
 // Guards against a body that cannot be read and that ends the process or the registered endpoint.
 TEST(AnOddHeartbeat, thatIsNestedDeeplyOrNotTextIsRefused)
 {
