Register an endpoint again when a heartbeat far ahead of its own is not renewed

Callers would see: 503 for the requests to an endpoint, until its node restarts, after one heartbeat of another writer with a later incarnation or a higher sequence number. Cause: LocalEndpoint compared with the registration whether or not anything renewed it, so an expired one shut out every earlier incarnation and lower sequence number for good. Change: after AnnouncementLifetime without renewal, such a heartbeat counts. Evidence: HeartbeatsOfAnEndpoint.countAgainWhenAHigherOneIsNotRenewed failed: Stale instead of Started. Result: test-node passes.

--- a/include/berylspring/node/local_endpoint.h
+++ b/include/berylspring/node/local_endpoint.h
@@ -42,6 +42,7 @@
                   core::RandomSource random,
                   telemetry::SpanSink spans);
 
+    /** @brief Registers or renews the endpoint. A late heartbeat counts only if nothing renews the registration. */
     HeartbeatResult heartbeat(const http::EndpointHeartbeat &heartbeat, core::TimePoint now);
     /** @brief Stops new requests to the endpoint; later heartbeats of the same incarnation do not undo this. */
     void drain();
--- a/src/node/local_endpoint.cpp
+++ b/src/node/local_endpoint.cpp
@@ -109,8 +109,15 @@
         m_registration = makeRegistration(heartbeat, now);
         return HeartbeatResult::Started;
     }
+    // The incarnation or sequence number of another writer may be far ahead of those of the endpoint. Without renewal
+    // it must not shut the endpoint out for good. An endpoint that drains is not brought back by a late heartbeat.
+    const bool isAbandoned = now - m_registration->renewedAt > AnnouncementLifetime && !m_registration->isDraining;
     if (announcement.incarnation < m_registration->announcement.incarnation) {
-        return HeartbeatResult::Stale;
+        if (!isAbandoned) {
+            return HeartbeatResult::Stale;
+        }
+        m_registration = makeRegistration(heartbeat, now);
+        return HeartbeatResult::Started;
     }
     // Without incarnations, an announcement that is not draining after a drain means that the endpoint has restarted.
     const bool hasStarted = m_registration->announcement != announcement
@@ -119,7 +126,7 @@
         m_registration = makeRegistration(heartbeat, now);
         return HeartbeatResult::Started;
     }
-    if (heartbeat.sequence != 0 && heartbeat.sequence <= m_registration->sequence) {
+    if (heartbeat.sequence != 0 && heartbeat.sequence <= m_registration->sequence && !isAbandoned) {
         return HeartbeatResult::Stale;
     }
     const bool startsDrain = heartbeat.isDraining && !m_registration->isDraining;
--- a/tests/node/heartbeats_of_an_endpoint.cpp
+++ b/tests/node/heartbeats_of_an_endpoint.cpp
@@ -98,3 +98,36 @@
     LONGS_EQUAL(4, endpoint.slots(now + LocalEndpoint::AnnouncementLifetime));
     LONGS_EQUAL(0, endpoint.slots(now + LocalEndpoint::AnnouncementLifetime + 1ms));
 }
+
+// Guards against a heartbeat of another writer, with an incarnation or a sequence number far ahead, that shuts out the
+// endpoint of this host for good: every later heartbeat would count as late.
+TEST(HeartbeatsOfAnEndpoint, countAgainWhenAHigherOneIsNotRenewed)
+{
+    section("while the higher one is current, the others are late", [&] {
+        CHECK(send(heartbeatOf(5, 1)) == HeartbeatResult::Started);
+        CHECK(send(heartbeatOf(9, 1'000'000)) == HeartbeatResult::Started);
+        now += LocalEndpoint::AnnouncementLifetime;
+        CHECK(send(heartbeatOf(5, 2)) == HeartbeatResult::Stale);
+        CHECK(send(heartbeatOf(9, 3)) == HeartbeatResult::Stale);
+    });
+    section("after its lifetime, an earlier incarnation is registered again", [&] {
+        now += 1ms;
+        CHECK(send(heartbeatOf(5, 3)) == HeartbeatResult::Started);
+        CHECK(endpoint.leave({.id = "i-5"}));
+    });
+    section("after its lifetime, a lower sequence number renews the same endpoint, as do those that follow", [&] {
+        CHECK(send(heartbeatOf(5, 1'000'000)) == HeartbeatResult::Renewed);
+        now += LocalEndpoint::AnnouncementLifetime + 1ms;
+        CHECK(send(heartbeatOf(5, 4)) == HeartbeatResult::Renewed);
+        CHECK(send(heartbeatOf(5, 5)) == HeartbeatResult::Renewed);
+        CHECK(send(heartbeatOf(5, 5)) == HeartbeatResult::Stale);
+        LONGS_EQUAL(4, endpoint.slots(now));
+    });
+    section("an endpoint that drains is not brought back", [&] {
+        CHECK(send(heartbeatOf(5, 6, true)) == HeartbeatResult::Draining);
+        now += LocalEndpoint::AnnouncementLifetime + 1ms;
+        CHECK(send(heartbeatOf(4, 9)) == HeartbeatResult::Stale);
+        CHECK(send(heartbeatOf(5, 5)) == HeartbeatResult::Stale);
+        CHECK(endpoint.isDraining());
+    });
+}
