--- a/tests/platform/an_odd_heartbeat.cpp
+++ b/tests/platform/an_odd_heartbeat.cpp
@@ -172,3 +172,23 @@
     checkRefused("a long service", replaced(Proper, "history", std::string(200'000, 'h')));
     checkRefused("an empty body", "");
 }
+
+// Guards against a leave that names no endpoint and ends the one of this host, and against an id that is too long for
+// the header of the requests to the endpoint.
+TEST(AnOddHeartbeat, thatNamesNoEndpointIsRefused)
+{
+    section("a leave without an id", [&] {
+        LONGS_EQUAL(400, send("DELETE", "/api/instances/", ""));
+        LONGS_EQUAL(400, send("DELETE", "/api/instances/?x=1", ""));
+        CHECK_TRUE(isFollowed());
+    });
+    section("a leave of another endpoint", [&] {
+        LONGS_EQUAL(200, send("DELETE", "/api/instances/i-8", ""));
+        CHECK_TRUE(isFollowed());
+    });
+    section("a heartbeat without an id, or with a long one", [&] {
+        LONGS_EQUAL(400, put(Proper, ""));
+        LONGS_EQUAL(400, put(Proper, std::string(10'000, 'i')));
+        CHECK_TRUE(isFollowed());
+    });
+}
