--- a/tests/core/an_ip_address_of_a_host.cpp
+++ b/tests/core/an_ip_address_of_a_host.cpp
@@ -35,7 +35,9 @@
     section("arbitrary text", [] {
         checkProperty("is no address, or one that is read again", [](const std::string &text) {
             const auto address = core::parseHostAddress(text);
-            RC_ASSERT(!address || core::parseHostAddress(address->to_string()) == address);
+            if (address) {
+                RC_ASSERT(core::parseHostAddress(address->to_string()) == address);
+            }
         });
     });
 }
