Refuse heartbeats that are not of the endpoint of this host

Callers would see: 503 for requests to an endpoint whose node got a heartbeat with the parts in use but of another writer, since it replaces the endpoint of the host. Cause: a host runs one endpoint, whose service its settings name, but heartbeats of any service were taken. Parts that are not used (Version, Zone, ColdRemainingMs) were not looked at, so an entry without them counted. Change: decodeHeartbeat() takes the service of the host and requires it, and all parts of a heartbeat. While the settings name no service, any is taken as before.

--- a/tests/platform/a_heartbeat_of_an_endpoint.cpp
+++ b/tests/platform/a_heartbeat_of_an_endpoint.cpp
@@ -13,6 +13,7 @@
 
 namespace {
 
+const core::ServiceId service("history");
 const core::WallTime now{std::chrono::seconds(1'700'400'000)};
 
 const std::string Heartbeat = R"({"Address":"10.128.0.9:8080",
@@ -26,7 +27,7 @@
 
 bool isRefused(const std::string &text)
 {
-    return !platform::decodeHeartbeat("i-1", text, now).has_value();
+    return !platform::decodeHeartbeat("i-1", text, service, now).has_value();
 }
 
 }
@@ -35,7 +36,7 @@
 
 TEST(AHeartbeatOfAnEndpoint, carriesIdentityAndState)
 {
-    const auto heartbeat = platform::decodeHeartbeat("i-1", Heartbeat, now);
+    const auto heartbeat = platform::decodeHeartbeat("i-1", Heartbeat, service, now);
     CHECK_TRUE(heartbeat.has_value());
     STRCMP_EQUAL("i-1", heartbeat->announcement.id.c_str());
     STRCMP_EQUAL("10.128.0.9:8080", heartbeat->announcement.address.c_str());
@@ -44,7 +45,7 @@
     CHECK_TRUE(heartbeat->announcement.incarnation == 1700000000123U);
     LONGS_EQUAL(4, heartbeat->sequence);
     CHECK_FALSE(heartbeat->isDraining);
-    CHECK_TRUE(platform::decodeHeartbeat("i-1", replaced(Heartbeat, "ready", "draining"), now)->isDraining);
+    CHECK_TRUE(platform::decodeHeartbeat("i-1", replaced(Heartbeat, "ready", "draining"), service, now)->isDraining);
 }
 
 // Guards against registering an endpoint from an incomplete or malformed heartbeat.
@@ -70,7 +71,8 @@
                                        .leave = [&](const http::EndpointLeave &told) { left = told.id; },
                                        .reportLoad = {}};
     const auto status = [&](const std::string &method, const std::string &target, const std::string &body) {
-        return platform::handleHeartbeat(http::Request({.method = method, .target = target, .body = body}), hooks, now)
+        return platform::handleHeartbeat(
+                   http::Request({.method = method, .target = target, .body = body}), hooks, service, now)
             ->status;
     };
     LONGS_EQUAL(200, status("PUT", "/api/instances/i-9", Heartbeat));
--- a/tests/platform/an_odd_heartbeat.cpp
+++ b/tests/platform/an_odd_heartbeat.cpp
@@ -12,10 +12,12 @@
 
 using namespace berylspring;
 using namespace std::chrono_literals;
+using test::checkProperty;
 using test::section;
 
 namespace {
 
+const core::ServiceId service("history");
 /** Some days after the start of the proper endpoint. */
 const core::WallTime now{1'700'400'000s};
 
@@ -71,7 +73,8 @@
                     }
                 },
             .reportLoad = {}};
-        return platform::handleHeartbeat(http::Request({.method = method, .target = target, .body = body}), hooks, now)
+        return platform::handleHeartbeat(
+                   http::Request({.method = method, .target = target, .body = body}), hooks, service, now)
             ->status;
     }
     int put(const std::string &body, const std::string &id = "i-9")
@@ -155,9 +158,27 @@
          {"9223372036854775807", "18446744073709551615", "18446744073709551616", "1e400", "-1", "1.5", "1e30"}) {
         checkRefused("Seq " + number, replaced(Proper, R"("Seq":4)", R"("Seq":)" + number));
         checkRefused("Slots " + number, replaced(Proper, "54", number));
+        checkRefused("ColdRemainingMs " + number,
+                     replaced(Proper, R"("ColdRemainingMs":0)", R"("ColdRemainingMs":)" + number));
     }
 }
 
+// Guards against an entry of another writer, which has not all parts or names another service, that replaces the
+// endpoint of the host.
+TEST(AnOddHeartbeat, thatIsNotOfTheEndpointOfThisHostIsRefused)
+{
+    for (const std::string part :
+         {R"("Version":"v1",)", R"("Zone":"bole",)", R"(,"ColdRemainingMs":0)", R"("Seq":4,)", R"("State":"ready",)"}) {
+        checkRefused("without " + part, replaced(Proper, part, ""));
+    }
+    checkRefused("Version as a number", replaced(Proper, R"("v1")", "1"));
+    checkRefused("Zone as an object", replaced(Proper, R"("bole")", "{}"));
+    checkRefused("Info as a text", replaced(Proper, R"("Info":{)", R"("Info":"history","Other":{)"));
+    checkRefused("another service", replaced(Proper, "history", "visits"));
+    section("any service while that of the host is unknown",
+            [&] { CHECK_TRUE(platform::decodeHeartbeat("i-1", Proper, core::ServiceId(), now).has_value()); });
+}
+
 // Guards against a body that cannot be read and that ends the process or the registered endpoint.
 TEST(AnOddHeartbeat, thatIsNestedDeeplyOrNotTextIsRefused)
 {
@@ -171,6 +192,32 @@
     checkRefused("a NUL byte", replaced(Proper, "history", std::string("hist\0ory", 8)));
     checkRefused("a long service", replaced(Proper, "history", std::string(200'000, 'h')));
     checkRefused("an empty body", "");
+    section("arbitrary changes", [&] {
+        checkProperty("leave a heartbeat that is refused or has values in range", [&](std::uint16_t place) {
+            std::string body = Proper;
+            const auto piece = *rc::gen::element<std::string>("[",
+                                                              "]",
+                                                              "{",
+                                                              "}",
+                                                              "\"",
+                                                              "-",
+                                                              "9",
+                                                              "99999999999999999999",
+                                                              "1e400",
+                                                              ":",
+                                                              "\\u0000",
+                                                              "\xff",
+                                                              "null",
+                                                              ",");
+            body.replace(place % body.size(), *rc::gen::inRange<std::size_t>(0, 4), piece);
+            const auto heartbeat = platform::decodeHeartbeat("i-9", body, service, now);
+            if (heartbeat) {
+                RC_ASSERT(http::isServerAddress(heartbeat->announcement.address));
+                RC_ASSERT(heartbeat->announcement.service == service);
+                RC_ASSERT(heartbeat->announcement.slots >= 1U);
+            }
+        });
+    });
 }
 
 // Guards against a leave that names no endpoint and ends the one of this host, and against an id that is too long for
