Ignore announcements whose address no datagram can be sent to

Callers would see: late or missing peers after an odd entry in the announcements: each becomes a contact that is tried in place of a real one for 24 h, with an address text of any length in memory. Cause: the announcer checked names and port, but took any text as the address, and dropped unreadable entries without a log line. It also took a page without a readable record for the end of the log and paused for 10 minutes. Change: the address must be an IP number of one host, ignored entries are logged with their offset, and reading ends only at the end of the log. A log that does not advance is read again after the pause. Evidence: AnnouncementsOfOtherHosts.areFollowedBesideOddOnes had 3 contacts instead of 2, and areFollowedBehindAPageOfOddOnes did not find the later host. Nesting, numbers out of range, invalid UTF-8 and NUL bytes ended nothing before; their cases and the property stay as a guard. Result: test-node passes.

--- a/src/node/announcer.cpp
+++ b/src/node/announcer.cpp
@@ -1,5 +1,10 @@
 #include "node/announcer.h"
 
+#include "berylspring/core/ip_address.h"
+#include "berylspring/telemetry/log.h"
+
+#include <limits>
+
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -24,21 +29,26 @@
                                                       {"port", member->port}});
 }
 
-std::optional<wire::MemberUpdate> fromJson(const std::string &data)
+/** @return The announced host, or a description of the error. */
+tl::expected<wire::MemberUpdate, std::string> fromJson(const std::string &data)
 {
     boost::system::error_code error;
     const boost::json::value value = boost::json::parse(data, error);
     if (error || !value.is_object()) {
-        return std::nullopt;
+        return tl::unexpected<std::string>("not a JSON object");
     }
     const auto text = [&](std::string_view name) {
         const boost::json::value *member = value.as_object().if_contains(name);
         return member != nullptr && member->is_string() ? std::string(member->as_string()) : std::string();
     };
     const boost::json::value *port = value.as_object().if_contains("port");
-    const bool isPort = port != nullptr && port->is_int64() && port->as_int64() > 0 && port->as_int64() <= 65535;
-    if (!isPort || !core::isValidName(text("host")) || !core::isValidName(text("data_centre"))) {
-        return std::nullopt;
+    constexpr std::int64_t MaxPort = std::numeric_limits<std::uint16_t>::max();
+    const bool isPort = port != nullptr && port->is_int64() && port->as_int64() > 0 && port->as_int64() <= MaxPort;
+    if (!core::isValidName(text("host")) || !core::isValidName(text("data_centre"))) {
+        return tl::unexpected<std::string>("host or data_centre is not a name");
+    }
+    if (!isPort || !core::parseHostAddress(text("address"))) {
+        return tl::unexpected<std::string>("address is not an IP number, or port is not a number from 1 to 65535");
     }
     return wire::MemberUpdate({.host = core::HostId(text("host")),
                                .dataCentre = core::DataCentreId(text("data_centre")),
@@ -61,11 +71,18 @@
         for (const eventlog::LogEntry &record : (*page)->records) {
             if (const auto member = fromJson(record.data)) {
                 hooks.addContact(*member);
+            } else if (!record.data.empty()) {
+                telemetry::log(telemetry::Severity::Warning,
+                               "invalid announcement ignored",
+                               {{"offset", static_cast<std::int64_t>(record.offset)}, {"error", member.error()}});
             }
         }
+        // A page before the end may hold no record, if none in its range can be read.
+        const bool reachesEnd = (*page)->records.empty() && (*page)->reachesEnd.value_or(true);
+        const bool hasAdvanced = (*page)->next > from;
         from = (*page)->next;
-        if ((*page)->records.empty()) {
-            co_return true;
+        if (reachesEnd || !hasAdvanced) {
+            co_return reachesEnd;
         }
     }
 }
