Try contacts in reachable data centres beside those in unreachable ones

Callers would see: after an outage inside a data centre, hosts that are not found again for up to 24 h, if the announcements hold one entry with a data centre that does not exist. Cause: the book counted the time since the last try of any contact. A contact in a data centre without live members is tried each second, so the 5 s of the other contacts never passed. Change: the time counts since the last try of a contact with the same interval. Evidence: ContactsOfOtherWriters.doNotHoldUpTheOthers: in 60 s, no try of the contact in the reachable data centre. Result: test-membership passes. Thousands of contacts were limited before and replaced no seed; their test is a guard.

--- a/include/berylspring/membership/contact_book.h
+++ b/include/berylspring/membership/contact_book.h
@@ -69,7 +69,7 @@
     [[nodiscard]] std::size_t size() const;
 
 private:
-    /** Minimum time between the last try of any contact and a try of this one. */
+    /** Minimum time between the tries of any two contacts with this interval. */
     [[nodiscard]] static core::Duration
     interval(const Contact &contact, const std::function<bool(const core::DataCentreId &)> &isReachable, bool isAlone);
     void dropOldest();
@@ -79,7 +79,8 @@
     std::map<PeerAddress, Contact> m_contacts;
 
     std::optional<core::TimePoint> m_lastCheck;
-    std::optional<core::TimePoint> m_lastTry;
+    /** Last try of a contact with an interval. One that is never reached must not hold up those with a longer one. */
+    std::map<core::Duration, core::TimePoint> m_lastTries;
 };
 
 }
--- a/src/membership/contact_book.cpp
+++ b/src/membership/contact_book.cpp
@@ -68,7 +68,6 @@
         return std::nullopt;
     }
     m_lastCheck = now;
-    const auto sinceLast = m_lastTry ? now - *m_lastTry : ContactInterval;
 
     std::erase_if(m_contacts, [&](const auto &entry) {
         return !entry.second.isSeed && now - entry.second.addedAt >= ContactRetention;
@@ -78,7 +77,9 @@
     std::vector<Contact *> candidates;
     for (auto &[address, contact] : m_contacts) {
         const auto wait = interval(contact, isReachable, isAlone);
-        if (contact.isLive || sinceLast < wait || wait > shortest) {
+        const auto lastTry = m_lastTries.find(wait);
+        const bool isDue = lastTry == m_lastTries.end() || now - lastTry->second >= wait;
+        if (contact.isLive || !isDue || wait > shortest) {
             continue;
         }
         if (wait < shortest) {
@@ -90,7 +91,7 @@
     if (candidates.empty()) {
         return std::nullopt;
     }
-    m_lastTry = now;
+    m_lastTries.insert_or_assign(shortest, now);
     auto &chosen = *candidates[randomBits % candidates.size()];
     ++chosen.tries;
     return chosen;
