Log the exception that ends a background coroutine of a node

Callers would see: nothing at first; a node whose publishing or announcing has ended is dropped or not found, without a trace in its log. Cause: asio::detached drops the exception of a coroutine. A cancellation is not an error.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -2,13 +2,13 @@
 
 #include "berylspring/telemetry/log.h"
 #include "node/announcer.h"
+#include "node/background.h"
 #include "node/node_implementation.h"
 #include "node/span_export.h"
 
 #include <algorithm>
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -148,14 +148,14 @@
     ports.operatorPort = *operators;
     m_config.start();
     m_limits.start();
-    asio::co_spawn(m_executor, publishLoop(), asio::detached);
+    asio::co_spawn(m_executor, publishLoop(), detail::logFailure("publishing"));
     asio::co_spawn(m_executor,
                    detail::announceThroughLog(
                        {.log = m_log,
                         .self = [this] { return m_membership->self().record(); },
                         .addContact = [this](const wire::MemberUpdate &member) { m_membership->addContact(member); },
                         .isStopping = [this] { return m_isStopping.load(); }}),
-                   asio::detached);
+                   detail::logFailure("announcer"));
     detail::startSpanExport(
         m_executor, {m_settings->host.value(), m_settings->otlpAddress, m_settings->spanFile}, m_spans);
     return ports;
--- a/src/node/node_handlers.cpp
+++ b/src/node/node_handlers.cpp
@@ -1,10 +1,10 @@
+#include "node/background.h"
 #include "node/node_implementation.h"
 
 #include "berylspring/config/log_record.h"
 #include "berylspring/telemetry/log.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -237,7 +237,8 @@
     const std::shared_ptr<const membership::MemberSnapshot> members = m_membership->snapshot();
     for (const membership::Member &member : members->providers((*own)->service)) {
         if (member.host() != m_settings->host) {
-            asio::co_spawn(m_executor, notify(member.host(), wire::Message(notice)), asio::detached);
+            asio::co_spawn(
+                m_executor, notify(member.host(), wire::Message(notice)), detail::logFailure("quarantine notice"));
         }
     }
 }
--- a/src/node/node_hooks.cpp
+++ b/src/node/node_hooks.cpp
@@ -1,3 +1,4 @@
+#include "node/background.h"
 #include "node/node_implementation.h"
 
 #include "berylspring/core/rendezvous.h"
@@ -7,7 +8,6 @@
 #include <charconv>
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 
 namespace berylspring::node {
 
@@ -78,7 +78,7 @@
     hooks.now = now;
     hooks.offsetReported = [this](const core::HostId &host, core::Offset offset) {
         if (offset > m_config.catalogue()->appliedOffset()) {
-            asio::co_spawn(m_executor, m_config.pullFrom(host, offset), asio::detached);
+            asio::co_spawn(m_executor, m_config.pullFrom(host, offset), detail::logFailure("pull of records"));
         }
     };
     hooks.changed = [](const membership::Member &member) {
--- a/src/node/span_export.cpp
+++ b/src/node/span_export.cpp
@@ -2,11 +2,11 @@
 
 #include "berylspring/http/client.h"
 #include "berylspring/telemetry/log.h"
+#include "node/background.h"
 
 #include <fstream>
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -62,7 +62,7 @@
                      const std::shared_ptr<telemetry::SpanBuffer> &buffer)
 {
     if (!target.otlpAddress.empty() || !target.file.empty()) {
-        asio::co_spawn(executor, exportSpans(std::move(target), buffer), asio::detached);
+        asio::co_spawn(executor, exportSpans(std::move(target), buffer), logFailure("export of spans"));
     }
 }
 
