--- a/tests/platform/odd_records_of_the_store.cpp
+++ b/tests/platform/odd_records_of_the_store.cpp
@@ -127,7 +127,7 @@
 // Guards against a record that hides the others of its page, or ends the process.
 TEST(OddRecordsOfTheStore, areOmittedFromAPageOfTheLog)
 {
-    const std::string offsets = std::string(7, '\0') + "\x09" + std::string(8, '\0');
+    const std::string offsets = std::string("\0\0\0\0\0\0\0\x09\0\0\0\0\0\0\0\0", 16);
     const std::string proper = platform::encodeKeyedRecord("proper", "{}");
     for (const std::string &content : {std::string(),
                                        std::string("\0", 1),
@@ -135,7 +135,9 @@
                                        std::string("\xff"
                                                    "short",
                                                    6)}) {
-        const auto page = platform::decodeRecords(offsets + proper + recordOf(content) + proper, 0);
+        std::string bytes = offsets;
+        bytes.append(proper).append(recordOf(content)).append(proper);
+        const auto page = platform::decodeRecords(bytes, 0);
         CHECK_TRUE(page.has_value());
         LONGS_EQUAL(2, page->records.size());
         LONGS_EQUAL(2, page->records.back().offset);
