--- a/tests/platform/records_of_the_store.cpp
+++ b/tests/platform/records_of_the_store.cpp
@@ -46,6 +46,8 @@
     CHECK_TRUE(page->records == (std::vector<platform::KeyedRecord>{{4, "config", "{}"}}));
     CHECK_TRUE(page->hasMore);
     LONGS_EQUAL(6, page->end);
+    section("the next page starts after the last key, also if its record cannot be read",
+            [&] { STRCMP_EQUAL("x", page->lastKey.c_str()); });
 }
 
 // Guards against a page truncated by a lost connection that is mistaken for the end of the log.
