Bound the bytes of answers being read, and end a read at its deadline

Callers saw: a node that is killed for its memory while an endpoint sends many bodies without end, each below the limit of 16 MiB; and calls that outlast their timeout while many bodies arrive. Cause: the limit of a body was the only one; and the timer of a Beast stream does not fire while each read finds bytes that have already arrived. One loop of reads holds both checks, so both land together. Change: BodyBudget, shared by the clients of an endpoint (32 MiB, or twice the body limit if that is more): a body may hold as many bytes as are left, so that one alone gets half and short answers pass beside endless ones; above it the read is TooLarge. The deadline is compared after each read.

--- a/include/berylspring/http/client.h
+++ b/include/berylspring/http/client.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "berylspring/core/time.h"
+#include "berylspring/http/body_budget.h"
 #include "berylspring/http/error.h"
 #include "berylspring/http/messages.h"
 
@@ -18,6 +19,8 @@
 struct ClientOptions
 {
     std::uint64_t bodyLimitBytes = 1'048'576;
+    /** Limit of all bodies that are being read; a body that does not fit is TooLarge. If null, there is none. */
+    std::shared_ptr<BodyBudget> bodyBudget;
     core::Duration connectTimeout = std::chrono::seconds(1);
     std::size_t maxIdleConnections = 64; ///< Maximum number of connections kept open for later requests.
     /**
--- a/include/berylspring/node/local_endpoint.h
+++ b/include/berylspring/node/local_endpoint.h
@@ -85,6 +85,7 @@
 
     boost::asio::any_io_executor m_executor;
     std::uint64_t m_maxBodyBytes;
+    std::shared_ptr<http::BodyBudget> m_bodyBudget; ///< Shared by the clients of all registrations.
     const Protocols &m_protocols;
     InFlightTable &m_inFlight;
     core::RandomSource m_random;
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -30,6 +30,7 @@
 namespace beast = boost::beast;
 using asio::ip::tcp;
 using boost::system::error_code;
+using Deadline = std::chrono::steady_clock::time_point;
 
 /** Idle time of a connection whose server announces none; common servers close after 5 s or more. */
 constexpr std::chrono::seconds DefaultIdleTime(4);
@@ -116,6 +117,44 @@
 
 }
 
+namespace {
+
+/** @brief Share of one body in a budget; returned on destruction. */
+class BodyShare
+{
+public:
+    explicit BodyShare(std::shared_ptr<BodyBudget> budget)
+        : m_budget(std::move(budget))
+    {
+    }
+    ~BodyShare()
+    {
+        if (m_budget) {
+            m_budget->release(m_heldBytes);
+        }
+    }
+    BodyShare(const BodyShare &) = delete;
+    BodyShare &operator=(const BodyShare &) = delete;
+
+    /** @return Whether a body of this size fits into the budget. */
+    [[nodiscard]] bool growTo(std::uint64_t bytes)
+    {
+        if (m_budget && bytes > m_heldBytes) {
+            if (!m_budget->reserve(m_heldBytes, bytes - m_heldBytes)) {
+                return false;
+            }
+            m_heldBytes = bytes;
+        }
+        return true;
+    }
+
+private:
+    std::shared_ptr<BodyBudget> m_budget;
+    std::uint64_t m_heldBytes = 0;
+};
+
+}
+
 class Client::Implementation : public std::enable_shared_from_this<Client::Implementation>
 {
 public:
@@ -186,7 +225,7 @@
         }
         connection->stream.expires_at(deadline);
         bool keepAlive = false;
-        Result<Response> response = co_await self->transfer(*connection, std::move(request), keepAlive);
+        Result<Response> response = co_await self->transfer(*connection, std::move(request), deadline, keepAlive);
         if (response && keepAlive) {
             self->returnToPool(std::move(connection));
         }
@@ -213,7 +252,8 @@
         co_return Result<void>();
     }
 
-    asio::awaitable<Result<Response>> transfer(Connection &connection, Request request, bool &keepAlive)
+    asio::awaitable<Result<Response>>
+    transfer(Connection &connection, Request request, Deadline deadline, bool &keepAlive)
     {
         error_code error;
         const detail::BeastRequest message = detail::toBeast(request, m_address);
@@ -222,7 +262,8 @@
             co_return tl::unexpected(Error(codeOf(error), true, error.message()));
         }
         for (int unrelated = 0; unrelated < MaxUnrelatedResponses; ++unrelated) {
-            Result<Response> response = co_await readResponse(connection, request->method == "HEAD", keepAlive);
+            Result<Response> response =
+                co_await readResponse(connection, request->method == "HEAD", deadline, keepAlive);
             if (!response || !m_options.isAnswerTo || m_options.isAnswerTo(request, *response)) {
                 // Bytes after a complete response belong to no request.
                 keepAlive = keepAlive && connection.buffer.size() == 0;
@@ -232,10 +273,11 @@
         co_return tl::unexpected(Error(ErrorCode::Malformed, true, "the responses belong to other requests"));
     }
 
-    asio::awaitable<Result<Response>> readResponse(Connection &connection, bool isHeadRequest, bool &keepAlive)
+    asio::awaitable<Result<Response>>
+    readResponse(Connection &connection, bool isHeadRequest, Deadline deadline, bool &keepAlive)
     {
         for (int informational = 0; informational <= MaxInformationalResponses; ++informational) {
-            Result<detail::BeastResponse> message = co_await readMessage(connection, isHeadRequest);
+            Result<detail::BeastResponse> message = co_await readMessage(connection, isHeadRequest, deadline);
             if (!message) {
                 co_return tl::unexpected(message.error());
             }
@@ -255,16 +297,29 @@
     }
 
     /** @return The next message on the connection, which may be informational. */
-    asio::awaitable<Result<detail::BeastResponse>> readMessage(Connection &connection, bool isHeadRequest)
+    asio::awaitable<Result<detail::BeastResponse>>
+    readMessage(Connection &connection, bool isHeadRequest, Deadline deadline)
     {
         error_code error;
         beast::http::response_parser<beast::http::string_body> parser;
         parser.body_limit(m_options.bodyLimitBytes);
         parser.skip(isHeadRequest);
-        co_await beast::http::async_read(
-            connection.stream, connection.buffer, parser, asio::redirect_error(asio::use_awaitable, error));
-        if (error) {
-            co_return tl::unexpected(Error(codeOf(error), true, error.message()));
+        parser.eager(true);
+        BodyShare share(m_options.bodyBudget);
+        while (!parser.is_done()) {
+            co_await beast::http::async_read_some(
+                connection.stream, connection.buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+            if (error) {
+                co_return tl::unexpected(Error(codeOf(error), true, error.message()));
+            }
+            // The timer of the stream does not fire while each read finds bytes that have already arrived.
+            if (std::chrono::steady_clock::now() >= deadline) {
+                co_return tl::unexpected(Error(ErrorCode::Timeout, true, "the response goes on beyond the timeout"));
+            }
+            if (!share.growTo(parser.get().body().size())) {
+                co_return tl::unexpected(
+                    Error(ErrorCode::TooLarge, true, "too many bytes of responses at the same time"));
+            }
         }
         co_return parser.release();
     }
--- a/src/node/local_endpoint.cpp
+++ b/src/node/local_endpoint.cpp
@@ -14,6 +14,13 @@
 /** Short, because the kernel of this host refuses connections to a crashed endpoint at once. */
 constexpr core::Duration CrashProbeTimeout = std::chrono::milliseconds(200);
 
+/**
+ * Bytes of all answers that are being read; more if a single answer of the size limit needs it, which gets half. A body
+ * that grows in pieces may take three times its size with what the allocator keeps, and the smallest hosts give a
+ * process 160 MB.
+ */
+constexpr std::uint64_t MinBodyBudgetBytes = 32ULL * 1024 * 1024;
+
 /** Bounds how long bytes that an endpoint sends on an idle connection stay unread. */
 constexpr core::Duration IdleCheckInterval = std::chrono::seconds(1);
 
@@ -93,6 +100,7 @@
                              telemetry::SpanSink spans)
     : m_executor(std::move(executor))
     , m_maxBodyBytes(maxBodyBytes)
+    , m_bodyBudget(std::make_shared<http::BodyBudget>(std::max(MinBodyBudgetBytes, 2 * maxBodyBytes)))
     , m_protocols(protocols)
     , m_inFlight(inFlight)
     , m_random(std::move(random))
--- a/tests/http/a_server_that_never_stops.cpp
+++ b/tests/http/a_server_that_never_stops.cpp
@@ -4,8 +4,15 @@
 #include "support/section.h"
 
 #include <chrono>
+#include <fstream>
+#include <future>
+#include <limits>
 #include <memory>
 #include <string>
+#include <thread>
+#include <vector>
+
+#include <malloc.h>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/thread_pool.hpp>
@@ -103,6 +110,49 @@
         http::ClientOptions{.bodyLimitBytes = BodyLimitBytes, .idleCheckInterval = 100ms, .isAnswerTo = isAnswerTo});
 };
 
+/** Memory of a process on the smaller machines of the platform. */
+constexpr std::uint64_t ProcessBytes = 160ULL * 1000 * 1000;
+constexpr std::uint64_t BudgetBytes = 32ULL * 1024 * 1024;
+constexpr int ConcurrentCalls = 200;
+/** A string that grows has up to twice its size and leaves its old memory to the allocator; each connection has a
+ * buffer. */
+constexpr std::uint64_t PeakBytes = 3 * BudgetBytes + ConcurrentCalls * UnparsedBytes + 32ULL * 1024 * 1024;
+static_assert(PeakBytes < ProcessBytes);
+
+/** @return A field of /proc/self/status in bytes. */
+std::uint64_t memoryField(const std::string &name)
+{
+    std::ifstream status("/proc/self/status");
+    std::string field;
+    std::uint64_t kilobytes = 0;
+    while (status >> field && field != name + ":") {
+        status.ignore(std::numeric_limits<std::streamsize>::max(), '\n');
+    }
+    status >> kilobytes;
+    return kilobytes * 1024;
+}
+
+/** @brief Peak of the resident memory above its value at construction. */
+class PeakMemory
+{
+public:
+    PeakMemory()
+    {
+        malloc_trim(0); // Memory that earlier tests have freed does not count.
+        // Resets the peak (proc(5)).
+        std::ofstream("/proc/self/clear_refs") << "5";
+        m_before = memoryField("VmRSS");
+    }
+    [[nodiscard]] std::uint64_t growth() const
+    {
+        const std::uint64_t peak = memoryField("VmHWM");
+        return peak > m_before ? peak - m_before : 0;
+    }
+
+private:
+    std::uint64_t m_before = 0;
+};
+
 /** @brief Checks that bytes without end fail their own call only, by its timeout at the latest. */
 void checkEnds(const std::string &title, const Script &script, ErrorCode expected, std::uint64_t heldBytes)
 {
@@ -270,3 +320,119 @@
     checkLater("one byte while the connection is idle",
                {.first = answer("a", "mine"), .pause = 50ms, .repeated = "x", .interval = 100ms});
 }
+
+// Guards against many endless bodies at once that together exceed the memory of the process.
+TEST(AServerThatNeverStops, sendsManyBodiesAtOnce)
+{
+    const std::string letters(65536, 'x');
+    const std::string chunk = "10000\r\n" + letters + "\r\n";
+    const std::string chunkedHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::vector<Script> endless{
+        {.first = "HTTP/1.1 200 OK\r\n\r\n", .repeated = letters},
+        {.first = chunkedHead, .repeated = chunk},
+        {.first = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(BodyLimitBytes) + "\r\n\r\n",
+         .repeated = std::string(1024, 'x'),
+         .interval = 1ms},
+    };
+    const auto budget = std::make_shared<http::BodyBudget>(BudgetBytes);
+    const http::ClientOptions options{.bodyLimitBytes = BodyLimitBytes, .bodyBudget = budget};
+    asio::thread_pool pool{2};
+    const auto checkMany = [&](const std::vector<Script> &scripts, core::Duration timeout) {
+        const PeakMemory memory;
+        ScriptedServer server(
+            [&](int connection) { return scripts[static_cast<std::size_t>(connection) % scripts.size()]; });
+        http::Client client(pool.get_executor(), server.address(), options);
+        std::vector<std::future<http::Result<http::Response>>> answers;
+        for (int i = 0; i < ConcurrentCalls; ++i) {
+            answers.push_back(asio::co_spawn(pool, client.send(requestWithId("a"), timeout), asio::use_future));
+        }
+        for (auto &future : answers) {
+            const auto response = future.get();
+            CHECK_FALSE(response.has_value());
+            CHECK(response.error().maybeSent());
+            CHECK(response.error().code() == ErrorCode::TooLarge || response.error().code() == ErrorCode::Timeout);
+        }
+        CHECK(server.waitUntilClosed(ConcurrentCalls, Patience));
+        LONGS_EQUAL(0, budget->reservedBytes());
+        // Sanitizers keep freed memory.
+#if !defined(__SANITIZE_ADDRESS__) && !defined(__SANITIZE_THREAD__)
+        CHECK(memory.growth() <= PeakBytes);
+#endif
+    };
+    section("as fast as they are read", [&] { checkMany(endless, CallTimeout); });
+    section("side by side at a steady rate", [&] {
+        checkMany({{.first = "HTTP/1.1 200 OK\r\n\r\n", .repeated = letters, .interval = 10ms},
+                   {.first = chunkedHead, .repeated = chunk, .interval = 10ms}},
+                  5 * CallTimeout);
+    });
+    section("an honest body of the whole limit passes alone", [&] {
+        const std::string whole(BodyLimitBytes, 'y');
+        const std::vector<std::string> honest{
+            answer("a", whole), chunkedHead + repeat(chunk, BodyLimitBytes / letters.size()) + "0\r\n\r\n"};
+        ScriptedServer server([&](int connection) { return Script{.first = honest[connection % honest.size()]}; });
+        for (std::size_t i = 0; i < honest.size(); ++i) {
+            http::Client client(pool.get_executor(), server.address(), options);
+            const auto response =
+                asio::co_spawn(pool, client.send(requestWithId("a"), Patience), asio::use_future).get();
+            CHECK(response.has_value());
+            LONGS_EQUAL(BodyLimitBytes, (*response)->body.size());
+        }
+        LONGS_EQUAL(0, budget->reservedBytes());
+    });
+    section("a short honest answer passes beside endless bodies", [&] {
+        ScriptedServer server([&](int connection) {
+            return connection < ConcurrentCalls ? endless[2] : Script{.first = answer("a", std::string(10'000, 'y'))};
+        });
+        http::Client client(pool.get_executor(), server.address(), options);
+        std::vector<std::future<http::Result<http::Response>>> answers;
+        for (int i = 0; i < ConcurrentCalls; ++i) {
+            answers.push_back(asio::co_spawn(pool, client.send(requestWithId("a"), CallTimeout), asio::use_future));
+        }
+        while (server.accepted() < ConcurrentCalls) {
+            std::this_thread::sleep_for(1ms);
+        }
+        const auto response = asio::co_spawn(pool, client.send(requestWithId("a"), Patience), asio::use_future).get();
+        CHECK(response.has_value());
+        for (auto &future : answers) {
+            CHECK_FALSE(future.get().has_value());
+        }
+    });
+    pool.join();
+}
+
+// Guards against a timeout that never fires because the next bytes always arrive first.
+TEST(AServerThatNeverStops, makesProgressWithEveryRead)
+{
+    const std::string chunk = "1;x=" + std::string(16384, 'x') + "\r\nx\r\n";
+    section("a small body in chunks with long extensions", [&] {
+        Exchange exchange({.first = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", .repeated = chunk});
+        const auto start = std::chrono::steady_clock::now();
+        const auto response = exchange.send("a");
+        CHECK(std::chrono::steady_clock::now() - start < 2 * CallTimeout);
+        CHECK_FALSE(response.has_value());
+        CHECK(response.error().maybeSent());
+        LONGS_EQUAL(ErrorCode::Timeout, response.error().code());
+        CHECK(exchange.server().waitUntilClosed(1, Patience));
+    });
+    section("many bodies of the whole limit at a steady rate", [&] {
+        const Script steady{.first =
+                                "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(BodyLimitBytes) + "\r\n\r\n",
+                            .repeated = std::string(1024, 'x'),
+                            .interval = 1ms};
+        ScriptedServer server([&](int) { return steady; });
+        asio::thread_pool pool{2};
+        http::Client client(pool.get_executor(), server.address(), {.bodyLimitBytes = BodyLimitBytes});
+        const auto start = std::chrono::steady_clock::now();
+        std::vector<std::future<http::Result<http::Response>>> answers;
+        for (int i = 0; i < ConcurrentCalls; ++i) {
+            answers.push_back(asio::co_spawn(pool, client.send(requestWithId("a"), CallTimeout), asio::use_future));
+        }
+        for (auto &future : answers) {
+            const auto response = future.get();
+            CHECK_FALSE(response.has_value());
+            LONGS_EQUAL(ErrorCode::Timeout, response.error().code());
+        }
+        CHECK(std::chrono::steady_clock::now() - start < 5 * CallTimeout);
+        CHECK(server.waitUntilClosed(ConcurrentCalls, Patience));
+    });
+}
