Make the conversions in the test of endless answers explicit

Cause: clang-tidy reports widening multiplications in three constants and a copy of a constant script.

--- a/tests/http/a_server_that_never_stops.cpp
+++ b/tests/http/a_server_that_never_stops.cpp
@@ -31,14 +31,14 @@
 
 namespace asio = boost::asio;
 
-constexpr std::uint64_t BodyLimitBytes = 16 * 1024 * 1024;
+constexpr std::uint64_t BodyLimitBytes = 16ULL * 1024 * 1024;
 constexpr core::Duration CallTimeout = 1s;
 /** Far above the expected times, so that tests pass on a busy machine. */
 constexpr core::Duration Patience = 20s;
 /** Bytes of one connection that the kernel may hold for the two programs; the largest receive buffer is 32 MiB. */
-constexpr std::uint64_t KernelBytes = 36 * 1024 * 1024;
+constexpr std::uint64_t KernelBytes = 36ULL * 1024 * 1024;
 /** Bytes of a head, a chunk extension or a trailer that the client may hold. */
-constexpr std::uint64_t UnparsedBytes = 64 * 1024;
+constexpr std::uint64_t UnparsedBytes = 64ULL * 1024;
 
 const std::string Id = "X-Id";
 
@@ -419,7 +419,7 @@
                                 "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(BodyLimitBytes) + "\r\n\r\n",
                             .repeated = std::string(1024, 'x'),
                             .interval = 1ms};
-        ScriptedServer server([&](int) { return steady; });
+        ScriptedServer server([&](int) { return Script(steady); });
         asio::thread_pool pool{2};
         http::Client client(pool.get_executor(), server.address(), {.bodyLimitBytes = BodyLimitBytes});
         const auto start = std::chrono::steady_clock::now();
