Share the budget of body bytes between the answers of an endpoint

Callers see: a node that is killed for its memory while its endpoint sends many large or endless bodies. Change: the option is set. Evidence: BodiesOfAnEndpoint.shareOneBudget failed before (more than two of four bodies of 16 MiB were held at once) and passes now; test-node passes.

--- a/src/node/local_endpoint.cpp
+++ b/src/node/local_endpoint.cpp
@@ -151,6 +151,7 @@
                                                             core::TimePoint now) const
 {
     http::ClientOptions options{.bodyLimitBytes = m_maxBodyBytes,
+                                .bodyBudget = m_bodyBudget,
                                 .idleCheckInterval = IdleCheckInterval,
                                 .isAnswerTo = m_protocols.isAnswerTo,
                                 .allowsReuse = m_protocols.allowsReuse};
