Apply no size limits of an old configuration

Callers see: 413 or 431, which no client repeats, for a request that the newest configuration allows, at a node that has had no contact with the store. Cause: the same as of the denials by key and route: the limits of a configuration that is not known to be current decided. Change: above platform.denial_staleness_ms only the settings of the node bound the sizes of a request. Evidence: AChangeDuringAnOutage.ofASizeLimitIsNotAppliedFromAnOldConfiguration failed before (413 until the end of the 30 s) and passes now.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -49,16 +49,21 @@
     return {.headerLimitBytes = settings->maxHeaderBytes, .bodyLimitBytes = settings->maxBodyBytes};
 }
 
-/** The settings bound the memory use of a node; the configuration can only lower these limits. */
-http::ServerOptions callerOptions(const Settings &settings, const config::Catalogue &catalogue)
+/**
+ * The settings bound the memory use of a node; the configuration can only lower these limits. An old configuration does
+ * not lower the sizes, because a request over them is denied for good and a newer one may allow it.
+ */
+http::ServerOptions callerOptions(const Settings &settings, const config::Catalogue &catalogue, bool isOld)
 {
     http::ServerOptions options = serverOptions(settings);
     const config::RequestLimits *limits = catalogue.requestLimits();
     if (limits == nullptr) {
         return options;
     }
-    options.headerLimitBytes = std::min(options.headerLimitBytes, (*limits)->maxHeaderBytes);
-    options.bodyLimitBytes = std::min(options.bodyLimitBytes, (*limits)->maxBodyBytes);
+    if (!isOld) {
+        options.headerLimitBytes = std::min(options.headerLimitBytes, (*limits)->maxHeaderBytes);
+        options.bodyLimitBytes = std::min(options.bodyLimitBytes, (*limits)->maxBodyBytes);
+    }
     options.headerTimeout = (*limits)->headerTimeout;
     options.idleTimeout = (*limits)->idleTimeout;
     return options;
@@ -116,7 +121,7 @@
     , m_callerServer(
           m_executor,
           [this](http::Request request) { return handleCaller(std::move(request)); },
-          [this] { return callerOptions(m_settings, *m_config.catalogue()); },
+          [this] { return callerOptions(m_settings, *m_config.catalogue(), isConfigurationOld()); },
           [this](const http::RejectedRequest &request) { recordRejection(request); })
     , m_endpointServer(m_executor,
                        serverOptions(m_settings),
--- a/src/node/node_hooks.cpp
+++ b/src/node/node_hooks.cpp
@@ -288,6 +288,12 @@
     return provenAt ? now() - *provenAt : core::Duration::max();
 }
 
+bool Node::Implementation::isConfigurationOld() const
+{
+    const core::Duration limit = m_settings->denialStaleness;
+    return limit > core::Duration::zero() && configurationAge() > limit;
+}
+
 core::Duration Node::Implementation::timeSinceExternalContact() const
 {
     core::TimePoint last = m_startedAt;
--- a/src/node/node_implementation.h
+++ b/src/node/node_implementation.h
@@ -84,6 +84,8 @@
     [[nodiscard]] bool isReady() const;
     [[nodiscard]] core::Duration timeSinceExternalContact() const;
     [[nodiscard]] core::Duration configurationAge() const;
+    /** @return Whether the configuration is too old to deny a request. */
+    [[nodiscard]] bool isConfigurationOld() const;
     [[nodiscard]] static core::TimePoint now()
     {
         return core::bootTime();
--- a/tests/integration/a_change_during_an_outage.cpp
+++ b/tests/integration/a_change_during_an_outage.cpp
@@ -33,6 +33,22 @@
     });
 }
 
+// Guards against a node that rejects a body for good by the size limit of a configuration that may have been replaced.
+TEST(AChangeDuringAnOutage, ofASizeLimitIsNotAppliedFromAnOldConfiguration)
+{
+    test::PlatformFleet platform;
+    const std::uint16_t caller = platform.first.callerPort;
+    const std::string body(500, 'x');
+    platform.store.put(ConfigTopic, ConfigKey, platformDocument(3, R"("key-1")", 100));
+    CHECK(platform.waitForStatus(200, caller, "/open/1", ""));
+    LONGS_EQUAL(413, platform.status(caller, "GET", "/open/2", body));
+    platform.store.setUnavailable(true);
+    CHECK(test::waitUntil([&] {
+        platform.heartbeat("ready");
+        return platform.status(caller, "GET", "/open/3", body) == 200;
+    }));
+}
+
 // Guards against nodes that never apply a change that was made while none of them reached the store.
 TEST(AChangeDuringAnOutage, isInForceOnceTheStoreIsBack)
 {
