--- a/tests/integration/a_change_during_an_outage.cpp
+++ b/tests/integration/a_change_during_an_outage.cpp
@@ -67,3 +67,23 @@
         }
     }
 }
+
+// Guards against nodes that refuse all keys because the newest document of the store cannot be read.
+TEST(AChangeDuringAnOutage, thatCannotBeReadLeavesTheLastOneInForce)
+{
+    test::PlatformFleet platform;
+    const std::uint16_t caller = platform.second.callerPort;
+    platform.store.put(ConfigTopic, ConfigKey, platformDocument(3, R"("key-1")"));
+    CHECK(platform.waitForStatus(200, caller, "/past/1", "key-1"));
+    platform.store.setUnavailable(true);
+    CHECK(platform.waitForStatus(503, caller, "/past/2", "key-1"));
+    platform.store.put(ConfigTopic, ConfigKey, R"({"Version":"none"})");
+    platform.store.setUnavailable(false);
+    section("the last readable document is proved again",
+            [&] { CHECK(platform.waitForStatus(200, caller, "/past/3", "key-1")); });
+    section("the next readable one is applied", [&] {
+        platform.store.put(ConfigTopic, ConfigKey, platformDocument(5, R"("key-2")"));
+        CHECK(platform.waitForStatus(200, caller, "/past/4", "key-2"));
+        CHECK(platform.waitForStatus(401, caller, "/past/4", "key-1"));
+    });
+}
