Write each line of the span file at once

Operators see: spans that are missing from a trace although both nodes exported them. Cause: the newline was written after the line. Two nodes that append to the same file at the same moment wrote two lines into one, which no reader can parse.

--- a/src/node/span_export.cpp
+++ b/src/node/span_export.cpp
@@ -37,7 +37,8 @@
         }
         const std::string json = telemetry::otlpJson(target.host, spans);
         if (!target.file.empty()) {
-            std::ofstream(target.file, std::ios::app) << json << '\n';
+            // One write for the whole line, because several nodes may append to the same file.
+            std::ofstream(target.file, std::ios::app) << json + '\n';
         }
         if (!target.otlpAddress.empty()) {
             const http::Request request({.method = "POST",
