Go on proving a configuration that an unreadable document follows

After a failed read, the follower compares its last record with the log. If the newest document could not be read, the adapter answered that comparison with an end below the applied offset of the same era, so the follower took the log for a changed history until the operator wrote again, and requests with a key were refused.

--- a/src/config/log_follower.cpp
+++ b/src/config/log_follower.cpp
@@ -137,6 +137,10 @@
     }
     self->m_context->recordLogGeneration((*page)->generation);
     const auto &records = (*page)->records;
+    if (records.empty() && (*page)->next >= from) {
+        // The last record is omitted because it cannot be read; there is nothing to compare with.
+        co_return SyncState::UpToDate;
+    }
     if (records.empty()) {
         const SyncState state = self->onShortLog(from, *page);
         co_return state == SyncState::Behind ? SyncState::UpToDate : state;
