Send a proof only with the last batch of records

A pull that ends before the newest record, at the limit of records or bytes, had the age of the proof with it. With consecutive offsets the receiver took that proof for its own configuration, which lacks the rest.

--- a/src/config/service_core.cpp
+++ b/src/config/service_core.cpp
@@ -246,8 +246,10 @@
     Withdrawals::sendPending(self->m_withdrawals, from);
     // Read before the records, so that the records include everything that the proof covers.
     const auto provenAt = self->m_context->provenAt();
+    const core::Offset applied = self->m_context->store().appliedOffset();
     wire::RecordBatch batch = self->m_context->store().batchFrom((*pull)->from, (*pull)->limit);
-    if (provenAt) {
+    // A batch that ends before the last record proves nothing to a node that has only its records.
+    if (provenAt && batch->next >= applied) {
         const std::optional<core::Duration> age = self->m_context->now() - *provenAt;
         batch = batch.with(&wire::RecordBatchFields::proofAge, age);
     }
--- a/tests/config/a_node_proves_its_configuration.cpp
+++ b/tests/config/a_node_proves_its_configuration.cpp
@@ -91,6 +91,30 @@
     });
 }
 
+// Guards against a node that accepts a removed key because it takes the first of several batches for all records.
+TEST(ANodeProvesItsConfiguration, byTheLastBatchOfAReaderOnly)
+{
+    ProvingFleet fleet(1h);
+    fleet.add("a");
+    fleet.log.push("config", putRecord("op-2", ResourceType::Priority, "q", LevelThree));
+    const core::TimePoint pushed = now();
+    fleet.until([&] { return fleet.provenAt("a") > pushed; });
+    const auto batchFrom = [&](core::Offset from) {
+        const wire::Message pull(wire::RecordPull({.from = from, .limit = 1}));
+        const wire::Message answer = fleet.wait(fleet.service("a").handle(core::HostId("b"), pull));
+        return std::get<wire::RecordBatch>(answer);
+    };
+    section("a batch with more records behind it has no proof", [&] {
+        LONGS_EQUAL(2, batchFrom(1)->next);
+        CHECK_FALSE(batchFrom(1)->proofAge.has_value());
+    });
+    section("the last one has a proof", [&] {
+        LONGS_EQUAL(3, batchFrom(2)->next);
+        CHECK_TRUE(batchFrom(2)->proofAge.has_value());
+        CHECK_TRUE(batchFrom(3)->proofAge.has_value());
+    });
+}
+
 // Guards against refused keys on a host that reaches the log while the reader of its data centre is unreachable.
 TEST(ANodeProvesItsConfiguration, byItselfWhenTheReaderCannot)
 {
