Compare operations instead of their encoding with the log

A record that came from a peer with other settings, or of another release, has the same operation in another encoding. After a failed read, the follower took it for a changed history and ignored the log until the next version, and requests with a key were refused. Operation identifiers are random or name a version, so they identify a record as well as its bytes do.

--- a/src/config/log_follower.cpp
+++ b/src/config/log_follower.cpp
@@ -1,5 +1,7 @@
 #include "config/log_follower.h"
 
+#include "berylspring/config/log_record.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -12,6 +14,20 @@
 /** A snapshot record has up to 256 KiB, so this limits a page to 4 MiB. */
 constexpr std::uint32_t SnapshotPageRecords = 16;
 
+/**
+ * @return Whether both texts are the same operation. A node with other settings or of another release may encode it
+ * differently, and its record reaches this node from a peer.
+ */
+bool isSameOperation(const std::string &left, const std::string &right)
+{
+    if (left == right) {
+        return true;
+    }
+    const auto leftRecord = parseLogRecord(left);
+    const auto rightRecord = parseLogRecord(right);
+    return leftRecord && rightRecord && (*leftRecord)->operationId == (*rightRecord)->operationId;
+}
+
 }
 
 asio::awaitable<bool> SnapshotReader::refresh(std::shared_ptr<SnapshotReader> self)
@@ -149,7 +165,7 @@
         // A compacted log has only later records; there is nothing to compare with.
         co_return SyncState::UpToDate;
     }
-    if (records.front().offset != from - 1 || records.front().data != *known) {
+    if (records.front().offset != from - 1 || !isSameOperation(records.front().data, *known)) {
         self->reportOnce(SyncState::Diverged,
                          "the records of the configuration log differ from those already applied below offset "
                              + std::to_string(from) + "; ignoring them");
--- a/tests/config/a_change_reaches_every_node.cpp
+++ b/tests/config/a_change_reaches_every_node.cpp
@@ -205,6 +205,28 @@
     CHECK_TRUE(node.reports.empty());
 }
 
+// Guards against a follower that ignores the log for good because a peer with other settings has encoded the same
+// document differently.
+TEST(AChangeReachesEveryNode, fromALogWhoseLastRecordAPeerEncodesDifferently)
+{
+    Fleet fleet;
+    fleet.log.push("config", putRecord("op-0", ResourceType::Priority, "none", LevelThree));
+    fleet.log.push("config", putRecord("op-1", ResourceType::Priority, "p", LevelThree));
+    auto &node = fleet.add("a");
+    fleet.until([&] { return hasPriority(fleet, "a", "p"); });
+    fleet.log.isDown = true;
+    fleet.until([&] { return !node.reports.empty(); });
+    node.reports.clear();
+    fleet.log.clear("config");
+    fleet.log.push("config", putRecord("op-0", ResourceType::Priority, "none", LevelThree));
+    fleet.log.push("config", putRecord("op-1", ResourceType::Priority, "p", R"({"level":3,"worth":1})"));
+    fleet.log.push("config", putRecord("op-2", ResourceType::Priority, "q", LevelThree));
+    fleet.log.isDown = false;
+    fleet.until([&] { return hasPriority(fleet, "a", "q") || !node.reports.empty(); });
+    CHECK_TRUE(hasPriority(fleet, "a", "q"));
+    CHECK_TRUE(node.reports.empty());
+}
+
 TEST(AChangeReachesEveryNode, fromPeerToPeer)
 {
     Fleet fleet;
