Publish only rising applied offsets

Two threads that apply records may report their offsets in the other order, and the node then told the others the lower one until the next change.

--- a/src/membership/self_record.cpp
+++ b/src/membership/self_record.cpp
@@ -56,7 +56,8 @@
 void SelfRecord::setAppliedOffset(core::Offset offset)
 {
     const std::scoped_lock lock(m_mutex);
-    if (m_record->appliedOffset != offset) {
+    // Reports of several threads may arrive out of order; the offset of a node never falls.
+    if (offset > m_record->appliedOffset) {
         replace(m_record.with(&Fields::appliedOffset, offset).with(&Fields::version, m_record->version + 1), false);
     }
 }
