End the registered endpoint on its leave whatever the clock says

A leave ends the incarnations up to the time of the host. If the clock was set back after the endpoint had started, the leave was acknowledged without effect and requests still went to an endpoint that shuts down.

--- a/include/berylspring/http/endpoint_announcement.h
+++ b/include/berylspring/http/endpoint_announcement.h
@@ -34,7 +34,8 @@
 struct EndpointLeave
 {
     std::string id; ///< Empty: the endpoint of this host, regardless of its id.
-    std::uint64_t lastIncarnation = 0; ///< Incarnations of the id up to this one are never used again.
+    /** Incarnations of the id up to this one, and the one that is registered, are never used again. */
+    std::uint64_t lastIncarnation = 0;
     [[nodiscard]] bool operator==(const EndpointLeave &) const = default;
 };
 
--- a/src/node/local_endpoint.cpp
+++ b/src/node/local_endpoint.cpp
@@ -174,18 +174,21 @@
 bool LocalEndpoint::leave(const http::EndpointLeave &leave)
 {
     const std::scoped_lock lock(m_mutex);
+    const bool isRegistered = m_registration && (leave.id.empty() || m_registration->announcement.id == leave.id);
     if (!leave.id.empty()) {
         // A heartbeat sent before the leave may arrive after it, and this node may have no registration to compare it
         // with.
-        m_recentLeaves.push_back(leave);
+        http::EndpointLeave recent = leave;
+        if (isRegistered) {
+            // The clock of this host may have been set back since the endpoint started.
+            recent.lastIncarnation = std::max(leave.lastIncarnation, m_registration->announcement.incarnation);
+        }
+        m_recentLeaves.push_back(std::move(recent));
         if (m_recentLeaves.size() > MaxRecentLeaves) {
             m_recentLeaves.pop_front();
         }
     }
-    const bool isRegistered = m_registration && (leave.id.empty() || m_registration->announcement.id == leave.id);
-    const bool hasEnded = leave.lastIncarnation == 0
-                          || (m_registration && m_registration->announcement.incarnation <= leave.lastIncarnation);
-    return isRegistered && hasEnded;
+    return isRegistered;
 }
 
 bool LocalEndpoint::hasLeft(const http::EndpointAnnouncement &announcement) const
--- a/tests/node/heartbeats_of_an_endpoint.cpp
+++ b/tests/node/heartbeats_of_an_endpoint.cpp
@@ -91,6 +91,18 @@
     section("another endpoint is registered", [&] { CHECK(send(heartbeatOf(9, 1)) == HeartbeatResult::Started); });
 }
 
+// Guards against a leave that is acknowledged but has no effect, because the clock of the host was set back after the
+// endpoint had started.
+TEST(HeartbeatsOfAnEndpoint, doNotBringBackOneThatLeftBehindTheClock)
+{
+    CHECK(send(heartbeatOf(5, 1)) == HeartbeatResult::Started);
+    section("the registered endpoint ends", [&] { CHECK_TRUE(endpoint.leave({.id = "i-5", .lastIncarnation = 4})); });
+    section("its delayed heartbeat is ignored after another endpoint has started", [&] {
+        CHECK(send(heartbeatOf(6, 1)) == HeartbeatResult::Started);
+        CHECK(send(heartbeatOf(5, 2)) == HeartbeatResult::Stale);
+    });
+}
+
 // Guards against requests to an endpoint that has stopped without leaving.
 TEST(HeartbeatsOfAnEndpoint, mustComeAgain)
 {
