--- a/src/config/log_follower.cpp
+++ b/src/config/log_follower.cpp
@@ -28,6 +28,15 @@
     return leftRecord && rightRecord && (*leftRecord)->operationId == (*rightRecord)->operationId;
 }
 
+/**
+ * @return Whether the log has a record before the offset but leaves it out of the page, so that there is nothing to
+ * compare with: it keeps only later ones, or the record cannot be read.
+ */
+bool omitsRecordBefore(core::Offset offset, const eventlog::LogPage &page)
+{
+    return page->records.empty() ? page->next >= offset : page->records.front().offset >= offset;
+}
+
 }
 
 asio::awaitable<bool> SnapshotReader::refresh(std::shared_ptr<SnapshotReader> self)
@@ -153,18 +162,13 @@
     }
     self->m_context->recordLogGeneration((*page)->generation);
     const auto &records = (*page)->records;
-    if (records.empty() && (*page)->next >= from) {
-        // The last record is omitted because it cannot be read; there is nothing to compare with.
+    if (omitsRecordBefore(from, *page)) {
         co_return SyncState::UpToDate;
     }
     if (records.empty()) {
         const SyncState state = self->onShortLog(from, *page);
         co_return state == SyncState::Behind ? SyncState::UpToDate : state;
     }
-    if (records.front().offset > from - 1) {
-        // A compacted log has only later records; there is nothing to compare with.
-        co_return SyncState::UpToDate;
-    }
     if (records.front().offset != from - 1 || !isSameOperation(records.front().data, *known)) {
         self->reportOnce(SyncState::Diverged,
                          "the records of the configuration log differ from those already applied below offset "
--- a/tests/integration/a_change_during_an_outage.cpp
+++ b/tests/integration/a_change_during_an_outage.cpp
@@ -12,6 +12,19 @@
 using test::platformDocument;
 using test::section;
 
+namespace {
+
+/** @brief Puts a first version in force and takes the store away until its keys cannot be proved any more. */
+void beginOutage(test::PlatformFleet &platform, std::uint16_t caller)
+{
+    platform.store.put(ConfigTopic, ConfigKey, platformDocument(3, R"("key-1")"));
+    CHECK(platform.waitForStatus(200, caller, "/past/1", "key-1"));
+    platform.store.setUnavailable(true);
+    CHECK(platform.waitForStatus(503, caller, "/past/2", "key-1"));
+}
+
+}
+
 TEST_GROUP(AChangeDuringAnOutage){};
 
 // Guards against a node that denies a valid key or route because its own configuration is old.
@@ -54,10 +67,7 @@
 {
     test::PlatformFleet platform;
     const std::uint16_t caller = platform.second.callerPort;
-    platform.store.put(ConfigTopic, ConfigKey, platformDocument(3, R"("key-1")"));
-    CHECK(platform.waitForStatus(200, caller, "/past/1", "key-1"));
-    platform.store.setUnavailable(true);
-    CHECK(platform.waitForStatus(503, caller, "/past/2", "key-1"));
+    beginOutage(platform, caller);
     platform.store.put(ConfigTopic, ConfigKey, platformDocument(5, R"("key-1","key-2")"));
     platform.store.setUnavailable(false);
     for (const std::uint16_t port : {platform.first.callerPort, caller}) {
@@ -73,10 +83,7 @@
 {
     test::PlatformFleet platform;
     const std::uint16_t caller = platform.second.callerPort;
-    platform.store.put(ConfigTopic, ConfigKey, platformDocument(3, R"("key-1")"));
-    CHECK(platform.waitForStatus(200, caller, "/past/1", "key-1"));
-    platform.store.setUnavailable(true);
-    CHECK(platform.waitForStatus(503, caller, "/past/2", "key-1"));
+    beginOutage(platform, caller);
     platform.store.put(ConfigTopic, ConfigKey, R"({"Version":"none"})");
     platform.store.setUnavailable(false);
     section("the last readable document is proved again",
