Judge the length of the log only by pages that reach its end

A page before the end without records, such as one of a large topic, ends below what the node has from a peer already. It was reported as a log that was restored or that lost its records.

--- a/src/config/log_follower.cpp
+++ b/src/config/log_follower.cpp
@@ -94,7 +94,8 @@
 SyncState LogFollower::foldPage(core::Offset from, const eventlog::LogPage &page, core::TimePoint sentAt)
 {
     m_context->recordLogGeneration(page->generation);
-    const bool isShort = page->records.empty() && page->next < from;
+    // A page before the end may lack what this node already has from a peer.
+    const bool isShort = page->records.empty() && page->next < from && page->reachesEnd.value_or(true);
     const SyncState state = isShort ? onShortLog(from, page) : SyncState::UpToDate;
     if (state == SyncState::Diverged) {
         m_mustCheckContinuity = true;
--- a/tests/config/a_node_proves_its_configuration.cpp
+++ b/tests/config/a_node_proves_its_configuration.cpp
@@ -161,3 +161,23 @@
         CHECK_TRUE(has("r"));
     });
 }
+
+// Guards against a node that takes pages before the end of the log, which it has from a peer already, for a log that
+// was restored or lost its records.
+TEST(ANodeProvesItsConfiguration, whileItReadsPagesThatItHasAlready)
+{
+    for (const std::uint64_t generation : {0, 1}) {
+        section("generation " + std::to_string(generation), [&] {
+            ProvingFleet fleet(1h);
+            fleet.log.generation = generation;
+            auto &node = fleet.add("a");
+            fleet.until([&] { return fleet.provenAt("a") > core::TimePoint(); });
+            node.reports.clear();
+            fleet.log.emptyPagesBeforeEnd = 3;
+            fleet.until([&] { return fleet.log.emptyPagesBeforeEnd == 0; });
+            const core::TimePoint read = now();
+            fleet.until([&] { return fleet.provenAt("a") > read; });
+            CHECK_TRUE(node.reports.empty());
+        });
+    }
+}
--- a/tests/config/in_memory_log.cpp
+++ b/tests/config/in_memory_log.cpp
@@ -97,6 +97,12 @@
         co_return tl::unexpected(eventlog::Error::expired(known.first));
     }
     eventlog::LogPageFields page{.records = {}, .first = known.first, .next = end(), .generation = generation};
+    if (emptyPagesBeforeEnd > 0) {
+        --emptyPagesBeforeEnd;
+        page.next = 1;
+        page.reachesEnd = false;
+        co_return eventlog::LogPage(std::move(page));
+    }
     if (keepsOnlyNewest && from < end()) {
         page.records = {{end() - 1, known.records.back()}};
         co_return eventlog::LogPage(std::move(page));
--- a/tests/config/in_memory_log.h
+++ b/tests/config/in_memory_log.h
@@ -34,6 +34,8 @@
     bool isDown = false;
     std::uint64_t generation = 0; ///< Reported with each page.
     bool keepsOnlyNewest = false; ///< Reads return only the last record, as a log of whole documents does.
+    /** Number of next reads whose page has no records and ends at offset 1, before the end of the stream. */
+    std::uint32_t emptyPagesBeforeEnd = 0;
     std::uint32_t answersToLose = 0; ///< Number of next appends that take effect but fail with a timeout.
     std::uint32_t appendsToLose = 0; ///< Number of next appends that fail with a timeout without effect.
 
