Derive the times of a node from the bounds of its deployment

Cause: the template of the platform had fixed times beside the bounds of each deployment. A node with a grace of 10 s aborted its requests at 5.3 s, and the age up to which a configuration may deny a request (3 s) was above the bound of 2 s within which a change must be in force.

Change: a section [bounds] tells a node what the deployment guarantees or demands. stop_timeout, stop_linger, the poll and proof intervals and the ages of the configuration follow from it in one place, derivedTimes().

--- a/include/berylspring/node/settings.h
+++ b/include/berylspring/node/settings.h
@@ -4,6 +4,7 @@
 #include "berylspring/core/immutable.h"
 #include "berylspring/core/name.h"
 #include "berylspring/core/time.h"
+#include "berylspring/node/deployment_bounds.h"
 #include "berylspring/node/error.h"
 #include "berylspring/telemetry/log.h"
 
@@ -51,6 +52,7 @@
     std::uint32_t maxBodyBytes = 0;
     std::uint32_t maxFrameBytes = 0;
     core::Duration maxLimitHold{}; ///< Longest wait of a request for rate limit tokens.
+    DeploymentBounds bounds;
     core::Duration stopTimeout{}; ///< Upper bound of a graceful stop.
     core::Duration stopLinger{}; ///< Initial phase of a graceful stop in which new requests are still accepted.
 
@@ -70,6 +72,30 @@
     using Immutable::Immutable;
 };
 
+/** @brief Where the value of a setting comes from. */
+enum class SettingSource {
+    File,
+    Bound, ///< Derived from a bound of the deployment.
+    Default,
+};
+
+/** @brief A setting as the daemon uses it. */
+struct EffectiveSetting
+{
+    std::string name; ///< "section.name".
+    std::string value; ///< Empty: none. Secrets are masked.
+    SettingSource source = SettingSource::Default;
+    [[nodiscard]] bool operator==(const EffectiveSetting &) const = default;
+};
+
+/** @brief Validated settings and the values that they were read from. */
+struct SettingsDocument
+{
+    Settings settings;
+    std::vector<EffectiveSetting> effective; ///< Sorted by name.
+    [[nodiscard]] bool operator==(const SettingsDocument &) const = default;
+};
+
 /**
  * @brief Parses settings in INI format.
  * @param text Content of the settings file.
@@ -77,8 +103,12 @@
  * Unknown sections and names are errors.
  */
 [[nodiscard]] Result<Settings> parseSettings(const std::string &text);
+/** @return As parseSettings(), with the value of each setting and where it comes from. */
+[[nodiscard]] Result<SettingsDocument> parseDocument(const std::string &text);
 
 /** @return parseSettings() of the content of a file; StartFailed if the file cannot be read. */
 [[nodiscard]] Result<Settings> loadSettings(const std::string &path);
+/** @return parseDocument() of the content of a file; StartFailed if the file cannot be read. */
+[[nodiscard]] Result<SettingsDocument> loadDocument(const std::string &path);
 
 }
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -5,7 +5,7 @@
 #include <fstream>
 #include <functional>
 #include <map>
-#include <set>
+#include <optional>
 #include <sstream>
 
 #include <boost/asio/ip/address.hpp>
@@ -19,6 +19,13 @@
 using boost::property_tree::ptree;
 
 constexpr std::size_t MinSecretLength = 16;
+constexpr const char *SecretName = "fleet.secret";
+constexpr std::uint64_t MaxBoundMs = 3'600'000;
+
+std::uint64_t millisecondsOf(core::Duration duration)
+{
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
 
 /** @brief Internal exception; parseSettings() and loadSettings() convert it to an Error. */
 struct InvalidValue
@@ -40,10 +47,14 @@
     {
     }
 
-    std::string text(const std::string &name, const std::string &fallback)
+    std::string
+    text(const std::string &name, const std::string &fallback, SettingSource fallbackSource = SettingSource::Default)
     {
-        m_known.insert(name);
-        return m_tree.get<std::string>(ptree::path_type(name, '.'), fallback);
+        const auto written = m_tree.get_optional<std::string>(ptree::path_type(name, '.'));
+        std::string value = written ? *written : fallback;
+        m_effective.insert_or_assign(name,
+                                     EffectiveSetting{name, value, written ? SettingSource::File : fallbackSource});
+        return value;
     }
 
     std::string required(const std::string &name, const std::string &range)
@@ -86,6 +97,28 @@
         return std::chrono::milliseconds(number(name, fallback, low, high));
     }
 
+    /** @brief Reads a time whose default follows from a bound of the deployment, if that is known. */
+    std::chrono::milliseconds derivedMilliseconds(const std::string &name,
+                                                  const std::optional<core::Duration> &derived,
+                                                  std::uint64_t fallback,
+                                                  std::uint64_t low,
+                                                  std::uint64_t high)
+    {
+        const std::string value = std::to_string(derived ? millisecondsOf(*derived) : fallback);
+        const SettingSource source = derived ? SettingSource::Bound : SettingSource::Default;
+        return std::chrono::milliseconds(parseNumber(name, text(name, value, source), low, high));
+    }
+
+    /** @return A bound of the deployment; without a value if the setting is missing or empty. */
+    std::optional<core::Duration> bound(const std::string &name, std::uint64_t low, std::uint64_t high)
+    {
+        const std::string value = text(name, {});
+        if (value.empty()) {
+            return std::nullopt;
+        }
+        return std::chrono::milliseconds(parseNumber(name, value, low, high));
+    }
+
     double ratio(const std::string &name, double fallback)
     {
         const std::string value = text(name, std::to_string(fallback));
@@ -141,16 +174,26 @@
             }
             for (const auto &entry : values) {
                 const std::string name = section + "." + entry.first;
-                if (!m_known.contains(name)) {
+                if (!m_effective.contains(name)) {
                     throw InvalidValue{"unknown setting " + name};
                 }
             }
         }
     }
 
+    /** @return The settings that have been read, by name. */
+    [[nodiscard]] std::vector<EffectiveSetting> effective() const
+    {
+        std::vector<EffectiveSetting> settings;
+        for (const auto &[name, setting] : m_effective) {
+            settings.push_back(setting);
+        }
+        return settings;
+    }
+
 private:
     const ptree &m_tree;
-    std::set<std::string> m_known;
+    std::map<std::string, EffectiveSetting> m_effective;
 };
 
 std::string readFile(const std::string &path)
@@ -175,6 +218,14 @@
     return value;
 }
 
+DeploymentBounds readBounds(SettingsReader &reader)
+{
+    return DeploymentBounds({.stopGrace = reader.bound("bounds.stop_grace_ms", 500, MaxBoundMs),
+                             .drain = reader.bound("bounds.drain_ms", 100, MaxBoundMs),
+                             .changeApply = reader.bound("bounds.change_apply_ms", 500, MaxBoundMs),
+                             .keyWithdrawal = reader.bound("bounds.key_withdrawal_ms", 500, MaxBoundMs)});
+}
+
 void readNode(SettingsReader &reader, SettingsFields &fields)
 {
     fields.host = core::HostId(reader.validName("node.host"));
@@ -184,10 +235,10 @@
     if (!reader.text("node.service", {}).empty()) {
         fields.service = core::ServiceId(reader.validName("node.service"));
     }
-    fields.stopTimeout = reader.milliseconds("node.stop_timeout_ms", 30'000, 100, 600'000);
-    const auto timeoutMs =
-        static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(fields.stopTimeout).count());
-    fields.stopLinger = reader.milliseconds("node.stop_linger_ms", 0, 0, timeoutMs);
+    const DerivedTimes derived = derivedTimes(fields.bounds);
+    fields.stopTimeout = reader.derivedMilliseconds("node.stop_timeout_ms", derived->stopTimeout, 30'000, 100, 600'000);
+    fields.stopLinger = reader.derivedMilliseconds(
+        "node.stop_linger_ms", derived->stopLinger, 0, 0, millisecondsOf(fields.stopTimeout));
     fields.callerPort = reader.port("ports.caller");
     fields.endpointPort = reader.port("ports.endpoint");
     fields.operatorPort = reader.port("ports.operator");
@@ -239,12 +290,17 @@
         reject("platform.kind", kind, "own or store");
     }
     fields.protocolKind = kind == "store" ? ProtocolKind::Store : ProtocolKind::Native;
-    fields.logPoll = reader.milliseconds("platform.poll_ms", 10'000, 100, 30'000);
-    fields.proofRefresh = reader.milliseconds("platform.proof_refresh_ms", 0, 0, 600'000);
-    fields.proofFallback = reader.milliseconds("platform.proof_fallback_ms", 0, 0, 600'000);
+    // Only the store confirms the configuration, so that nodes with another log derive no proof from the bounds.
+    const bool hasProof = fields.protocolKind == ProtocolKind::Store;
+    const DerivedTimes derived = hasProof ? derivedTimes(fields.bounds) : DerivedTimes();
+    fields.logPoll = reader.derivedMilliseconds("platform.poll_ms", derived->logPoll, 10'000, 100, 30'000);
+    fields.proofRefresh = reader.derivedMilliseconds("platform.proof_refresh_ms", derived->proofRefresh, 0, 0, 600'000);
+    fields.proofFallback =
+        reader.derivedMilliseconds("platform.proof_fallback_ms", derived->proofFallback, 0, 0, 600'000);
     fields.readersPerDataCentre = static_cast<std::uint32_t>(reader.number("platform.readers", 3, 1, 100));
-    fields.denialStaleness = reader.milliseconds("platform.denial_staleness_ms", 300'000, 0, 3'600'000);
-    fields.keyStaleness = reader.milliseconds("platform.key_staleness_ms", 0, 0, 600'000);
+    fields.denialStaleness =
+        reader.derivedMilliseconds("platform.denial_staleness_ms", derived->denialStaleness, 300'000, 0, 3'600'000);
+    fields.keyStaleness = reader.derivedMilliseconds("platform.key_staleness_ms", derived->keyStaleness, 0, 0, 600'000);
     fields.snapshotInterval = reader.milliseconds("platform.snapshot_interval_ms", 600'000, 100, 86'400'000);
 }
 
@@ -264,6 +320,32 @@
     }
 }
 
+/** @brief Reports a time that is not below the bound that it has to keep. */
+void checkBelow(const std::string &name,
+                core::Duration time,
+                const std::string &boundName,
+                const std::optional<core::Duration> &bound)
+{
+    if (bound && time >= *bound) {
+        reject(name,
+               std::to_string(millisecondsOf(time)),
+               "below " + boundName + " = " + std::to_string(millisecondsOf(*bound)));
+    }
+}
+
+/** @brief Reports settings that contradict the bounds of the deployment. */
+void checkBounds(const SettingsFields &fields)
+{
+    const DeploymentBounds &bounds = fields.bounds;
+    checkBelow("node.stop_timeout_ms", fields.stopTimeout, "bounds.stop_grace_ms", bounds->stopGrace);
+    checkBelow("platform.key_staleness_ms", fields.keyStaleness, "bounds.key_withdrawal_ms", bounds->keyWithdrawal);
+    checkBelow("platform.proof_fallback_ms", fields.proofFallback, "bounds.change_apply_ms", bounds->changeApply);
+    if (fields.keyStaleness > core::Duration::zero()) {
+        checkBelow(
+            "platform.proof_fallback_ms", fields.proofFallback, "platform.key_staleness_ms", fields.keyStaleness);
+    }
+}
+
 void readTelemetry(SettingsReader &reader, SettingsFields &fields)
 {
     fields.otlpAddress = reader.text("traces.otlp", {});
@@ -280,7 +362,7 @@
 
 }
 
-Result<Settings> parseSettings(const std::string &text)
+Result<SettingsDocument> parseDocument(const std::string &text)
 {
     ptree tree;
     try {
@@ -288,13 +370,19 @@
         boost::property_tree::read_ini(stream, tree);
         SettingsReader reader(tree);
         SettingsFields fields;
+        fields.bounds = readBounds(reader);
         readNode(reader, fields);
         readFleet(reader, fields);
         readPlatform(reader, fields);
         readLimits(reader, fields);
         readTelemetry(reader, fields);
         reader.rejectUnknown();
-        return Settings(std::move(fields));
+        checkBounds(fields);
+        std::vector<EffectiveSetting> effective = reader.effective();
+        for (EffectiveSetting &setting : effective) {
+            setting.value = setting.name == SecretName ? "..." : setting.value;
+        }
+        return SettingsDocument{Settings(std::move(fields)), std::move(effective)};
     } catch (const InvalidValue &invalid) {
         return tl::unexpected(Error(ErrorCode::InvalidSettings, invalid.detail));
     } catch (const boost::property_tree::ini_parser_error &error) {
@@ -303,13 +391,23 @@
     }
 }
 
-Result<Settings> loadSettings(const std::string &path)
+Result<Settings> parseSettings(const std::string &text)
+{
+    return parseDocument(text).map(&SettingsDocument::settings);
+}
+
+Result<SettingsDocument> loadDocument(const std::string &path)
 {
     try {
-        return parseSettings(readFile(path));
+        return parseDocument(readFile(path));
     } catch (const InvalidValue &invalid) {
         return tl::unexpected(Error(ErrorCode::StartFailed, invalid.detail));
     }
 }
 
+Result<Settings> loadSettings(const std::string &path)
+{
+    return loadDocument(path).map(&SettingsDocument::settings);
+}
+
 }
--- a/src/programs/berylspringd.cpp
+++ b/src/programs/berylspringd.cpp
@@ -131,6 +131,26 @@
     context.stop();
 }
 
+std::string_view nameOf(node::SettingSource source) noexcept
+{
+    switch (source) {
+    case node::SettingSource::File:
+        return "file";
+    case node::SettingSource::Bound:
+        return "bound";
+    case node::SettingSource::Default:
+        return "default";
+    }
+    return "invalid";
+}
+
+void printEffective(const std::vector<node::EffectiveSetting> &settings)
+{
+    for (const node::EffectiveSetting &setting : settings) {
+        std::cout << setting.name << " = " << setting.value << " (" << nameOf(setting.source) << ")\n";
+    }
+}
+
 int runNode(const std::string &path, const node::Settings &settings)
 {
     telemetry::startLogging(settings->host.value(), settings->logLevel);
@@ -171,7 +191,7 @@
     options::options_description description("berylspringd [options]");
     description.add_options()("help,h", "print this text")("version", "print the version")(
         "settings,s", options::value<std::string>()->value_name("FILE"), "settings in INI format")(
-        "check-settings", "check the settings and exit");
+        "check-settings", "check the settings, print the values in effect and where each comes from, and exit");
     options::variables_map values;
     try {
         options::store(options::parse_command_line(argc, argv, description), values);
@@ -192,14 +212,15 @@
         return ExitUsage;
     }
     const std::string path = values["settings"].as<std::string>();
-    const auto settings = node::loadSettings(path);
-    if (!settings) {
-        std::cerr << "berylspringd: " << settings.error().detail() << '\n';
+    const auto document = node::loadDocument(path);
+    if (!document) {
+        std::cerr << "berylspringd: " << document.error().detail() << '\n';
         return ExitInvalidSettings;
     }
     if (values.contains("check-settings")) {
+        printEffective(document->effective);
         std::cout << "settings are valid\n";
         return ExitOk;
     }
-    return runNode(path, *settings);
+    return runNode(path, document->settings);
 }
--- a/tests/node/settings_that_are_checked.cpp
+++ b/tests/node/settings_that_are_checked.cpp
@@ -68,3 +68,75 @@
         RC_ASSERT(!settings.error().detail().empty());
     });
 }
+
+// Guards against times that were chosen for the bounds of one deployment and break those of another.
+TEST(SettingsThatAreChecked, followTheBoundsOfTheDeployment)
+{
+    struct Bounds
+    {
+        int graceMs;
+        int drainMs;
+        int changeMs;
+        int withdrawalMs;
+    };
+    for (const Bounds &bounds :
+         {Bounds{6000, 2000, 2000, 5000}, Bounds{12000, 4000, 4000, 10000}, Bounds{3000, 1000, 1000, 2500}}) {
+        const std::string text = Minimal + "kind=store\n[bounds]\nstop_grace_ms=" + std::to_string(bounds.graceMs)
+                                 + "\ndrain_ms=" + std::to_string(bounds.drainMs)
+                                 + "\nchange_apply_ms=" + std::to_string(bounds.changeMs)
+                                 + "\nkey_withdrawal_ms=" + std::to_string(bounds.withdrawalMs) + "\n";
+        section("a grace of " + std::to_string(bounds.graceMs) + " ms", [&] {
+            const auto settings = node::parseSettings(text);
+            CHECK(settings.has_value());
+            const core::Duration grace = std::chrono::milliseconds(bounds.graceMs);
+            section("is used to at least 80% and leaves time to exit", [&] {
+                CHECK((*settings)->stopTimeout < grace);
+                CHECK((*settings)->stopTimeout > grace * 8 / 10);
+            });
+            section("lets callers leave and gives the last request some time", [&] {
+                CHECK((*settings)->stopLinger > std::chrono::milliseconds(bounds.drainMs));
+                CHECK((*settings)->stopLinger < (*settings)->stopTimeout);
+            });
+            section("comes with ages of the configuration below the bounds of changes and keys", [&] {
+                const core::Duration change = std::chrono::milliseconds(bounds.changeMs);
+                CHECK((*settings)->proofRefresh + (*settings)->logPoll < change);
+                CHECK((*settings)->proofFallback < change);
+                CHECK((*settings)->denialStaleness <= change);
+                CHECK((*settings)->keyStaleness < std::chrono::milliseconds(bounds.withdrawalMs));
+            });
+            section("gives way to a value in the file, which has to keep the bound", [&] {
+                const auto own = node::parseSettings(text + "[node]\nstop_timeout_ms=2000\n");
+                CHECK_FALSE(own.has_value()); // A section may stand once only.
+                std::string merged = text;
+                merged.insert(merged.find("address=") + 0, "stop_timeout_ms=2000\nstop_linger_ms=100\n");
+                const auto shorter = node::parseSettings(merged);
+                CHECK(shorter.has_value());
+                CHECK((*shorter)->stopTimeout == std::chrono::milliseconds(2000));
+                merged.replace(merged.find("stop_timeout_ms=2000"), 20, "stop_timeout_ms=30000");
+                checkRefused(merged, "node.stop_timeout_ms = \"30000\": must be below bounds.stop_grace_ms");
+            });
+        });
+    }
+    section("settings that contradict each other are refused", [] {
+        checkRefused(Minimal + "kind=store\nkey_staleness_ms=6000\n[bounds]\nkey_withdrawal_ms=5000\n",
+                     "platform.key_staleness_ms");
+        checkRefused(Minimal + "kind=store\nproof_fallback_ms=4500\n[bounds]\nkey_withdrawal_ms=5000\n",
+                     "platform.proof_fallback_ms");
+    });
+    section("the source of each value is told, and secrets are not", [] {
+        const auto document = node::parseDocument(Minimal + "[bounds]\nstop_grace_ms=6000\n");
+        CHECK(document.has_value());
+        const auto find = [&](const std::string &name) {
+            for (const node::EffectiveSetting &setting : document->effective) {
+                if (setting.name == name) {
+                    return setting;
+                }
+            }
+            return node::EffectiveSetting{};
+        };
+        CHECK(find("node.host") == (node::EffectiveSetting{"node.host", "a1", node::SettingSource::File}));
+        CHECK(find("node.threads").source == node::SettingSource::Default);
+        CHECK(find("node.stop_timeout_ms").source == node::SettingSource::Bound);
+        STRCMP_EQUAL("...", find("fleet.secret").value.c_str());
+    });
+}
