Answer what arrives late in a stop instead of cutting it

It can happen here: while the endpoint of a stopping node was busy, its caller port took every new request, and at stop_timeout the process exited with these requests open.

Change: after stop_linger a root request is passed on only if it ends before stop_timeout by its own timeout (StopSchedule). Others are refused as not run, with a Retry-After. What still runs at stop_timeout is cancelled and gets a final answer with outcome "unknown". Nested calls of running requests are taken to the end.

Ruled out: answering a request earlier because it may not end in time; its endpoint is at work, and the answer could still come.

--- a/include/berylspring/http/server.h
+++ b/include/berylspring/http/server.h
@@ -86,6 +86,8 @@
     void closeAfterResponses();
     /** @brief Stops accepting connections; the last pending response of each one has `Connection: close`. */
     void stopAccepting();
+    /** @brief Cancels all running handlers; what a cancelled handler returns is still sent to its client. */
+    void cancelRequests();
     /** @brief Completes when no connection is open; call stopAccepting() first. */
     boost::asio::awaitable<void> waitUntilDrained();
     /** @brief Closes the listening socket and all connections immediately. */
--- a/include/berylspring/node/entry.h
+++ b/include/berylspring/node/entry.h
@@ -25,6 +25,8 @@
     std::function<std::shared_ptr<const config::Catalogue>()> catalogue; ///< Null while the node is not ready.
     std::function<bool(const core::Digest &)> isKeyWithdrawn;
     std::function<core::Duration()> configurationAge;
+    /** @return Whether the node accepts a root request that may take the given time; false late in a graceful stop. */
+    std::function<bool(core::Duration, core::TimePoint)> acceptsRoot;
     /** Applies the rate limit of a workspace. */
     std::function<boost::asio::awaitable<tl::expected<void, core::Refusal>>(core::WorkspaceId)> admit;
     std::function<boost::asio::awaitable<wire::CallResponse>(wire::CallRequest)> dispatch;
--- /dev/null
+++ b/include/berylspring/node/stop_schedule.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "berylspring/core/time.h"
+
+namespace berylspring::node {
+
+/** @brief Times of a graceful stop, fixed when it begins. */
+class StopSchedule
+{
+public:
+    /**
+     * @param begin Time of the request to stop.
+     * @param linger Time for which requests are accepted unconditionally.
+     * @param timeout Time after which running requests are aborted; at least the linger time.
+     */
+    StopSchedule(core::TimePoint begin, core::Duration linger, core::Duration timeout) noexcept
+        : m_lingerUntil(begin + linger)
+        , m_abortAt(begin + timeout)
+    {
+    }
+
+    [[nodiscard]] core::TimePoint lingerUntil() const noexcept
+    {
+        return m_lingerUntil;
+    }
+    [[nodiscard]] core::TimePoint abortAt() const noexcept
+    {
+        return m_abortAt;
+    }
+    /**
+     * @param timeout Time that is left for the request.
+     * @param now Arrival of the request.
+     * @return Whether a new request is accepted: callers are still leaving, or it ends by itself before the abort.
+     */
+    [[nodiscard]] bool accepts(core::Duration timeout, core::TimePoint now) const noexcept
+    {
+        return now < m_lingerUntil || now + timeout <= m_abortAt;
+    }
+    [[nodiscard]] bool operator==(const StopSchedule &) const = default;
+
+private:
+    core::TimePoint m_lingerUntil;
+    core::TimePoint m_abortAt;
+};
+
+}
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -160,6 +160,11 @@
         m_isClosing = true;
     }
 
+    void cancelRequests()
+    {
+        forEachSession([](const SessionPointer &session) { cancelAll(*session); });
+    }
+
     void close()
     {
         stopAccepting();
@@ -507,6 +512,11 @@
     m_implementation->closeAfterResponses();
 }
 
+void Server::cancelRequests()
+{
+    m_implementation->cancelRequests();
+}
+
 asio::awaitable<void> Server::waitUntilDrained()
 {
     return m_implementation->waitUntilDrained();
--- a/src/node/entry.cpp
+++ b/src/node/entry.cpp
@@ -63,6 +63,14 @@
 
 /** Time after which the entry may admit a request again that it has shed. */
 constexpr core::Duration ShedRetryAfter = std::chrono::milliseconds(700);
+/** Time in which a caller finds another node after this one refused a request because it stops. */
+constexpr core::Duration StoppingRetryAfter = std::chrono::milliseconds(50);
+
+Refusal stoppingRefusal(std::uint64_t random)
+{
+    const Refusal refusal(RefusalReason::Draining, Outcome::NotRun, "the node stops before the request could end");
+    return refusal.withRetryAfter(withJitter(StoppingRetryAfter, random));
+}
 
 /** @brief Reserves a part of the parent's retry allowance for the duration of a nested call. */
 class RetryReservation
@@ -142,6 +150,9 @@
     }
     priority = (*plan)->priority;
     if (!(*plan)->isNested) {
+        if (!m_hooks.acceptsRoot((*plan)->timeout, startedAt)) {
+            co_return refused(refusalBeforeHome(stoppingRefusal(m_hooks.random()), request, *plan));
+        }
         const auto admitted = co_await admit(*plan);
         if (!admitted) {
             co_return refused(refusalBeforeHome(admitted.error(), request, *plan));
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -30,6 +30,8 @@
 
 /** Interval at which a node that must confirm its configuration checks the age of the last confirmation. */
 constexpr core::Duration ProofCheckInterval = std::chrono::milliseconds(300);
+/** Time in which the final responses of aborted requests are written. */
+constexpr core::Duration AbortTimeout = std::chrono::milliseconds(200);
 
 config::ConfigSettings configSettings(const Settings &settings)
 {
@@ -198,16 +200,22 @@
 
 asio::awaitable<void> Node::Implementation::stop()
 {
+    const StopSchedule schedule(now(), m_settings->stopLinger, m_settings->stopTimeout);
+    {
+        const std::scoped_lock lock(m_stopMutex);
+        m_stopSchedule = schedule;
+    }
     m_isStopping = true;
     telemetry::log(telemetry::Severity::Info, "stopping");
     drainEndpoint();
-    co_await linger();
+    co_await linger(schedule);
     using asio::experimental::awaitable_operators::operator||;
-    asio::steady_timer deadline(co_await asio::this_coro::executor, m_settings->stopTimeout - m_settings->stopLinger);
+    asio::steady_timer deadline(co_await asio::this_coro::executor, schedule.abortAt() - now());
     const auto outcome = co_await (finishWork() || deadline.async_wait(asio::use_awaitable));
     const bool isFinished = outcome.index() == 0;
     if (!isFinished) {
         telemetry::log(telemetry::Severity::Error, "graceful stop timed out; aborting the remaining requests");
+        co_await abortRequests();
     }
     // Without a handover this node must not leave but be declared dead, so that its claims are answered as unknown.
     if (isFinished && std::get<0>(outcome)) {
@@ -224,14 +232,33 @@
     telemetry::log(telemetry::Severity::Info, "stopped");
 }
 
-asio::awaitable<void> Node::Implementation::linger()
+asio::awaitable<void> Node::Implementation::linger(StopSchedule schedule)
 {
     // Callers keep sending until they notice that the node is not ready; each response closes its connection.
     m_callerServer.closeAfterResponses();
-    asio::steady_timer timer(co_await asio::this_coro::executor, m_settings->stopLinger);
+    asio::steady_timer timer(co_await asio::this_coro::executor, schedule.lingerUntil() - now());
     co_await timer.async_wait(asio::use_awaitable);
 }
 
+asio::awaitable<void> Node::Implementation::abortRequests()
+{
+    m_isAborting = true;
+    m_callerServer.stopAccepting();
+    m_callerServer.cancelRequests();
+    using asio::experimental::awaitable_operators::operator||;
+    asio::steady_timer timer(co_await asio::this_coro::executor, AbortTimeout);
+    co_await (m_callerServer.waitUntilDrained() || timer.async_wait(asio::use_awaitable));
+}
+
+bool Node::Implementation::acceptsRoot(core::Duration timeout, core::TimePoint now) const
+{
+    if (!m_isStopping) {
+        return true;
+    }
+    const std::scoped_lock lock(m_stopMutex);
+    return m_stopSchedule->accepts(timeout, now);
+}
+
 asio::awaitable<bool> Node::Implementation::finishWork()
 {
     // The caller port stays open until the endpoint is idle, because running requests make nested calls through it.
--- a/src/node/node_handlers.cpp
+++ b/src/node/node_handlers.cpp
@@ -5,8 +5,10 @@
 #include "berylspring/telemetry/log.h"
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/system/system_error.hpp>
 
 namespace berylspring::node {
 
@@ -116,7 +118,17 @@
         recordRejection({response->status, request->target, parsed.error().detail()});
         co_return response;
     }
-    const wire::CallResponse response = co_await m_entry.call(std::move(*parsed));
+    wire::CallResponse response;
+    try {
+        response = co_await m_entry.call(std::move(*parsed));
+    } catch (const boost::system::system_error &error) {
+        if (error.code() != asio::error::operation_aborted || !m_isAborting) {
+            throw;
+        }
+        const core::Refusal refusal(
+            core::RefusalReason::Cancelled, core::Outcome::Unknown, "the node stopped before the endpoint answered");
+        response = wire::CallResponse({.refusal = refusal});
+    }
     co_return m_protocols.encodeResponse(response, request);
 }
 
--- a/src/node/node_hooks.cpp
+++ b/src/node/node_hooks.cpp
@@ -218,6 +218,7 @@
         return m_limits.admit(std::move(workspace), m_settings->maxLimitHold);
     };
     hooks.dispatch = [this](wire::CallRequest call) { return m_dispatcher.dispatch(std::move(call)); };
+    hooks.acceptsRoot = [this](core::Duration timeout, core::TimePoint now) { return acceptsRoot(timeout, now); };
     hooks.runOnce = [this](wire::CallRequest call) { return m_idempotency.run(std::move(call)); };
     hooks.now = now;
     hooks.random = m_random;
--- a/src/node/node_implementation.h
+++ b/src/node/node_implementation.h
@@ -15,6 +15,7 @@
 #include "berylspring/node/local_endpoint.h"
 #include "berylspring/node/node.h"
 #include "berylspring/node/protocols.h"
+#include "berylspring/node/stop_schedule.h"
 #include "berylspring/telemetry/metrics.h"
 #include "berylspring/telemetry/span_buffer.h"
 #include "berylspring/wire/datagram_codec.h"
@@ -24,6 +25,7 @@
 #include <atomic>
 #include <memory>
 #include <mutex>
+#include <optional>
 
 namespace berylspring::node {
 
@@ -68,7 +70,9 @@
     void publishEndpoint();
     void logStatus() const;
     boost::asio::awaitable<void> publishLoop();
-    boost::asio::awaitable<void> linger();
+    boost::asio::awaitable<void> linger(StopSchedule schedule);
+    boost::asio::awaitable<void> abortRequests();
+    [[nodiscard]] bool acceptsRoot(core::Duration timeout, core::TimePoint now) const;
     boost::asio::awaitable<bool> finishWork();
     void notifyProviders(wire::QuarantineNotice notice);
     boost::asio::awaitable<void> notify(core::HostId host, wire::Message message);
@@ -98,6 +102,9 @@
     std::uint64_t m_bootId;
     core::TimePoint m_startedAt;
     std::atomic<bool> m_isStopping{false};
+    std::atomic<bool> m_isAborting{false}; ///< The graceful stop has timed out.
+    mutable std::mutex m_stopMutex;
+    std::optional<StopSchedule> m_stopSchedule; ///< Set when a graceful stop begins.
 
     telemetry::Metrics m_metrics;
     std::shared_ptr<telemetry::SpanBuffer> m_spans;
--- a/tests/integration/a_planned_stop_cuts_no_request.cpp
+++ b/tests/integration/a_planned_stop_cuts_no_request.cpp
@@ -30,12 +30,16 @@
 class LongCalls
 {
 public:
-    LongCalls(test::Fleet &fleet, std::size_t entry, std::size_t endpoint, std::string path)
+    LongCalls(test::Fleet &fleet,
+              std::size_t entry,
+              std::size_t endpoint,
+              std::string path,
+              std::chrono::milliseconds work = 8s)
         : m_fleet(fleet)
     {
         const bool isPlaced = test::waitUntil([&, path] {
-            m_results.push_back(std::async(std::launch::async, [&fleet, entry, path] {
-                return fleet.call(entry, callOf("POST", path + "?work_ms=8000"));
+            m_results.push_back(std::async(std::launch::async, [&fleet, entry, path, work] {
+                return fleet.call(entry, callOf("POST", path + "?work_ms=" + std::to_string(work.count())));
             }));
             const auto hasRun = [&] { return m_fleet.record(endpoint).at("runs").as_object().contains(path); };
             return test::waitUntil(hasRun, 100ms);
@@ -43,10 +47,18 @@
         CHECK_TEXT(isPlaced, "no long call reached the endpoint");
     }
 
-    void checkAllComplete()
+    std::vector<test::CallResult> results()
     {
+        std::vector<test::CallResult> results;
         for (std::future<test::CallResult> &future : m_results) {
-            const test::CallResult result = future.get();
+            results.push_back(future.get());
+        }
+        return results;
+    }
+
+    void checkAllComplete()
+    {
+        for (const test::CallResult &result : results()) {
             STRCMP_EQUAL("", result->reason.c_str());
             CHECK(result.isComplete());
         }
@@ -137,3 +149,41 @@
         section("every remaining node serves", [&] { fleet.waitUntilServing({"/front"}, "key-tenant"); });
     });
 }
+
+// Guards against requests that arrive late in a stop, are passed on and then cut without an answer.
+TEST(APlannedStopCutsNoRequest, thatArrivesLateInTheGrace)
+{
+    const test::EndpointConfig endpoint{.service = "front", .extraOptions = {"--no-header-record"}};
+    test::Fleet fleet(test::FleetConfig(
+        {.endpoints = {endpoint, endpoint}, .extraSettings = "[bounds]\nstop_grace_ms=10000\ndrain_ms=2400\n"}));
+    fleet.addWorkspace("tenant", 2000, 500);
+    fleet.addRoute("front", {{"prefix", "/front"}, {"service", "front"}}, 3);
+    fleet.waitUntilServing({"/front"}, "key-tenant");
+    const std::size_t stopped = 1;
+    const auto callWithin = [&](core::Duration timeout) {
+        const test::Call call = callOf("POST", "/front/late");
+        return fleet.call(stopped, call.with(&test::CallFields::timeout, timeout));
+    };
+    LongCalls endless(fleet, stopped, stopped, "/front/outlasts-the-stop", 20s);
+    const auto stoppedAt = std::chrono::steady_clock::now();
+    fleet.node(stopped).daemon->terminate();
+
+    section("while callers are leaving, requests are passed on", [&] {
+        std::this_thread::sleep_until(stoppedAt + 500ms);
+        CHECK(callWithin(20s).isComplete());
+    });
+    section("later, a request that may not be repeated and may outlast the stop is refused as not run", [&] {
+        std::this_thread::sleep_until(stoppedAt + 5s);
+        const test::CallResult result = callWithin(20s);
+        STRCMP_EQUAL("draining", result->reason.c_str());
+        CHECK(result->outcome == core::Outcome::NotRun);
+    });
+    section("one that ends before the stop is answered", [&] { CHECK(callWithin(1s).isComplete()); });
+    section("a request that outlasts the stop gets a final answer that promises nothing", [&] {
+        for (const test::CallResult &result : endless.results()) {
+            CHECK_TEXT(result->status != 0, "the connection ended without an answer");
+            CHECK(result->outcome == core::Outcome::Unknown);
+        }
+    });
+    section("the node exits with status 0", [&] { LONGS_EQUAL(0, fleet.node(stopped).daemon->wait(60s).exitStatus); });
+}
--- a/tests/node/a_refusal_at_the_entry.cpp
+++ b/tests/node/a_refusal_at_the_entry.cpp
@@ -1,6 +1,7 @@
 #include "berylspring/config/log_record.h"
 #include "berylspring/core/types.h"
 #include "berylspring/node/entry.h"
+#include "berylspring/node/stop_schedule.h"
 #include "support/section.h"
 
 #include <memory>
@@ -36,6 +37,10 @@
         };
     add(1, config::ResourceType::Priority, "normal", R"({"level":3})");
     add(2, config::ResourceType::Route, "visits", R"({"prefix":"/visits","service":"visits","priority":"normal"})");
+    add(3,
+        config::ResourceType::Route,
+        "prices",
+        R"({"prefix":"/prices","service":"prices","priority":"normal","is_open":true})");
     return catalogue;
 }
 
@@ -49,6 +54,8 @@
     }
 
     core::Duration configurationAge{};
+    core::TimePoint now{};
+    std::optional<node::StopSchedule> stopSchedule;
 
     core::Refusal refusalOf(const http::CallerRequest &request)
     {
@@ -69,7 +76,13 @@
         hooks.catalogue = [shared] { return shared; };
         hooks.isKeyWithdrawn = [](const core::Digest &digest) { return digest == core::sha256(Withdrawn); };
         hooks.configurationAge = [this] { return configurationAge; };
-        hooks.now = [] { return core::TimePoint(); };
+        hooks.acceptsRoot = [this](core::Duration timeout, core::TimePoint now) {
+            return !stopSchedule || stopSchedule->accepts(timeout, now);
+        };
+        hooks.now = [this] { return now; };
+        hooks.dispatch = [](wire::CallRequest) -> asio::awaitable<wire::CallResponse> {
+            co_return wire::CallResponse({.refusal = core::Refusal(RefusalReason::NoEndpoint, Outcome::NotRun)});
+        };
         hooks.random = core::systemRandom();
         hooks.spans = [](const telemetry::Span &) {};
         return hooks;
@@ -141,3 +154,32 @@
     section("a withdrawn key never becomes valid again, so it is denied at any age",
             [&] { CHECK(reasonOf("/visits", Withdrawn) == RefusalReason::KeyInvalid); });
 }
+
+// Guards against requests that a stopping node passes on and then cuts because they outlast its stop.
+TEST(ARefusalAtTheEntry, turnsAwayWhatCannotEndBeforeTheStop)
+{
+    using namespace std::chrono_literals;
+    EntryThatRefuses entry(catalogueWithRoute());
+    const auto refusalAt = [&](core::Duration sinceStop, core::Duration timeout) {
+        entry.now = core::TimePoint() + sinceStop;
+        return entry.refusalOf(booking("/prices", std::nullopt, std::nullopt)
+                                   .with(&http::CallerRequestFields::timeout, std::optional<core::Duration>(timeout)));
+    };
+    entry.stopSchedule = node::StopSchedule(core::TimePoint(), 2s, 5s);
+    section("while callers are leaving, each request is passed on",
+            [&] { CHECK(refusalAt(1999ms, 5s).reason() == RefusalReason::NoEndpoint); });
+    section("later, a request that may outlast the stop is refused as not run, with a time to come back", [&] {
+        const core::Refusal refusal = refusalAt(2s, 3001ms);
+        CHECK(refusal.reason() == RefusalReason::Draining);
+        CHECK(refusal.outcome() == Outcome::NotRun);
+        CHECK(refusal.retryAfter().has_value());
+    });
+    section("a request that ends before the stop is passed on", [&] {
+        CHECK(refusalAt(2s, 3s).reason() == RefusalReason::NoEndpoint);
+        CHECK(refusalAt(4s, 500ms).reason() == RefusalReason::NoEndpoint);
+    });
+    section("a node that does not stop passes on all", [&] {
+        entry.stopSchedule.reset();
+        CHECK(refusalAt(10s, 1h).reason() == RefusalReason::NoEndpoint);
+    });
+}
