Count the bytes between nodes by class and distance

Change: wire::TrafficMeter counts what a node sends by class (calls, limits, claims, configuration, quarantine, membership, keep-alive, handshake) within its data centre and to others. The figures are on the metrics port as berylspring_peer_sent_bytes{class,scope} and in the status line of the log.

--- a/include/berylspring/membership/hooks.h
+++ b/include/berylspring/membership/hooks.h
@@ -7,6 +7,7 @@
 #include "berylspring/wire/datagrams.h"
 #include "berylspring/wire/error.h"
 
+#include <cstddef>
 #include <functional>
 #include <string>
 #include <string_view>
@@ -29,6 +30,8 @@
     std::function<void(const core::HostId &, core::Offset)> offsetReported;
     /** A member is new or changed its state, incarnation, address or service. May be empty. */
     std::function<void(const Member &)> changed;
+    /** A datagram of this size was sent, to another data centre or not. May be empty. */
+    std::function<void(bool isRemote, std::size_t bytes)> sent;
 };
 
 }
--- a/include/berylspring/wire/peer_options.h
+++ b/include/berylspring/wire/peer_options.h
@@ -3,11 +3,13 @@
 #include "berylspring/core/name.h"
 #include "berylspring/core/time.h"
 #include "berylspring/wire/messages.h"
+#include "berylspring/wire/traffic_meter.h"
 
 #include <chrono>
 #include <compare>
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -33,6 +35,7 @@
     std::size_t maxQueuedBytes = std::size_t{32} * 1024 * 1024;
     std::size_t maxConnections = 20'000; ///< Limit of the accepted connections of a server.
     std::size_t maxRunningRequests = 10'000; ///< Limit of the concurrent requests of one accepted connection.
+    std::shared_ptr<TrafficMeter> traffic; ///< Counts the bytes of all connections; may be empty.
     [[nodiscard]] bool operator==(const PeerOptions &) const = default;
 };
 
--- a/src/membership/service_state.cpp
+++ b/src/membership/service_state.cpp
@@ -183,6 +183,16 @@
             m_hooks.offsetReported(reported.host, reported.offset);
         }
     }
+    if (m_hooks.sent) {
+        for (const auto &member : actions.changed) {
+            if (member.dataCentre() == m_settings.dataCentre) {
+                asio::dispatch(m_strand,
+                               [state = shared_from_this(), address = PeerAddress{member.address(), member.port()}] {
+                                   state->m_localAddresses.insert(address);
+                               });
+            }
+        }
+    }
     if (!actions.datagrams.empty()) {
         asio::dispatch(m_strand, [state = shared_from_this(), datagrams = actions.datagrams] {
             for (const auto &outgoing : datagrams) {
@@ -211,6 +221,14 @@
     if (sealed) {
         // A datagram that the socket cannot take now is dropped; the protocol tolerates losses.
         m_socket.send_to(asio::buffer(*sealed), Udp::endpoint(address, outgoing.to.port), 0, failure);
+        countSent(outgoing.to, sealed->size());
+    }
+}
+
+void ServiceState::countSent(const PeerAddress &to, std::size_t bytes)
+{
+    if (m_hooks.sent) {
+        m_hooks.sent(!m_localAddresses.contains(to), bytes);
     }
 }
 
--- a/src/membership/service_state.h
+++ b/src/membership/service_state.h
@@ -13,6 +13,7 @@
 
 #include <atomic>
 #include <memory>
+#include <set>
 #include <string_view>
 
 namespace berylspring::membership::detail {
@@ -46,6 +47,7 @@
     [[nodiscard]] static boost::asio::awaitable<void> runTicks(std::shared_ptr<ServiceState> state);
     void handle(std::string_view bytes);
     void send(const Outgoing &outgoing);
+    void countSent(const PeerAddress &to, std::size_t bytes);
 
     MembershipHooks m_hooks;
     MembershipSettings m_settings;
@@ -53,6 +55,7 @@
     boost::asio::strand<boost::asio::any_io_executor> m_strand;
     Udp::socket m_socket;
     boost::asio::steady_timer m_timer;
+    std::set<PeerAddress> m_localAddresses; ///< Of the members in the own data centre; strand only.
     std::atomic<bool> m_isStarted{false};
     std::atomic<bool> m_isStopped{false};
 };
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -308,6 +308,17 @@
     add("berylspring_config_log_generation", m_config.logGeneration());
     add("berylspring_requests_in_flight", m_inFlight.size());
     add("berylspring_spans_dropped", m_spans->dropped());
+    for (std::size_t i = 0; i < wire::TrafficClassCount; ++i) {
+        const auto trafficClass = static_cast<wire::TrafficClass>(i);
+        const wire::TrafficCount count = m_traffic->count(trafficClass);
+        const std::string name(wire::toString(trafficClass));
+        samples.push_back({"berylspring_peer_sent_bytes",
+                           static_cast<double>(count.withinDataCentre),
+                           {{"class", name}, {"scope", "data_centre"}}});
+        samples.push_back({"berylspring_peer_sent_bytes",
+                           static_cast<double>(count.betweenDataCentres),
+                           {{"class", name}, {"scope", "fleet"}}});
+    }
     return samples;
 }
 
--- a/src/node/node_handlers.cpp
+++ b/src/node/node_handlers.cpp
@@ -218,7 +218,11 @@
     std::vector<telemetry::LogField> fields;
     const std::vector<telemetry::Sample> samples = this->samples();
     for (const telemetry::Sample &sample : samples) {
-        fields.push_back({sample.name, sample.value});
+        std::string name = sample.name;
+        for (const auto &[label, value] : sample.labels) {
+            name += "_" + value;
+        }
+        fields.push_back({name, sample.value});
     }
     const double ageMs = std::chrono::duration<double, std::milli>(configurationAge()).count();
     fields.push_back({"configuration_age_ms", ageMs});
--- a/src/node/node_hooks.cpp
+++ b/src/node/node_hooks.cpp
@@ -50,7 +50,8 @@
             .secret = m_settings->secret,
             .dataCentre = m_settings->dataCentre.value(),
             .dictionary = wire::makeDictionary(m_protocols.typicalMessages),
-            .maxFrameBytes = m_settings->maxFrameBytes};
+            .maxFrameBytes = m_settings->maxFrameBytes,
+            .traffic = m_traffic};
 }
 
 membership::MembershipSettings Node::Implementation::membershipSettings() const
@@ -78,6 +79,9 @@
     };
     hooks.random = m_random;
     hooks.now = now;
+    hooks.sent = [this](bool isRemote, std::size_t bytes) {
+        m_traffic->record(wire::TrafficClass::Membership, isRemote, bytes);
+    };
     hooks.offsetReported = [this](const core::HostId &host, core::Offset offset) {
         if (offset > m_config.catalogue()->appliedOffset()) {
             asio::co_spawn(m_executor, m_config.pullFrom(host, offset), detail::logFailure("pull of records"));
--- a/src/node/node_implementation.h
+++ b/src/node/node_implementation.h
@@ -108,6 +108,7 @@
 
     telemetry::Metrics m_metrics;
     std::shared_ptr<telemetry::SpanBuffer> m_spans;
+    std::shared_ptr<wire::TrafficMeter> m_traffic = std::make_shared<wire::TrafficMeter>();
     InFlightTable m_inFlight;
     EndpointViewCache m_endpointViews;
     wire::DatagramCodec m_datagrams;
--- a/src/wire/peer_connection.cpp
+++ b/src/wire/peer_connection.cpp
@@ -80,7 +80,9 @@
     if (!frame) {
         co_return tl::unexpected(frame.error());
     }
-    StartRequest start{self, number, self->compressIfEnabled(*frame), deadline};
+    EncodedFrame outgoing = self->compressIfEnabled(*frame);
+    self->countSent(trafficClassOf(message), outgoing.size());
+    StartRequest start{self, number, std::move(outgoing), deadline};
     auto waiting = asio::async_initiate<const asio::use_awaitable_t<>, void(Result<Message>)>(std::move(start),
                                                                                               asio::use_awaitable);
     Result<Message> reply = co_await std::move(waiting);
@@ -139,11 +141,12 @@
     beginWriting(writing);
 }
 
-void PeerConnection::send(const EncodedFrame &frame, std::size_t inFlight)
+void PeerConnection::send(const EncodedFrame &frame, TrafficClass trafficClass, std::size_t inFlight)
 {
     bool isFull = false;
     auto writing = Writing::NotNeeded;
     const EncodedFrame outgoing = compressIfEnabled(frame);
+    countSent(trafficClass, outgoing.size());
     {
         const std::scoped_lock lock(m_mutex);
         if (m_stage == Stage::Closed) {
@@ -223,6 +226,18 @@
     return m_isCompressing ? m_compression.compressed(frame) : frame;
 }
 
+void PeerConnection::countSent(TrafficClass trafficClass, std::size_t bytes)
+{
+    if (!m_options->traffic) {
+        return;
+    }
+    if (m_isPeerKnown) {
+        m_options->traffic->record(trafficClass, m_isRemote, bytes);
+    } else {
+        m_uncounted[static_cast<std::size_t>(trafficClass)] += bytes;
+    }
+}
+
 Result<Envelope> PeerConnection::decodeFrame(std::span<const std::uint8_t> frame) const
 {
     if (!FrameCompression::isCompressed(frame)) {
--- a/src/wire/peer_connection.h
+++ b/src/wire/peer_connection.h
@@ -13,6 +13,7 @@
 #include "wire/reply_waiter.h"
 #include "wire/silence_monitor.h"
 
+#include <array>
 #include <atomic>
 #include <cstddef>
 #include <cstdint>
@@ -81,9 +82,10 @@
     /**
      * @brief Queues an answer.
      * @param frame The answer.
+     * @param trafficClass What the frame is counted as.
      * @param inFlight Number of running requests of this connection. Above a threshold, writes are coalesced.
      */
-    void send(const EncodedFrame &frame, std::size_t inFlight);
+    void send(const EncodedFrame &frame, TrafficClass trafficClass, std::size_t inFlight);
 
     /** @brief Closes the connection. Pending requests fail. */
     void close(const std::optional<Error> &error);
@@ -142,6 +144,8 @@
     [[nodiscard]] Hello makeHello() const;
     /** @return The frame, compressed if compression is enabled for the peer. */
     [[nodiscard]] EncodedFrame compressIfEnabled(const EncodedFrame &frame) const;
+    /** @brief Counts bytes that are sent; until the peer is known, they are kept back. */
+    void countSent(TrafficClass trafficClass, std::size_t bytes);
     [[nodiscard]] Result<Envelope> decodeFrame(std::span<const std::uint8_t> frame) const;
 
     // Must be called with the mutex held.
@@ -159,6 +163,9 @@
     core::HostId m_expectedPeer; ///< Set before the connection starts.
     std::atomic<std::uint64_t> m_lastNumber{0};
     std::atomic<bool> m_isClosed{false};
+    std::atomic<bool> m_isRemote{false}; ///< The peer is in another data centre.
+    std::atomic<bool> m_isPeerKnown{false}; ///< m_isRemote is valid.
+    std::array<std::atomic<std::uint64_t>, TrafficClassCount> m_uncounted{}; ///< Sent before the peer was known.
     std::atomic<bool> m_isCompressing{false}; ///< The peer is in another data centre and has the same dictionary.
 
     // Used on the strand only, except for write_some().
--- a/src/wire/peer_connection_io.cpp
+++ b/src/wire/peer_connection_io.cpp
@@ -104,7 +104,9 @@
 {
     const auto frame = encode(Envelope{RequestKey{m_epoch, number}, CallCancel{}}, m_options->maxFrameBytes);
     // If the queue is full, the peer completes an unwanted request, which is harmless.
-    (void)(frame && m_queue.push(0, *frame));
+    if (frame && m_queue.push(0, *frame)) {
+        countSent(TrafficClass::Call, frame->size());
+    }
 }
 
 void PeerConnection::armTimer()
@@ -172,7 +174,9 @@
     }
     if (m_stage == Stage::Open && !m_hasSent) {
         const auto frame = encode(Envelope{RequestKey{}, Heartbeat{}}, m_options->maxFrameBytes);
-        (void)(frame && m_queue.push(0, *frame));
+        if (frame && m_queue.push(0, *frame)) {
+            countSent(TrafficClass::KeepAlive, frame->size());
+        }
     }
     m_hasSent = false;
     return std::nullopt;
--- a/src/wire/peer_connection_setup.cpp
+++ b/src/wire/peer_connection_setup.cpp
@@ -209,6 +209,7 @@
         }
         frames.push_back(std::move(*frame));
         buffers.emplace_back(frames.back().bytes().data(), frames.back().size());
+        countSent(TrafficClass::Handshake, frames.back().size());
     }
     const auto [error, byteCount] = co_await asio::async_write(m_socket, buffers, AsTuple);
     if (error) {
@@ -246,12 +247,16 @@
         m_stage = Stage::Open;
         m_peer = peer;
         // Within a data centre, compression would cost more than the bandwidth it saves.
-        m_isCompressing = peer->dictionary != 0 && peer->dictionary == m_compression.dictionaryId()
-                          && peer->dataCentre != m_options->dataCentre;
+        m_isRemote = peer->dataCentre != m_options->dataCentre;
+        m_isCompressing = peer->dictionary != 0 && peer->dictionary == m_compression.dictionaryId() && m_isRemote;
         m_lastUse = now;
         m_silence = m_silence.withReceipt(now);
         writing = claimWriting(now, m_pending.size());
     }
+    m_isPeerKnown = true;
+    for (std::size_t i = 0; i < TrafficClassCount; ++i) {
+        countSent(static_cast<TrafficClass>(i), m_uncounted[i].exchange(0));
+    }
     m_hooks.onOpen(shared_from_this());
     beginWriting(writing);
 }
--- a/src/wire/peer_server.cpp
+++ b/src/wire/peer_server.cpp
@@ -227,7 +227,7 @@
             frame = detail::encode(key, refused, options->maxFrameBytes);
         }
         if (frame) {
-            connection->send(*frame, inFlight);
+            connection->send(*frame, trafficClassOf(answer), inFlight);
         }
     }
 
