Start buckets before their first request and tolerate a declared excess

Change: a new node takes over its buckets in its first 10 s without waiting for a request, at most 64 a tick, so that they refill from then on. A bound limit_excess_requests of the deployment gives a burst_tolerance of half of it (0 without the bound), which is added to each burst and divided like it. A node that does not know the others yet takes over no bucket.

Ruled out: one owner for the whole fleet (a cut data centre would have nothing), and starting a restarted node's buckets full (exceeds the limit).

Schedules with kills of the whole fleet are part of AnyScheduleOfFaults now.

--- a/include/berylspring/limit/limit_service.h
+++ b/include/berylspring/limit/limit_service.h
@@ -33,8 +33,11 @@
 struct LimitHooks
 {
     wire::PeerCall call;
-    std::function<std::vector<core::HostId>(const core::DataCentreId &)> liveHosts; ///< Including self.
+    /** Including self, unless this node does not know the other hosts yet. */
+    std::function<std::vector<core::HostId>(const core::DataCentreId &)> liveHosts;
     std::function<std::optional<WorkspaceLimit>(const core::WorkspaceId &)> limitOf; ///< Empty: unlimited.
+    /** Workspaces with a limit, whose buckets are started before their first request; may be empty. */
+    std::function<std::vector<core::WorkspaceId>()> limitedWorkspaces;
     std::function<core::TimePoint()> now;
     /** Send time of the newest message that a peer in the own data centre has acknowledged. */
     std::function<core::TimePoint()> lastPeerAck;
--- a/include/berylspring/node/settings.h
+++ b/include/berylspring/node/settings.h
@@ -51,6 +51,7 @@
     std::uint32_t maxHeaderBytes = 0;
     std::uint32_t maxBodyBytes = 0;
     std::uint32_t maxFrameBytes = 0;
+    std::uint32_t burstTolerance = 0; ///< Requests that each workspace may send over its declared burst.
     core::Duration maxLimitHold{}; ///< Longest wait of a request for rate limit tokens.
     DeploymentBounds bounds;
     core::Duration stopTimeout{}; ///< Upper bound of a graceful stop.
--- a/src/limit/bucket_manager.cpp
+++ b/src/limit/bucket_manager.cpp
@@ -21,6 +21,9 @@
 /** Delay before a retry while another request takes over the bucket, which takes one round trip. */
 constexpr core::Duration StartPollInterval = 2ms;
 
+/** Bounds the processor time of a tick: a choice of the owner takes some microseconds in a large data centre. */
+constexpr std::size_t BucketStartsPerTick = 64;
+
 wire::GrantReply grantReply(wire::GrantStatus status, const GrantDecision &decision)
 {
     return wire::GrantReply(wire::GrantReplyFields{status, decision.tokens, decision.lifetime, decision.availableIn});
@@ -78,7 +81,8 @@
         slot.bucket->changeShare(limit.share(m_settings.dataCentres.size()), node.now);
         return {GrantStatus::Granted, {}, false};
     }
-    if (m_isStopping || !isFirst(slot, workspace, node)) {
+    // Before it has joined, a node may be first among the few hosts that it knows while another one owns the bucket.
+    if (m_isStopping || !node.hasJoined || !isFirst(slot, workspace, node)) {
         return {GrantStatus::NotOwner, {}, false};
     }
     if (!node.isLeaseValid()) {
@@ -433,7 +437,9 @@
 
 bool BucketManager::isEvictable(Slot &slot, const NodeSnapshot &node)
 {
-    if (slot.isStarting || slot.handedOverTo || node.now < slot.lastActive + SettleTime) {
+    const bool isWaiting =
+        slot.ownership.phase() == OwnershipPhase::Waiting && node.now < slot.ownership.until() + SettleTime;
+    if (slot.isStarting || isWaiting || slot.handedOverTo || node.now < slot.lastActive + SettleTime) {
         return false;
     }
     // A recreated bucket is treated as refilling since this node became known to all hosts.
@@ -441,9 +447,46 @@
     return !slot.bucket || slot.bucket->isIdle(node.now, node.now - refillFrom);
 }
 
+std::vector<core::WorkspaceId> BucketManager::nextToStart()
+{
+    const std::scoped_lock lock(m_startMutex);
+    if (m_startCursor >= m_startNames.size()) {
+        m_startNames = m_hooks.limitedWorkspaces();
+        m_startCursor = 0;
+    }
+    const std::size_t end = std::min(m_startNames.size(), m_startCursor + BucketStartsPerTick);
+    std::vector<core::WorkspaceId> names(m_startNames.begin() + static_cast<std::ptrdiff_t>(m_startCursor),
+                                         m_startNames.begin() + static_cast<std::ptrdiff_t>(end));
+    m_startCursor = end;
+    return names;
+}
+
+void BucketManager::startBuckets(const NodeSnapshot &node)
+{
+    // Later, a bucket without state counts as refilling since this node became known to all hosts.
+    const bool isSettled = node.now - node.lease.brokenAt() >= SettleTime;
+    if (isSettled || m_isStopping || !node.hasJoined || !m_hooks.limitedWorkspaces) {
+        return;
+    }
+    for (const core::WorkspaceId &workspace : nextToStart()) {
+        const auto limit = m_hooks.limitOf(workspace);
+        if (limit && core::rendezvousFirst(workspace.value(), node.view->live()) == m_settings.self) {
+            boost::asio::co_spawn(
+                m_context->executor,
+                [](std::shared_ptr<BucketManager> self,
+                   core::WorkspaceId name,
+                   WorkspaceLimit itsLimit) -> boost::asio::awaitable<void> {
+                    [[maybe_unused]] const Readiness ready = co_await self->ensureReady(name, itsLimit);
+                }(shared_from_this(), workspace, *limit),
+                boost::asio::detached);
+        }
+    }
+}
+
 void BucketManager::tick()
 {
     const NodeSnapshot node = m_nodeState.observe();
+    startBuckets(node);
     for (Shard &shard : m_shards) {
         const std::scoped_lock lock(shard.mutex);
         for (auto entry = shard.slots.begin(); entry != shard.slots.end();) {
--- a/src/limit/bucket_manager.h
+++ b/src/limit/bucket_manager.h
@@ -25,7 +25,7 @@
     [[nodiscard]] wire::Message handOverTo(const core::HostId &to, const wire::HandoverRequest &request);
     /** @brief Graceful shutdown: asks the next owner of each bucket to fetch it. */
     [[nodiscard]] boost::asio::awaitable<void> stop();
-    /** @brief Renews the lease and drops idle buckets. */
+    /** @brief Renews the lease, drops idle buckets and, on a new node, starts those that it owns. */
     void tick();
 
 private:
@@ -62,6 +62,10 @@
     readiness(Slot &slot, const core::WorkspaceId &workspace, const NodeSnapshot &node, const WorkspaceLimit &limit);
     [[nodiscard]] boost::asio::awaitable<Readiness> ensureReady(core::WorkspaceId workspace, WorkspaceLimit limit);
     [[nodiscard]] boost::asio::awaitable<void> acquireOwnership(core::WorkspaceId workspace, WorkspaceLimit limit);
+    /** @brief Takes over buckets before their first request, so that they refill from the start of the node. */
+    void startBuckets(const NodeSnapshot &node);
+    /** @return The next part of the workspaces with a limit. */
+    [[nodiscard]] std::vector<core::WorkspaceId> nextToStart();
     [[nodiscard]] static bool isEvictable(Slot &slot, const NodeSnapshot &node);
     [[nodiscard]] StartPlan planFor(const core::WorkspaceId &workspace, const NodeSnapshot &node);
     /** @return The ownership if the predecessor does not answer. */
@@ -91,6 +95,9 @@
     NodeState m_nodeState;
     std::atomic<bool> m_isStopping{false};
     std::array<Shard, 16> m_shards;
+    std::mutex m_startMutex;
+    std::vector<core::WorkspaceId> m_startNames;
+    std::size_t m_startCursor = 0;
 };
 
 }
--- a/src/limit/node_state.cpp
+++ b/src/limit/node_state.cpp
@@ -30,10 +30,12 @@
         }
     }
     std::vector<core::HostId> live = m_hooks.liveHosts(m_settings.dataCentre);
-    if (std::find(live.begin(), live.end(), m_settings.self) == live.end()) {
+    const bool hasJoined = std::find(live.begin(), live.end(), m_settings.self) != live.end();
+    if (!hasJoined) {
         live.push_back(m_settings.self);
     }
     const std::scoped_lock lock(m_mutex);
+    m_hasJoined = hasJoined;
     m_viewAt = now;
     ViewHistory next = *m_view;
     for (auto entry = m_retired.begin(); entry != m_retired.end();) {
@@ -58,7 +60,7 @@
     refreshView(now);
     const std::scoped_lock lock(m_mutex);
     m_lease = m_lease.observed(now, lastAck, m_view->live().size() > 1, resumeCount);
-    NodeSnapshot snapshot{now, m_lease, m_view, {}};
+    NodeSnapshot snapshot{now, m_lease, m_view, {}, m_hasJoined};
     for (const auto &[host, until] : m_retired) {
         snapshot.retired.push_back(host);
     }
--- a/src/limit/node_state.h
+++ b/src/limit/node_state.h
@@ -15,6 +15,7 @@
     NodeLease lease;
     std::shared_ptr<const ViewHistory> view; ///< The same object while the view is unchanged.
     std::vector<core::HostId> retired; ///< Hosts that recently announced their shutdown.
+    bool hasJoined = false; ///< This node knows the other hosts and may become an owner.
 
     [[nodiscard]] bool isLeaseValid() const noexcept
     {
@@ -43,6 +44,7 @@
     NodeLease m_lease;
     std::shared_ptr<const ViewHistory> m_view = std::make_shared<ViewHistory>();
     core::TimePoint m_viewAt{};
+    bool m_hasJoined = false;
     std::map<core::HostId, core::TimePoint> m_retired;
 };
 
--- a/src/node/deployment_bounds.cpp
+++ b/src/node/deployment_bounds.cpp
@@ -26,6 +26,9 @@
 /** The rest of the bound is left to requests that were accepted with the key and have not reached the endpoint. */
 constexpr double KeyStalenessFraction = 0.8;
 
+/** The rest of the tolerated excess is left to requests that queue after their admission and run close together. */
+constexpr std::uint32_t LimitExcessDivisor = 2;
+
 /** Whole milliseconds, as the settings have them. */
 core::Duration scaled(core::Duration duration, double factor)
 {
@@ -40,28 +43,31 @@
 
 }
 
-DerivedTimes derivedTimes(const DeploymentBounds &bounds)
+DerivedSettings derivedSettings(const DeploymentBounds &bounds)
 {
-    DerivedTimesFields times;
+    DerivedSettingsFields settings;
     if (bounds->stopGrace) {
-        times.stopTimeout = stopTimeoutOf(*bounds->stopGrace);
+        settings.stopTimeout = stopTimeoutOf(*bounds->stopGrace);
     }
     if (bounds->drain) {
-        times.stopLinger = scaled(*bounds->drain, LingerFactor);
-        if (times.stopTimeout) {
-            times.stopLinger = std::min(*times.stopLinger, scaled(*times.stopTimeout, MaxLingerFraction));
+        settings.stopLinger = scaled(*bounds->drain, LingerFactor);
+        if (settings.stopTimeout) {
+            settings.stopLinger = std::min(*settings.stopLinger, scaled(*settings.stopTimeout, MaxLingerFraction));
         }
     }
     if (bounds->changeApply) {
-        times.logPoll = scaled(*bounds->changeApply, RefreshFraction);
-        times.proofRefresh = times.logPoll;
-        times.proofFallback = scaled(*bounds->changeApply, FallbackFraction);
-        times.denialStaleness = scaled(*bounds->changeApply, DenialFraction);
+        settings.logPoll = scaled(*bounds->changeApply, RefreshFraction);
+        settings.proofRefresh = settings.logPoll;
+        settings.proofFallback = scaled(*bounds->changeApply, FallbackFraction);
+        settings.denialStaleness = scaled(*bounds->changeApply, DenialFraction);
     }
     if (bounds->keyWithdrawal) {
-        times.keyStaleness = scaled(*bounds->keyWithdrawal, KeyStalenessFraction);
+        settings.keyStaleness = scaled(*bounds->keyWithdrawal, KeyStalenessFraction);
+    }
+    if (bounds->limitExcess) {
+        settings.burstTolerance = *bounds->limitExcess / LimitExcessDivisor;
     }
-    return DerivedTimes(times);
+    return DerivedSettings(settings);
 }
 
 }
--- a/src/node/node_hooks.cpp
+++ b/src/node/node_hooks.cpp
@@ -151,7 +151,14 @@
         if (limit == nullptr) {
             return std::nullopt;
         }
-        return limit::WorkspaceLimit((*limit)->rate, (*limit)->burst);
+        return limit::WorkspaceLimit((*limit)->rate, (*limit)->burst + m_settings->burstTolerance);
+    };
+    hooks.limitedWorkspaces = [this] {
+        std::vector<core::WorkspaceId> names;
+        for (const config::ResourceView &workspace : m_config.catalogue()->list(config::ResourceType::Workspace)) {
+            names.emplace_back(workspace.name);
+        }
+        return names;
     };
     hooks.now = now;
     hooks.lastPeerAck = [this] { return m_membership->lastPeerAck(); };
@@ -218,11 +225,11 @@
     hooks.catalogue = [this] { return isConfigurationUsable() ? m_config.catalogue() : nullptr; };
     hooks.isKeyWithdrawn = [this](const core::Digest &digest) { return m_config.isKeyWithdrawn(digest); };
     hooks.configurationAge = [this] { return configurationAge(); };
+    hooks.acceptsRoot = [this](core::Duration timeout, core::TimePoint now) { return acceptsRoot(timeout, now); };
     hooks.admit = [this](core::WorkspaceId workspace) {
         return m_limits.admit(std::move(workspace), m_settings->maxLimitHold);
     };
     hooks.dispatch = [this](wire::CallRequest call) { return m_dispatcher.dispatch(std::move(call)); };
-    hooks.acceptsRoot = [this](core::Duration timeout, core::TimePoint now) { return acceptsRoot(timeout, now); };
     hooks.runOnce = [this](wire::CallRequest call) { return m_idempotency.run(std::move(call)); };
     hooks.now = now;
     hooks.random = m_random;
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -21,6 +21,7 @@
 constexpr std::size_t MinSecretLength = 16;
 constexpr const char *SecretName = "fleet.secret";
 constexpr std::uint64_t MaxBoundMs = 3'600'000;
+constexpr std::uint64_t MaxLimitExcess = 1'000'000;
 
 std::uint64_t millisecondsOf(core::Duration duration)
 {
@@ -104,19 +105,38 @@
                                                   std::uint64_t low,
                                                   std::uint64_t high)
     {
-        const std::string value = std::to_string(derived ? millisecondsOf(*derived) : fallback);
+        const auto milliseconds =
+            derived ? std::optional(static_cast<std::uint32_t>(millisecondsOf(*derived))) : std::nullopt;
+        return std::chrono::milliseconds(derivedNumber(name, milliseconds, fallback, low, high));
+    }
+
+    /** @brief Reads a number whose default follows from a bound of the deployment, if that is known. */
+    std::uint32_t derivedNumber(const std::string &name,
+                                const std::optional<std::uint32_t> &derived,
+                                std::uint64_t fallback,
+                                std::uint64_t low,
+                                std::uint64_t high)
+    {
+        const std::string value = std::to_string(derived ? *derived : fallback);
         const SettingSource source = derived ? SettingSource::Bound : SettingSource::Default;
-        return std::chrono::milliseconds(parseNumber(name, text(name, value, source), low, high));
+        return static_cast<std::uint32_t>(parseNumber(name, text(name, value, source), low, high));
     }
 
     /** @return A bound of the deployment; without a value if the setting is missing or empty. */
     std::optional<core::Duration> bound(const std::string &name, std::uint64_t low, std::uint64_t high)
+    {
+        const auto value = optionalNumber(name, low, high);
+        return value ? std::optional<core::Duration>(std::chrono::milliseconds(*value)) : std::nullopt;
+    }
+
+    /** @return Empty if the setting is missing or empty. */
+    std::optional<std::uint32_t> optionalNumber(const std::string &name, std::uint64_t low, std::uint64_t high)
     {
         const std::string value = text(name, {});
         if (value.empty()) {
             return std::nullopt;
         }
-        return std::chrono::milliseconds(parseNumber(name, value, low, high));
+        return static_cast<std::uint32_t>(parseNumber(name, value, low, high));
     }
 
     double ratio(const std::string &name, double fallback)
@@ -223,7 +243,8 @@
     return DeploymentBounds({.stopGrace = reader.bound("bounds.stop_grace_ms", 500, MaxBoundMs),
                              .drain = reader.bound("bounds.drain_ms", 100, MaxBoundMs),
                              .changeApply = reader.bound("bounds.change_apply_ms", 500, MaxBoundMs),
-                             .keyWithdrawal = reader.bound("bounds.key_withdrawal_ms", 500, MaxBoundMs)});
+                             .keyWithdrawal = reader.bound("bounds.key_withdrawal_ms", 500, MaxBoundMs),
+                             .limitExcess = reader.optionalNumber("bounds.limit_excess_requests", 0, MaxLimitExcess)});
 }
 
 void readNode(SettingsReader &reader, SettingsFields &fields)
@@ -235,7 +256,7 @@
     if (!reader.text("node.service", {}).empty()) {
         fields.service = core::ServiceId(reader.validName("node.service"));
     }
-    const DerivedTimes derived = derivedTimes(fields.bounds);
+    const DerivedSettings derived = derivedSettings(fields.bounds);
     fields.stopTimeout = reader.derivedMilliseconds("node.stop_timeout_ms", derived->stopTimeout, 30'000, 100, 600'000);
     fields.stopLinger = reader.derivedMilliseconds(
         "node.stop_linger_ms", derived->stopLinger, 0, 0, millisecondsOf(fields.stopTimeout));
@@ -292,7 +313,7 @@
     fields.protocolKind = kind == "store" ? ProtocolKind::Store : ProtocolKind::Native;
     // Only the store confirms the configuration, so that nodes with another log derive no proof from the bounds.
     const bool hasProof = fields.protocolKind == ProtocolKind::Store;
-    const DerivedTimes derived = hasProof ? derivedTimes(fields.bounds) : DerivedTimes();
+    const DerivedSettings derived = hasProof ? derivedSettings(fields.bounds) : DerivedSettings();
     fields.logPoll = reader.derivedMilliseconds("platform.poll_ms", derived->logPoll, 10'000, 100, 30'000);
     fields.proofRefresh = reader.derivedMilliseconds("platform.proof_refresh_ms", derived->proofRefresh, 0, 0, 600'000);
     fields.proofFallback =
@@ -313,6 +334,8 @@
     fields.maxFrameBytes =
         static_cast<std::uint32_t>(reader.number("limits.max_frame_bytes", 4'194'304, 65'536, 268'435'456));
     fields.maxLimitHold = reader.milliseconds("limits.max_hold_ms", 30, 0, 1000);
+    fields.burstTolerance = reader.derivedNumber(
+        "limits.burst_tolerance", derivedSettings(fields.bounds)->burstTolerance, 0, 0, MaxLimitExcess);
     if (fields.maxFrameBytes < fields.maxBodyBytes + 2 * fields.maxHeaderBytes) {
         reject("limits.max_frame_bytes",
                std::to_string(fields.maxFrameBytes),
@@ -340,6 +363,11 @@
     checkBelow("node.stop_timeout_ms", fields.stopTimeout, "bounds.stop_grace_ms", bounds->stopGrace);
     checkBelow("platform.key_staleness_ms", fields.keyStaleness, "bounds.key_withdrawal_ms", bounds->keyWithdrawal);
     checkBelow("platform.proof_fallback_ms", fields.proofFallback, "bounds.change_apply_ms", bounds->changeApply);
+    if (bounds->limitExcess && fields.burstTolerance > *bounds->limitExcess) {
+        reject("limits.burst_tolerance",
+               std::to_string(fields.burstTolerance),
+               "at most bounds.limit_excess_requests = " + std::to_string(*bounds->limitExcess));
+    }
     if (fields.keyStaleness > core::Duration::zero()) {
         checkBelow(
             "platform.proof_fallback_ms", fields.proofFallback, "platform.key_staleness_ms", fields.keyStaleness);
--- a/tests/limit/any_schedule_of_faults.cpp
+++ b/tests/limit/any_schedule_of_faults.cpp
@@ -27,6 +27,7 @@
     Partition,
     PauseOwner,
     KillOwner,
+    KillAll,
     Start,
     Count,
 };
@@ -74,6 +75,12 @@
     case Fault::KillOwner:
         fleet.kill(owner);
         return restart(owner, duration);
+    case Fault::KillAll:
+        for (int each = 0; each < fleet.hostCount(); ++each) {
+            fleet.kill(each);
+            restart(each, duration / 10 * (each % 4));
+        }
+        return;
     default:
         fleet.kill(host);
         return restart(host, 0ms);
--- a/tests/node/settings_that_are_checked.cpp
+++ b/tests/node/settings_that_are_checked.cpp
@@ -117,7 +117,15 @@
             });
         });
     }
+    section("half of the tolerated excess over a limit is used", [] {
+        const auto settings = node::parseSettings(Minimal + "[bounds]\nlimit_excess_requests=20\n");
+        CHECK(settings.has_value());
+        LONGS_EQUAL(10, (*settings)->burstTolerance);
+        LONGS_EQUAL(0, (*node::parseSettings(Minimal))->burstTolerance);
+    });
     section("settings that contradict each other are refused", [] {
+        checkRefused(Minimal + "[limits]\nburst_tolerance=21\n[bounds]\nlimit_excess_requests=20\n",
+                     "limits.burst_tolerance");
         checkRefused(Minimal + "kind=store\nkey_staleness_ms=6000\n[bounds]\nkey_withdrawal_ms=5000\n",
                      "platform.key_staleness_ms");
         checkRefused(Minimal + "kind=store\nproof_fallback_ms=4500\n[bounds]\nkey_withdrawal_ms=5000\n",
