Show that an answer that is cut anywhere is no success

Report of other operators: an upstream stopped in the middle of its answer's head and closed, and callers got a 200 framed as whole.

--- a/tests/http/scripted_server.cpp
+++ b/tests/http/scripted_server.cpp
@@ -98,6 +98,15 @@
         co_await asio::async_read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n", UseTuple);
     bool isOpen = !error && co_await write(socket, script.first);
     co_await wait(script.pause);
+    if (script.ending != Ending::None) {
+        boost::system::error_code ignored;
+        if (script.ending == Ending::Reset) {
+            socket.set_option(asio::socket_base::linger(true, 0), ignored);
+        }
+        socket.close(ignored);
+        ++m_closed;
+        co_return;
+    }
     while (isOpen && !script.repeated.empty()) {
         isOpen = co_await write(socket, script.repeated);
         co_await wait(script.interval);
--- a/tests/http/scripted_server.h
+++ b/tests/http/scripted_server.h
@@ -13,6 +13,13 @@
 
 namespace berylspring::test {
 
+/** @brief What a server does after the first bytes of its script. */
+enum class Ending {
+    None, ///< It goes on with `repeated`.
+    Close, ///< It closes the connection in an orderly way.
+    Reset,
+};
+
 /** @brief Bytes that a server sends on one connection after it has received a request. */
 struct Script
 {
@@ -20,6 +27,7 @@
     core::Duration pause{}; ///< Time between `first` and `repeated`.
     std::string repeated; ///< Sent without end, until the client closes; if empty, the server waits for the close.
     core::Duration interval{}; ///< Time between two repetitions.
+    Ending ending = Ending::None;
 };
 
 /** @brief TCP server on loopback that sends scripted bytes, whether or not they are HTTP. */
