--- a/include/berylspring/http/server.h
+++ b/include/berylspring/http/server.h
@@ -58,7 +58,7 @@
     [[nodiscard]] bool operator==(const RejectedRequest &) const = default;
 };
 
-/** @brief Called for each rejected request on the threads of the server. */
+/** @brief Called for each rejected request, and each one whose handler has thrown, on the threads of the server. */
 using RejectionHook = std::function<void(const RejectedRequest &)>;
 
 /** @brief HTTP/1.1 server; each connection has its own strand. */
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -381,18 +381,29 @@
 
     asio::awaitable<void> answer(Request request, std::shared_ptr<Exchange> exchange)
     {
+        const std::string target = request->target;
         try {
             exchange->reply = co_await m_handler(std::move(request));
         } catch (const boost::system::system_error &error) {
             if (error.code() == asio::error::operation_aborted) {
                 throw;
             }
-            exchange->reply = problemResponse(500, "internal-error", error.what());
+            exchange->reply = failed(target, error);
         } catch (const std::exception &error) {
-            exchange->reply = problemResponse(500, "internal-error", error.what());
+            exchange->reply = failed(target, error);
         }
     }
 
+    /** @return The response to a request whose handler has thrown. */
+    Response failed(const std::string &target, const std::exception &error)
+    {
+        constexpr std::uint16_t InternalError = 500;
+        if (m_rejected) {
+            m_rejected({InternalError, target, error.what()});
+        }
+        return problemResponse(InternalError, "internal-error", error.what());
+    }
+
     /** Writes the responses in request order until one closes the connection or the client disconnects. */
     asio::awaitable<void> writeResponses(SessionPointer session)
     {
--- a/src/node/node_handlers.cpp
+++ b/src/node/node_handlers.cpp
@@ -138,8 +138,9 @@
     const core::RefusalReason reason =
         request.status == PayloadTooLarge ? core::RefusalReason::BodyTooLarge : core::RefusalReason::BadRequest;
     m_metrics.countRequest(core::Outcome::NotRun, reason, 0);
+    constexpr std::uint16_t FirstServerError = 500;
     telemetry::logRequestEvent(
-        "request rejected",
+        request.status >= FirstServerError ? "request failed" : "request rejected",
         {{"status", std::int64_t{request.status}}, {"target", request.target}, {"detail", request.detail}},
         now());
 }
@@ -217,8 +218,10 @@
 {
     std::vector<telemetry::LogField> fields;
     const std::vector<telemetry::Sample> samples = this->samples();
+    std::vector<std::string> names; // The fields refer to their names.
+    names.reserve(samples.size());
     for (const telemetry::Sample &sample : samples) {
-        std::string name = sample.name;
+        std::string &name = names.emplace_back(sample.name);
         for (const auto &[label, value] : sample.labels) {
             name += "_" + value;
         }
--- a/tests/http/limits_that_change.cpp
+++ b/tests/http/limits_that_change.cpp
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <mutex>
+#include <stdexcept>
 #include <string>
 
 #include <boost/asio/co_spawn.hpp>
@@ -79,8 +80,11 @@
     }
 
 private:
-    static asio::awaitable<http::Reply> accept(http::Request)
+    static asio::awaitable<http::Reply> accept(http::Request request)
     {
+        if (request->target == "/throws") {
+            throw std::runtime_error("out of luck");
+        }
         co_return http::Reply(http::Response({.status = 200}));
     }
     http::ServerOptions options()
@@ -137,6 +141,12 @@
         LONGS_EQUAL(413, server.lastRejected().status);
         STRCMP_EQUAL("/", server.lastRejected().target.c_str());
     });
+    section("a request whose handler throws is reported with the error", [&] {
+        CHECK_TRUE(server.closesAfter("GET /throws HTTP/1.1\r\nHost: test\r\nConnection: close\r\n\r\n"));
+        LONGS_EQUAL(500, server.lastRejected().status);
+        STRCMP_EQUAL("/throws", server.lastRejected().target.c_str());
+        STRCMP_EQUAL("out of luck", server.lastRejected().detail.c_str());
+    });
     section("a request that cannot be parsed is reported", [&] {
         CHECK_TRUE(server.closesAfter("no request\r\n\r\n"));
         LONGS_EQUAL(400, server.lastRejected().status);
--- a/tests/platform/a_document_becomes_resources.cpp
+++ b/tests/platform/a_document_becomes_resources.cpp
@@ -121,6 +121,11 @@
             [&] { CHECK_TRUE(isRefused(replaced(Document, "\"IdleTimeoutMs\":15000", "\"IdleTimeoutMs\":\"x\""))); });
     section("a prefix that does not end with a slash",
             [&] { CHECK_TRUE(isRefused(replaced(Document, "\"/past/\"", "\"/past\""))); });
+    section("a limit that is not a number from 0, which must not be taken for no limit", [&] {
+        for (const std::string rate : {"\"RatePerS\":\"63\"", "\"RatePerS\":-63", "\"RatePerS\":null"}) {
+            CHECK_TRUE(isRefused(replaced(Document, "\"RatePerS\":63", rate)));
+        }
+    });
     section("keys that are not strings", [&] { CHECK_TRUE(isRefused(replaced(Document, "\"third-key\"", "3"))); });
 }
 
