Send few heartbeats on connections that are not used

Cause: both ends of each connection sent a frame every 500 ms for 30 s after its last use, to each of up to 76 hosts of other data centres.

Change: a client sends heartbeats every 500 ms only while a request is pending, else every 1.5 s; a server reacts to what it receives. A client counts as silent a peer that has not reacted to a frame for 2 s, as before, or has sent nothing for 4 s. An unused connection to another data centre is closed after 6 s. Earlier builds expect a frame every 2 s and still get one.

Ruled out: no heartbeats at all on idle connections; the first request on one that has gone silent would wait 2 s.

--- a/include/berylspring/wire/peer_options.h
+++ b/include/berylspring/wire/peer_options.h
@@ -25,11 +25,17 @@
     /** Dictionary for the compression of short frames between data centres; empty: no compression. */
     std::string dictionary;
     std::size_t maxFrameBytes = std::size_t{4} * 1024 * 1024; ///< Size limit of a frame including its length prefix.
-    /** In each interval of this length, a connection sends at least one frame. */
+    /** In each interval of this length, both ends of a connection with a pending request send at least one frame. */
     core::Duration heartbeatInterval = std::chrono::milliseconds(500);
-    /** Timeout for connecting, for receiving nothing and for stalled writes. */
+    /** The same for a connection without one; an end of an earlier version expects a frame within silenceTimeout. */
+    core::Duration idleHeartbeatInterval = std::chrono::milliseconds(1500);
+    /** Timeout for connecting, for a missing reaction to a frame and for stalled writes. */
     core::Duration silenceTimeout = std::chrono::seconds(2);
+    /** Timeout for receiving nothing at all. */
+    core::Duration idleSilenceTimeout = std::chrono::seconds(4);
     core::Duration idleTimeout = std::chrono::seconds(30); ///< A connection without calls is closed after this time.
+    /** The same to another data centre; after this time a new handshake takes fewer bytes than heartbeats. */
+    core::Duration remoteIdleTimeout = std::chrono::seconds(6);
     std::size_t connectionsPerPeer = 1;
     /** Limit of the frames queued for writing on one connection. */
     std::size_t maxQueuedBytes = std::size_t{32} * 1024 * 1024;
--- a/src/wire/peer_connection.cpp
+++ b/src/wire/peer_connection.cpp
@@ -64,7 +64,8 @@
     , m_isConnected(role == Role::Server)
     , m_queue(m_options->maxQueuedBytes)
     , m_pending(epoch)
-    , m_silence(m_options->heartbeatInterval, m_options->silenceTimeout, currentTime())
+    , m_silence(m_options->heartbeatInterval, m_options->silenceTimeout, m_options->idleSilenceTimeout, currentTime())
+    , m_lastSentAt(currentTime())
     , m_lastProgress(currentTime())
     , m_lastUse(currentTime())
     , m_nextTick(currentTime() + m_options->heartbeatInterval)
@@ -252,6 +253,7 @@
     {
         const std::scoped_lock lock(m_mutex);
         m_silence = m_silence.withReceipt(currentTime());
+        m_hasReceived = true;
     }
     for (;;) {
         const auto frame = m_reader.next();
--- a/src/wire/peer_connection.h
+++ b/src/wire/peer_connection.h
@@ -151,6 +151,7 @@
     // Must be called with the mutex held.
     [[nodiscard]] Writing claimWriting(core::TimePoint now, std::size_t inFlight);
     [[nodiscard]] std::optional<Error> tick(core::TimePoint now);
+    [[nodiscard]] bool isHeartbeatDue(core::TimePoint now) const;
     [[nodiscard]] bool isIdle(core::TimePoint now) const;
     void queueCancel(std::uint64_t number);
     void armTimer();
@@ -181,6 +182,8 @@
     std::optional<Hello> m_peer;
     bool m_isWriting = false; ///< A thread is in write(), or a pending operation will call it.
     bool m_hasSent = false; ///< Whether anything was written since the last tick.
+    bool m_hasReceived = false; ///< Whether anything was received since the last tick.
+    core::TimePoint m_lastSentAt;
     core::TimePoint m_lastProgress; ///< Time of the last successful write.
     core::TimePoint m_lastUse; ///< Time of the last request or answer.
     core::TimePoint m_nextTick;
--- a/src/wire/peer_connection_io.cpp
+++ b/src/wire/peer_connection_io.cpp
@@ -54,9 +54,12 @@
         {
             const std::scoped_lock lock(m_mutex);
             m_queue.finishBatch(byteCount);
-            m_hasSent = m_hasSent || byteCount > 0;
             if (byteCount > 0) {
+                m_hasSent = true;
                 m_lastProgress = currentTime();
+                m_lastSentAt = m_lastProgress;
+                // A server reacts to each frame of a client, but not the other way round, so that both fall idle.
+                m_silence = m_role == Role::Client ? m_silence.withFrameOwed(m_lastProgress) : m_silence;
             }
         }
         if (error == asio::error::would_block || error == asio::error::try_again) {
@@ -172,19 +175,28 @@
     if (m_isWriting && now - m_lastProgress >= m_options->silenceTimeout) {
         return Error(ErrorCode::ConnectionLost, true, "peer does not read");
     }
-    if (m_stage == Stage::Open && !m_hasSent) {
+    if (m_stage == Stage::Open && isHeartbeatDue(now)) {
         const auto frame = encode(Envelope{RequestKey{}, Heartbeat{}}, m_options->maxFrameBytes);
         if (frame && m_queue.push(0, *frame)) {
             countSent(TrafficClass::KeepAlive, frame->size());
         }
     }
     m_hasSent = false;
+    m_hasReceived = false;
     return std::nullopt;
 }
 
+bool PeerConnection::isHeartbeatDue(core::TimePoint now) const
+{
+    const bool isInUse = m_role == Role::Client ? m_pending.size() > 0 : m_hasReceived;
+    return (isInUse && !m_hasSent) || now - m_lastSentAt >= m_options->idleHeartbeatInterval;
+}
+
 bool PeerConnection::isIdle(core::TimePoint now) const
 {
-    return m_role == Role::Client && m_pending.size() == 0 && now - m_lastUse >= m_options->idleTimeout;
+    const core::Duration timeout = m_isRemote ? m_options->remoteIdleTimeout : m_options->idleTimeout;
+    return m_role == Role::Client && m_pending.size() == 0
+           && now - m_lastUse >= std::min(timeout, m_options->idleTimeout);
 }
 
 PeerConnection::Awaitable<boost::system::error_code> PeerConnection::readSome()
--- a/tests/wire/bytes_between_hosts.cpp
+++ b/tests/wire/bytes_between_hosts.cpp
@@ -71,3 +71,38 @@
         });
     }
 }
+
+// Guards against heartbeats of unused connections that grow with the number of hosts.
+TEST(BytesBetweenHosts, areFewOnAConnectionThatIsNotUsed)
+{
+    const auto sentByClient = std::make_shared<wire::TrafficMeter>();
+    const auto sentByServer = std::make_shared<wire::TrafficMeter>();
+    wire::PeerOptions serverOptions = optionsIn("server", "near", sentByServer);
+    wire::PeerOptions clientOptions = optionsIn("client", "far", sentByClient);
+    for (wire::PeerOptions *options : {&serverOptions, &clientOptions}) {
+        options->heartbeatInterval = std::chrono::milliseconds(5);
+        options->idleHeartbeatInterval = std::chrono::milliseconds(100);
+        options->remoteIdleTimeout = std::chrono::milliseconds(300);
+    }
+    wire::PeerServer server(context.get_executor(), serverOptions, grantNothing);
+    wire::PeerPool pool(context.get_executor(), clientOptions, addresses.lookup());
+    addresses.set("server", server.listen("127.0.0.1", 0).value());
+    test::runToCompletion(context, 1, [&]() -> awaitable<void> {
+        Message request = wire::GrantRequest(wire::GrantRequestFields{core::WorkspaceId("w"), 1});
+        const auto reply = co_await pool.call(core::HostId("server"), std::move(request), test::LongTimeout);
+        CHECK(reply.has_value());
+        boost::asio::steady_timer timer(context);
+        while (pool.counters().connections > 0) {
+            timer.expires_after(std::chrono::milliseconds(5));
+            co_await timer.async_wait(boost::asio::use_awaitable);
+        }
+        server.close();
+    });
+    section("the connection is closed in an orderly way", [&] { LONGS_EQUAL(0, pool.counters().connectionsLost); });
+    section("each end has sent less than a heartbeat per idle interval and some for its use", [&] {
+        constexpr std::uint64_t HeartbeatBytes = 64;
+        for (const auto &meter : {sentByClient, sentByServer}) {
+            CHECK(meter->count(TrafficClass::KeepAlive).betweenDataCentres <= 8 * HeartbeatBytes);
+        }
+    });
+}
