Borrow in advance only what will be used soon

Cause: any bucket below 75% of its capacity asked all lenders for the rest every 250 ms, and for rates every 50 ms, although a loan of tokens is lost after 25 ms and a small rate loan adds a fraction of a token.

Change: an advance token loan covers the demand of the next 50 ms at most, and a rate loan is asked for if it adds half a token in its 300 ms.

--- a/src/limit/owner_bucket.cpp
+++ b/src/limit/owner_bucket.cpp
@@ -19,6 +19,10 @@
 constexpr double BorrowFraction = 0.75;
 /** Maximum tokens in long-lived grants, in seconds of the rate. After a full burst as much refill may be lost. */
 constexpr double LongLivedGrantSeconds = 0.015;
+/** Time that an advance token loan has to cover: its transfer and that of the next one. */
+constexpr core::Duration AdvanceLoanTime = 2 * TokenLoanDuration;
+/** A rate loan that would add less than this during its lifetime is not worth its messages. */
+constexpr double MinRateLoanTokens = 0.5;
 /** Factor on the observed demand that a borrower requests. With a larger one, full buckets of borrowers overflow. */
 constexpr double BorrowHeadroom = 1.05;
 /** Factor on the observed demand that a lender keeps for itself. */
@@ -218,7 +222,7 @@
     const double demand = std::min(m_sustainedDemand.rate(now), m_demand.rate(now));
     const double need = demand * BorrowHeadroom - m_share.rate();
     const double requestedRate = std::min(need / static_cast<double>(m_lenders.size()), m_share.rate());
-    if (requestedRate <= 0) {
+    if (requestedRate <= 0 || need * seconds(RateLoanDuration) < MinRateLoanTokens) {
         return;
     }
     for (auto &[name, lender] : m_lenders) {
@@ -234,7 +238,10 @@
 {
     const bool isUrgent = m_unmetTokens > 0 && now - m_unmetTokensAt < UnmetDemandLifetime;
     const double want = isUrgent ? m_unmetTokens - m_bucket.tokens() : ownCapacityAt(now) - m_bucket.tokens();
-    if (want <= RoundingTolerance || (!isUrgent && m_bucket.tokens() >= BorrowFraction * m_share.capacity())) {
+    // Borrowed tokens that are not used soon return to no one, so a slow demand borrows only what it lacks.
+    const double usedSoon = m_demand.rate(now) * seconds(AdvanceLoanTime);
+    const double low = std::min(BorrowFraction * m_share.capacity(), usedSoon);
+    if (want <= RoundingTolerance || (!isUrgent && m_bucket.tokens() >= low)) {
         return;
     }
     std::vector<core::DataCentreId> candidates;
