Let a node own buckets as soon as it knows the announced hosts

Change: a node may own buckets and claims 400 ms after it has announced itself and read the announcements of the others, if one of them has answered. By then each contact of its data centre was tried twice.

--- a/src/node/announcer.cpp
+++ b/src/node/announcer.cpp
@@ -112,6 +112,9 @@
         // Appends before it reads, so that of two hosts that start together the second one in the log finds the first.
         const auto appended = co_await hooks.log.append(Stream, toJson(hooks.self()));
         const bool hasRead = co_await readContacts(hooks, position);
+        if (appended && hasRead) {
+            hooks.onRead();
+        }
         const auto interval =
             appended && hasRead ? std::chrono::seconds(RefreshInterval) : std::chrono::seconds(RetryInterval);
         const auto next = std::chrono::steady_clock::now() + interval;
--- a/src/node/announcer.h
+++ b/src/node/announcer.h
@@ -17,6 +17,7 @@
     eventlog::LogHooks log;
     std::function<wire::MemberUpdate()> self;
     std::function<void(const wire::MemberUpdate &)> addContact;
+    std::function<void()> onRead; ///< This host is announced, and all announcements before were added.
     std::function<std::uint64_t()> logGeneration; ///< Rises when the log has lost its latest records.
     std::function<bool()> isStopping;
 };
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -163,6 +163,11 @@
                        {.log = m_log,
                         .self = [this] { return m_membership->self().record(); },
                         .addContact = [this](const wire::MemberUpdate &member) { m_membership->addContact(member); },
+                        .onRead =
+                            [this] {
+                                auto unread = core::TimePoint::max();
+                                m_announcementsReadAt.compare_exchange_strong(unread, now());
+                            },
                         .logGeneration = [this] { return m_config.logGeneration(); },
                         .isStopping = [this] { return m_isStopping.load(); }}),
                    detail::logFailure("announcer"));
--- a/src/node/node_hooks.cpp
+++ b/src/node/node_hooks.cpp
@@ -19,6 +19,8 @@
 constexpr std::uint64_t FirstLogGeneration = 1;
 /** Time in which a new node receives the whole member table after its first contact with a member. */
 constexpr core::Duration JoinDelay = std::chrono::seconds(1);
+/** Time in which the announced hosts of the data centre answer; a lost datagram is sent again within it. */
+constexpr core::Duration IntroductionDelay = std::chrono::milliseconds(400);
 /** A node without contact to another member after this time assumes that it is the only one. */
 constexpr core::Duration SoloJoinDelay = std::chrono::seconds(3);
 
@@ -266,12 +268,20 @@
 std::vector<core::HostId> Node::Implementation::claimHosts(const core::DataCentreId &dataCentre) const
 {
     std::vector<core::HostId> hosts = liveHosts(dataCentre);
-    if (m_isStopping || !hasJoined()) {
+    if (m_isStopping || !knowsDataCentre()) {
         std::erase(hosts, m_settings->host);
     }
     return hosts;
 }
 
+bool Node::Implementation::knowsDataCentre() const
+{
+    const core::TimePoint readAt = m_announcementsReadAt;
+    const bool isIntroduced = readAt != core::TimePoint::max() && now() - readAt >= IntroductionDelay
+                              && m_membership->lastPeerAck() > m_startedAt;
+    return isIntroduced || hasJoined();
+}
+
 bool Node::Implementation::hasJoined() const
 {
     const core::Duration age = now() - m_startedAt;
--- a/src/node/node_implementation.h
+++ b/src/node/node_implementation.h
@@ -83,6 +83,8 @@
     [[nodiscard]] std::vector<core::HostId> liveHosts(const core::DataCentreId &dataCentre) const;
     [[nodiscard]] std::vector<core::HostId> claimHosts(const core::DataCentreId &dataCentre) const;
     [[nodiscard]] bool hasJoined() const;
+    /** @return Whether the other hosts of the data centre that may own buckets and claims are known. */
+    [[nodiscard]] bool knowsDataCentre() const;
     /** @return Whether callers' requests may be decided by the configuration of this node. */
     [[nodiscard]] bool isConfigurationUsable() const;
     [[nodiscard]] bool isReady() const;
@@ -102,6 +104,8 @@
     std::uint64_t m_bootId;
     core::TimePoint m_startedAt;
     std::atomic<bool> m_isStopping{false};
+    /** When the announcements in the log were first read to their end. */
+    std::atomic<core::TimePoint> m_announcementsReadAt{core::TimePoint::max()};
     std::atomic<bool> m_isAborting{false}; ///< The graceful stop has timed out.
     mutable std::mutex m_stopMutex;
     std::optional<StopSchedule> m_stopSchedule; ///< Set when a graceful stop begins.
--- a/tests/node/announcements_of_other_hosts.cpp
+++ b/tests/node/announcements_of_other_hosts.cpp
@@ -113,6 +113,7 @@
             .self = [] { return wire::MemberUpdate({.host = core::HostId("self")}); },
             .addContact =
                 [this](const wire::MemberUpdate &member) { contacts[member->host.value()] = member->address; },
+            .onRead = [] {},
             .logGeneration = [] { return std::uint64_t{0}; },
             .isStopping = [this] { return isStopping; }};
         asio::co_spawn(context,
