Wait for the own data centre before pulling records from another one

Seen: at the start of 96 nodes, 46 KB a node of configuration went to other data centres, since a node pulled from whichever member reported the offset first, while the reader of its own data centre had read it as well.

Change: a report from another data centre is followed after 200 ms, unless the records have arrived by then. The delay before a node owns buckets is 350 ms, the time for which a new owner waits for earlier grants anyway.

--- a/src/node/node_hooks.cpp
+++ b/src/node/node_hooks.cpp
@@ -8,6 +8,9 @@
 #include <charconv>
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 namespace berylspring::node {
 
@@ -15,12 +18,14 @@
 
 namespace asio = boost::asio;
 
+/** A reader or a peer of the own data centre usually brings the same records within this time. */
+constexpr core::Duration RemotePullDelay = std::chrono::milliseconds(200);
 /** Generation of a log that has never been restored. */
 constexpr std::uint64_t FirstLogGeneration = 1;
 /** Time in which a new node receives the whole member table after its first contact with a member. */
 constexpr core::Duration JoinDelay = std::chrono::seconds(1);
 /** Time in which the announced hosts of the data centre answer; a lost datagram is sent again within it. */
-constexpr core::Duration IntroductionDelay = std::chrono::milliseconds(400);
+constexpr core::Duration IntroductionDelay = std::chrono::milliseconds(350);
 /** A node without contact to another member after this time assumes that it is the only one. */
 constexpr core::Duration SoloJoinDelay = std::chrono::seconds(3);
 
@@ -85,9 +90,14 @@
         m_traffic->record(wire::TrafficClass::Membership, isRemote, bytes);
     };
     hooks.offsetReported = [this](const core::HostId &host, core::Offset offset) {
-        if (offset > m_config.catalogue()->appliedOffset()) {
-            asio::co_spawn(m_executor, m_config.pullFrom(host, offset), detail::logFailure("pull of records"));
+        if (offset <= m_config.catalogue()->appliedOffset()) {
+            return;
         }
+        const auto member = m_membership->find(host);
+        const bool isLocal = member && member->dataCentre() == m_settings->dataCentre;
+        asio::co_spawn(m_executor,
+                       isLocal ? m_config.pullFrom(host, offset) : pullFromElsewhere(host, offset),
+                       detail::logFailure("pull of records"));
     };
     hooks.changed = [](const membership::Member &member) {
         telemetry::log(telemetry::Severity::Debug,
@@ -99,6 +109,19 @@
     return hooks;
 }
 
+asio::awaitable<void> Node::Implementation::pullFromElsewhere(core::HostId host, core::Offset offset)
+{
+    if (m_isRemotePullWaiting.exchange(true)) {
+        co_return; // Reported offsets are repeated.
+    }
+    asio::steady_timer timer(co_await asio::this_coro::executor, RemotePullDelay);
+    co_await timer.async_wait(asio::use_awaitable);
+    m_isRemotePullWaiting = false;
+    if (offset > m_config.catalogue()->appliedOffset()) {
+        co_await m_config.pullFrom(std::move(host), offset);
+    }
+}
+
 config::ConfigHooks Node::Implementation::configHooks()
 {
     config::ConfigHooks hooks;
--- a/src/node/node_implementation.h
+++ b/src/node/node_implementation.h
@@ -58,6 +58,8 @@
     boost::asio::awaitable<wire::Message> handlePeer(core::HostId from, wire::Message message);
     boost::asio::awaitable<wire::CallResponse> runAdmitted(wire::CallRequest call);
     boost::asio::awaitable<http::Reply> handleCaller(http::Request request);
+    /** @brief Pulls records from another data centre unless the own one brings them first. */
+    boost::asio::awaitable<void> pullFromElsewhere(core::HostId host, core::Offset offset);
     void recordRejection(const http::RejectedRequest &request);
     boost::asio::awaitable<http::Reply> handleEndpoint(http::Request request);
     boost::asio::awaitable<http::ChangePage> changes(core::Offset from);
@@ -106,6 +108,7 @@
     std::atomic<bool> m_isStopping{false};
     /** When the announcements in the log were first read to their end. */
     std::atomic<core::TimePoint> m_announcementsReadAt{core::TimePoint::max()};
+    std::atomic<bool> m_isRemotePullWaiting{false};
     std::atomic<bool> m_isAborting{false}; ///< The graceful stop has timed out.
     mutable std::mutex m_stopMutex;
     std::optional<StopSchedule> m_stopSchedule; ///< Set when a graceful stop begins.
--- a/tests/limit/fleet.cpp
+++ b/tests/limit/fleet.cpp
@@ -21,7 +21,7 @@
 const core::WorkspaceId workspace("tenant");
 constexpr core::Duration HeartbeatInterval = 100ms;
 /** Age at which a node may own buckets; by then it knows the others of its data centre. */
-constexpr core::Duration JoinDelay = 400ms;
+constexpr core::Duration JoinDelay = 350ms;
 /** The membership removes an unresponsive host 1.7 to 2.2 s after its last answer, depending on the observer. */
 constexpr core::Duration SuspectedFor = 1700ms;
 constexpr int LocalDelayMicroseconds = 200;
--- a/tests/membership/a_fleet_that_starts_at_once.cpp
+++ b/tests/membership/a_fleet_that_starts_at_once.cpp
@@ -14,7 +14,7 @@
 namespace {
 
 /** Age at which a node may own buckets and claims; by then it must know the others that may. */
-constexpr core::Duration JoinDelay = 400ms;
+constexpr core::Duration JoinDelay = 350ms;
 constexpr core::Duration Step = 50ms;
 /** Time in which the processes of a fleet that was killed are started again. */
 constexpr core::Duration StartSpread = 500ms;
