Log which requests run during a crash, and which notices a node receives

Whether the second crash at a host came from a forgotten quarantine or from a notice that never arrived could not be told for each host.

The two hooks of the admission for quarantined and suspected requests become one that reports the crash: request, digest, whether it ran alone, and what follows. The node logs each report and each received notice.

--- a/include/berylspring/admission/admission_service.h
+++ b/include/berylspring/admission/admission_service.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "berylspring/admission/admission_state.h"
+#include "berylspring/admission/crash_report.h"
 #include "berylspring/admission/settings.h"
 #include "berylspring/core/digest.h"
 #include "berylspring/core/name.h"
@@ -36,10 +37,8 @@
     std::function<bool(const core::Digest &)> isKeyWithdrawn;
     /** Weight of a workspace; values that are not positive count as 1. */
     std::function<double(const core::WorkspaceId &)> weightOf;
-    /** Announces a new quarantine to the peers. */
-    std::function<void(wire::QuarantineNotice)> quarantined;
-    /** Optional: announces to the peers that a request ran during a crash, so that they run it alone. */
-    std::function<void(core::Digest)> suspected;
+    /** Reports a request that ran during a crash, so that the peers run it alone or, in quarantine, not at all. */
+    std::function<void(CrashReport)> crashed;
 };
 
 /** @brief Decides when requests run on the endpoint of this host, and runs them. Thread-safe. */
--- a/src/admission/service_core.cpp
+++ b/src/admission/service_core.cpp
@@ -173,7 +173,7 @@
     if (result.connectionLost) {
         ++m_counters.connectionsLost;
         if (result.maybeSent && m_settings.areControlsOn) {
-            recordCrash(context.digest, ranAlone);
+            recordCrash(context, ranAlone);
         }
         return refuse(core::RefusalReason::ConnectionLost, outcome, context);
     }
@@ -191,17 +191,15 @@
     return withFeedback(result.response, context);
 }
 
-void AdmissionService::Core::recordCrash(const core::Digest &digest, bool ranAlone)
+void AdmissionService::Core::recordCrash(const RequestContext &context, bool ranAlone)
 {
-    const auto state = m_quarantine.crashed(digest, ranAlone, m_hooks.now());
-    if (state == QuarantineState::Quarantined) {
-        wire::QuarantineNoticeFields notice;
-        notice.requestDigest = digest;
-        notice.remaining = m_quarantine.remaining(digest, m_hooks.now());
-        m_hooks.quarantined(wire::QuarantineNotice(notice));
-    } else if (state == QuarantineState::Suspect && m_hooks.suspected) {
-        m_hooks.suspected(digest);
-    }
+    const core::TimePoint now = m_hooks.now();
+    const QuarantineState state = m_quarantine.crashed(context.digest, ranAlone, now);
+    m_hooks.crashed(CrashReport({.requestId = context.requestId,
+                                 .requestDigest = context.digest,
+                                 .ranAlone = ranAlone,
+                                 .state = state,
+                                 .remaining = m_quarantine.remaining(context.digest, now)}));
 }
 
 asio::awaitable<void> AdmissionService::Core::idle(std::shared_ptr<Core> self)
@@ -252,6 +250,7 @@
     const core::TimePoint now = m_hooks.now();
     RequestContext context;
     context.id = m_nextId++;
+    context.requestId = request->requestId;
     if (m_settings.areControlsOn) {
         context.digest = core::requestDigest(request->method, request->target, request->body, request->workspace);
     }
--- a/src/admission/service_core.h
+++ b/src/admission/service_core.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace berylspring::admission {
@@ -37,6 +38,7 @@
     struct RequestContext
     {
         std::uint64_t id = 0;
+        std::string requestId;
         core::Digest digest;
         core::TimePoint arrivedAt;
         core::TimePoint deadline;
@@ -53,7 +55,7 @@
     [[nodiscard]] bool isKeyWithdrawn(const wire::CallRequest &request) const;
     [[nodiscard]] wire::CallResponse
     processResult(const RequestContext &context, bool ranAlone, const EndpointResult &result);
-    void recordCrash(const core::Digest &digest, bool ranAlone);
+    void recordCrash(const RequestContext &context, bool ranAlone);
     void release(const RunReport &report);
     void wake(const std::vector<std::uint64_t> &ids);
     void wakeIdleWaiters();
--- a/src/node/node_handlers.cpp
+++ b/src/node/node_handlers.cpp
@@ -73,6 +73,12 @@
         co_return co_await m_config.handle(std::move(from), std::move(message));
     }
     if (const auto *notice = std::get_if<wire::QuarantineNotice>(&message)) {
+        telemetry::logRequestEvent(
+            "quarantine notice received",
+            {{"from", from.value()},
+             {"digest", (*notice)->requestDigest.toHex()},
+             {"remaining_ms", std::chrono::duration<double, std::milli>((*notice)->remaining).count()}},
+            now());
         if ((*notice)->remaining > core::Duration::zero()) {
             admission()->addQuarantine(*notice);
         } else {
--- a/src/node/node_hooks.cpp
+++ b/src/node/node_hooks.cpp
@@ -218,13 +218,19 @@
         const config::Workspace *workspace = catalogue->findWorkspace(name);
         return workspace == nullptr ? 1.0 : (*workspace)->weight;
     };
-    hooks.quarantined = [this](wire::QuarantineNotice notice) {
-        telemetry::log(
-            telemetry::Severity::Warning, "request quarantined", {{"digest", notice->requestDigest.toHex()}});
-        notifyProviders(notice);
-    };
-    hooks.suspected = [this](core::Digest digest) {
-        notifyProviders(wire::QuarantineNotice({.requestDigest = digest}));
+    hooks.crashed = [this](const admission::CrashReport &report) {
+        const bool isQuarantined = report->state == admission::QuarantineState::Quarantined;
+        const std::vector<telemetry::LogField> fields{
+            {"request", report->requestId}, {"digest", report->requestDigest.toHex()}, {"ran_alone", report->ranAlone}};
+        if (isQuarantined) {
+            telemetry::log(telemetry::Severity::Warning, "request quarantined", fields);
+        } else {
+            telemetry::logRequestEvent("request ran during a crash", fields, now());
+        }
+        if (report->state != admission::QuarantineState::Clear) {
+            notifyProviders(
+                wire::QuarantineNotice({.requestDigest = report->requestDigest, .remaining = report->remaining}));
+        }
     };
     return hooks;
 }
--- a/tests/admission/harness.h
+++ b/tests/admission/harness.h
@@ -185,7 +185,12 @@
         hooks.random = [this] { return m_random(); };
         hooks.isKeyWithdrawn = [this](const core::Digest &digest) { return withdrawnKeys.contains(digest); };
         hooks.weightOf = [](const core::WorkspaceId &) { return 1.0; };
-        hooks.quarantined = [this](const wire::QuarantineNotice &notice) { notices.push_back(notice); };
+        hooks.crashed = [this](const admission::CrashReport &report) {
+            if (report->state == admission::QuarantineState::Quarantined) {
+                notices.push_back(
+                    wire::QuarantineNotice({.requestDigest = report->requestDigest, .remaining = report->remaining}));
+            }
+        };
         return hooks;
     }
 
--- a/tests/admission/many_threads_share_an_endpoint.cpp
+++ b/tests/admission/many_threads_share_an_endpoint.cpp
@@ -77,7 +77,7 @@
     hooks.random = core::systemRandom();
     hooks.isKeyWithdrawn = [](const core::Digest &) { return false; };
     hooks.weightOf = [](const core::WorkspaceId &) { return 1.0; };
-    hooks.quarantined = [](const wire::QuarantineNotice &) {};
+    hooks.crashed = [](const admission::CrashReport &) {};
     return hooks;
 }
 
