Keep the quarantine when an endpoint starts again

The node makes a new AdmissionService for each endpoint that starts, and the quarantine was a member of it. The crash that led to the quarantine is followed by a start, so what was learned was dropped just before it mattered. Ruled out: a crash that is not recognized (`crashed` is true) and a digest that differs between sends (it is the same).

The node owns the quarantine, and the services of all its endpoints share it. Limit, service times and queue still start afresh, as they describe the endpoint. Notices of peers go to the quarantine without the service.

The new case of the admission tests covers suspects and the next endpoint of the host.

--- a/include/berylspring/admission/admission_service.h
+++ b/include/berylspring/admission/admission_service.h
@@ -41,11 +41,15 @@
     std::function<void(CrashReport)> crashed;
 };
 
-/** @brief Decides when requests run on the endpoint of this host, and runs them. Thread-safe. */
+/** @brief Decides when requests run on one endpoint of this host, and runs them. Thread-safe. */
 class AdmissionService
 {
 public:
-    AdmissionService(boost::asio::any_io_executor executor, AdmissionSettings settings, AdmissionHooks hooks);
+    /** @param quarantine Shared by the services of all endpoints that this host runs in turn. */
+    AdmissionService(boost::asio::any_io_executor executor,
+                     AdmissionSettings settings,
+                     AdmissionHooks hooks,
+                     std::shared_ptr<Quarantine> quarantine);
     ~AdmissionService();
     AdmissionService(const AdmissionService &) = delete;
     AdmissionService &operator=(const AdmissionService &) = delete;
@@ -64,10 +68,6 @@
     void startDrain();
     /** @brief Completes when no request runs or waits. */
     [[nodiscard]] boost::asio::awaitable<void> idle();
-    /** @brief Applies a quarantine announced by a peer. */
-    void addQuarantine(const wire::QuarantineNotice &notice);
-    /** @brief Marks a request that ran during a crash at a peer, so that it runs alone here. */
-    void addSuspect(const core::Digest &requestDigest);
     [[nodiscard]] AdmissionState state() const;
 
 private:
--- a/src/admission/admission_service.cpp
+++ b/src/admission/admission_service.cpp
@@ -8,8 +8,9 @@
 
 AdmissionService::AdmissionService(boost::asio::any_io_executor executor,
                                    AdmissionSettings settings,
-                                   AdmissionHooks hooks)
-    : m_core(std::make_shared<Core>(std::move(executor), settings, std::move(hooks)))
+                                   AdmissionHooks hooks,
+                                   std::shared_ptr<Quarantine> quarantine)
+    : m_core(std::make_shared<Core>(std::move(executor), settings, std::move(hooks), std::move(quarantine)))
 {
 }
 
@@ -38,16 +39,6 @@
     return Core::idle(m_core);
 }
 
-void AdmissionService::addQuarantine(const wire::QuarantineNotice &notice)
-{
-    m_core->addQuarantine(notice);
-}
-
-void AdmissionService::addSuspect(const core::Digest &requestDigest)
-{
-    m_core->addSuspect(requestDigest);
-}
-
 AdmissionState AdmissionService::state() const
 {
     return m_core->state();
--- a/src/admission/service_core.cpp
+++ b/src/admission/service_core.cpp
@@ -70,12 +70,15 @@
     RunReport m_report;
 };
 
-AdmissionService::Core::Core(asio::any_io_executor executor, AdmissionSettings settings, AdmissionHooks hooks)
+AdmissionService::Core::Core(asio::any_io_executor executor,
+                             AdmissionSettings settings,
+                             AdmissionHooks hooks,
+                             std::shared_ptr<Quarantine> quarantine)
     : m_executor(std::move(executor))
     , m_settings(settings)
     , m_hooks(std::move(hooks))
     , m_gate(settings, m_hooks.now())
-    , m_quarantine(settings.quarantineDuration, settings.suspicionDuration)
+    , m_quarantine(std::move(quarantine))
 {
 }
 
@@ -87,7 +90,7 @@
     }
     auto known = QuarantineState::Clear;
     if (self->m_settings.areControlsOn) {
-        known = self->m_quarantine.state(arrived.digest, arrived.arrivedAt);
+        known = self->m_quarantine->state(arrived.digest, arrived.arrivedAt);
     }
     if (known == QuarantineState::Quarantined) {
         co_return self->refuse(core::RefusalReason::Quarantined, core::Outcome::NotRun, arrived);
@@ -186,7 +189,7 @@
     }
     ++m_counters.answered;
     if (m_settings.areControlsOn) {
-        m_quarantine.answered(context.digest, m_hooks.now());
+        m_quarantine->answered(context.digest, m_hooks.now());
     }
     return withFeedback(result.response, context);
 }
@@ -194,12 +197,12 @@
 void AdmissionService::Core::recordCrash(const RequestContext &context, bool ranAlone)
 {
     const core::TimePoint now = m_hooks.now();
-    const QuarantineState state = m_quarantine.crashed(context.digest, ranAlone, now);
+    const QuarantineState state = m_quarantine->crashed(context.digest, ranAlone, now);
     m_hooks.crashed(CrashReport({.requestId = context.requestId,
                                  .requestDigest = context.digest,
                                  .ranAlone = ranAlone,
                                  .state = state,
-                                 .remaining = m_quarantine.remaining(context.digest, now)}));
+                                 .remaining = m_quarantine->remaining(context.digest, now)}));
 }
 
 asio::awaitable<void> AdmissionService::Core::idle(std::shared_ptr<Core> self)
@@ -302,16 +305,6 @@
     m_gate.startDrain();
 }
 
-void AdmissionService::Core::addQuarantine(const wire::QuarantineNotice &notice)
-{
-    m_quarantine.quarantine(notice->requestDigest, notice->remaining, m_hooks.now());
-}
-
-void AdmissionService::Core::addSuspect(const core::Digest &requestDigest)
-{
-    m_quarantine.suspect(requestDigest, m_hooks.now());
-}
-
 AdmissionState AdmissionService::Core::state() const
 {
     AdmissionStateFields fields = m_gate.state(m_hooks.now());
@@ -372,7 +365,7 @@
     if (reason == core::RefusalReason::Overloaded) {
         refusal = refusal.withRetryAfter(jitteredRetryAfter());
     } else if (reason == core::RefusalReason::Quarantined) {
-        refusal = refusal.withRetryAfter(m_quarantine.remaining(context.digest, context.arrivedAt));
+        refusal = refusal.withRetryAfter(m_quarantine->remaining(context.digest, context.arrivedAt));
     }
     wire::CallResponseFields fields;
     fields.refusal = std::move(refusal);
--- a/src/admission/service_core.h
+++ b/src/admission/service_core.h
@@ -20,15 +20,16 @@
 class AdmissionService::Core
 {
 public:
-    Core(boost::asio::any_io_executor executor, AdmissionSettings settings, AdmissionHooks hooks);
+    Core(boost::asio::any_io_executor executor,
+         AdmissionSettings settings,
+         AdmissionHooks hooks,
+         std::shared_ptr<Quarantine> quarantine);
 
     static boost::asio::awaitable<wire::CallResponse> run(std::shared_ptr<Core> self, wire::CallRequest request);
     static boost::asio::awaitable<void> idle(std::shared_ptr<Core> self);
 
     void setSlots(std::uint32_t slots);
     void startDrain();
-    void addQuarantine(const wire::QuarantineNotice &notice);
-    void addSuspect(const core::Digest &requestDigest);
     [[nodiscard]] AdmissionState state() const;
     /** @brief Destroys the waiting coroutines, whose frames keep this object alive. */
     void abandonWaiting();
@@ -71,7 +72,7 @@
     AdmissionSettings m_settings;
     AdmissionHooks m_hooks;
     EndpointGate m_gate;
-    Quarantine m_quarantine;
+    std::shared_ptr<Quarantine> m_quarantine;
     core::ShardedMap<std::uint64_t, std::shared_ptr<detail::AsyncEvent>> m_waiting;
     mutable std::mutex m_pressureMutex;
     Pressure m_pressure;
--- a/src/node/node_handlers.cpp
+++ b/src/node/node_handlers.cpp
@@ -80,9 +80,9 @@
              {"remaining_ms", std::chrono::duration<double, std::milli>((*notice)->remaining).count()}},
             now());
         if ((*notice)->remaining > core::Duration::zero()) {
-            admission()->addQuarantine(*notice);
+            m_quarantine->quarantine((*notice)->requestDigest, (*notice)->remaining, now());
         } else {
-            admission()->addSuspect((*notice)->requestDigest);
+            m_quarantine->suspect((*notice)->requestDigest, now());
         }
         co_return wire::Message(wire::Ack());
     }
--- a/src/node/node_implementation.h
+++ b/src/node/node_implementation.h
@@ -127,6 +127,8 @@
     limit::LimitService m_limits;
     idempotency::IdempotencyService m_idempotency;
     LocalEndpoint m_endpoint;
+    /** Outlives the endpoints: a request that has ended one of them ends the next one too. */
+    std::shared_ptr<admission::Quarantine> m_quarantine;
     mutable std::mutex m_admissionMutex;
     std::shared_ptr<admission::AdmissionService> m_admission; ///< Replaced whenever an endpoint starts.
     Dispatcher m_dispatcher;
--- a/tests/admission/a_request_that_crashes.cpp
+++ b/tests/admission/a_request_that_crashes.cpp
@@ -83,12 +83,9 @@
 {
     Harness harness;
     harness.service().setSlots(2);
-    wire::QuarantineNoticeFields notice;
-    notice.requestDigest = digestOf(callNamed("quarantined"));
-    notice.remaining = 1min;
-    harness.service().addQuarantine(wire::QuarantineNotice(notice));
+    harness.quarantine().quarantine(digestOf(callNamed("quarantined")), 1min, harness.now());
     CHECK(isRefusedFor(harness.send(callNamed("quarantined")), core::RefusalReason::Quarantined));
-    harness.service().addSuspect(digestOf(callNamed("suspect")));
+    harness.quarantine().suspect(digestOf(callNamed("suspect")), harness.now());
     harness.send(callNamed("suspect"));
     harness.send(callNamed("other"));
     CHECK(harness.running() == Names{"suspect"});
@@ -96,6 +93,35 @@
     LONGS_EQUAL(1, harness.notices.size());
 }
 
+// Guards against a node that forgets suspects and quarantines with the endpoint that they ended.
+TEST(ARequestThatCrashes, isKnownToTheNextEndpointOfTheHost)
+{
+    Harness harness;
+    const auto crasher = callNamed("crasher");
+    const auto startEndpoint = [&] {
+        harness.startEndpoint();
+        harness.service().setSlots(2);
+    };
+    startEndpoint();
+    section("it ends the first endpoint", [&] {
+        harness.send(crasher);
+        harness.finish("crasher", Harness::lost());
+    });
+    section("it runs alone on the second one, and ends it too", [&] {
+        startEndpoint();
+        harness.send(crasher);
+        harness.send(callNamed("other"));
+        CHECK(harness.running() == Names{"crasher"});
+        harness.finish("crasher", Harness::lost());
+        LONGS_EQUAL(1, harness.notices.size());
+        harness.finish("other");
+    });
+    section("the third one refuses it", [&] {
+        startEndpoint();
+        CHECK(isRefusedFor(harness.send(crasher), core::RefusalReason::Quarantined));
+    });
+}
+
 // Guards against suspecting a request that the endpoint has never received.
 TEST(ARequestThatCrashes, needsASentByteToBeSuspected)
 {
--- a/tests/admission/harness.h
+++ b/tests/admission/harness.h
@@ -66,8 +66,10 @@
 {
 public:
     explicit Harness(admission::AdmissionSettings settings = settingsWithoutRealTimers())
-        : m_service(std::make_unique<admission::AdmissionService>(m_io.get_executor(), settings, hooks()))
+        : m_settings(settings)
+        , m_quarantine(std::make_shared<admission::Quarantine>(settings.quarantineDuration, settings.suspicionDuration))
     {
+        startEndpoint();
     }
     ~Harness()
     {
@@ -80,6 +82,20 @@
     Harness(const Harness &) = delete;
     Harness &operator=(const Harness &) = delete;
 
+    /** @brief Replaces the service, as a node does for each endpoint that starts. */
+    void startEndpoint()
+    {
+        m_service =
+            std::make_unique<admission::AdmissionService>(m_io.get_executor(), m_settings, hooks(), m_quarantine);
+    }
+    [[nodiscard]] admission::Quarantine &quarantine()
+    {
+        return *m_quarantine;
+    }
+    [[nodiscard]] core::TimePoint now() const
+    {
+        return m_now;
+    }
     [[nodiscard]] admission::AdmissionService &service()
     {
         return *m_service;
@@ -194,6 +210,8 @@
         return hooks;
     }
 
+    admission::AdmissionSettings m_settings;
+    std::shared_ptr<admission::Quarantine> m_quarantine;
     core::TimePoint m_now{std::chrono::hours(1000)};
     std::mt19937_64 m_random{1};
     boost::asio::io_context m_io{1};
--- a/tests/admission/many_threads_share_an_endpoint.cpp
+++ b/tests/admission/many_threads_share_an_endpoint.cpp
@@ -102,7 +102,9 @@
     Tally tally;
     admission::AdmissionSettings settings;
     settings.targetWait = std::chrono::hours(1);
-    admission::AdmissionService service(io.get_executor(), settings, hooksFor(tally));
+    const auto quarantine =
+        std::make_shared<admission::Quarantine>(settings.quarantineDuration, settings.suspicionDuration);
+    admission::AdmissionService service(io.get_executor(), settings, hooksFor(tally), quarantine);
     service.setSlots(SlotCount);
 
     std::vector<Strand> strands;
