Recognize the end of an endpoint whose listening socket closes last

A request that ends its endpoint was not suspected in some runs: it ended all three endpoints of the new integration test and no node knew it afterwards.

A lost connection counts as a crash if a new one is refused. The probe runs as soon as the connection is lost, and a process that exits may close its listening socket after its connections, so the probe was accepted by a socket that was about to close. Evidence: kept logs of a failed run have `end of stream` and `crashed` false at two hosts, and `Connection refused` 5 ms later.

An accepted probe now waits up to 20 ms for the reset that a closing listening socket sends, and then connects again, at most three times. An answer of a running endpoint that drops a connection is delayed by that time.

--- a/include/berylspring/http/client.h
+++ b/include/berylspring/http/client.h
@@ -59,7 +59,11 @@
      */
     boost::asio::awaitable<Result<Response>> send(Request request, core::Duration timeout);
 
-    /** @brief Opens and closes a connection. @return Whether it was refused, which means that no server listens. */
+    /**
+     * @brief Probes whether the server process has ended.
+     * @param timeout Bounds the probe; with a server that listens, it takes some milliseconds.
+     * @return Whether a connection was refused, if need be after one that the server has closed.
+     */
     boost::asio::awaitable<bool> isRefusingConnections(core::Duration timeout);
 
 private:
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -40,6 +40,10 @@
 constexpr int MaxUnrelatedResponses = 3;
 /** Informational responses (1xx) to one request that are read before the connection is abandoned. */
 constexpr int MaxInformationalResponses = 32;
+/** Time in which a process that has closed one connection closes its listening socket, if it ends. */
+constexpr std::chrono::milliseconds ListenerCloseTime(20);
+/** Connections of one probe that a running server may close at once. */
+constexpr int MaxProbeConnections = 3;
 
 /** @brief One connection; used by one exchange at a time. */
 struct Connection
@@ -204,11 +208,26 @@
         if (!endpoint) {
             co_return false;
         }
-        error_code error;
-        connection->stream.expires_after(timeout);
-        co_await connection->stream.async_connect(*endpoint, asio::redirect_error(asio::use_awaitable, error));
-        connection->stream.close();
-        co_return error == asio::error::connection_refused || error == asio::error::connection_reset;
+        const auto deadline = std::chrono::steady_clock::now() + timeout;
+        for (int connections = 0; connections < MaxProbeConnections; ++connections) {
+            error_code error;
+            connection->stream.expires_at(deadline);
+            co_await connection->stream.async_connect(*endpoint, asio::redirect_error(asio::use_awaitable, error));
+            if (error) {
+                connection->stream.close();
+                co_return error == asio::error::connection_refused || error == asio::error::connection_reset;
+            }
+            // A process that ends may close its listening socket last, which resets the connections not yet accepted.
+            char byte = 0;
+            connection->stream.expires_at(std::min(deadline, std::chrono::steady_clock::now() + ListenerCloseTime));
+            co_await connection->stream.async_read_some(asio::buffer(&byte, 1),
+                                                        asio::redirect_error(asio::use_awaitable, error));
+            connection->stream.close();
+            if (!error || error == beast::error::timeout) {
+                co_return false;
+            }
+        }
+        co_return false;
     }
 
     static asio::awaitable<Result<Response>> exchange(std::shared_ptr<Implementation> self,
--- a/src/node/local_endpoint.cpp
+++ b/src/node/local_endpoint.cpp
@@ -11,7 +11,7 @@
 
 namespace asio = boost::asio;
 
-/** Short, because the kernel of this host refuses connections to a crashed endpoint at once. */
+/** Short, because the kernel of this host refuses connections to a crashed endpoint within milliseconds. */
 constexpr core::Duration CrashProbeTimeout = std::chrono::milliseconds(200);
 
 /**
