Tell each host of a service of a quarantine, and keep it in the log

A notice was sent once to the providers of the moment, and its failure was ignored; what a process knew ended with it. The same class of fault as the quarantine that was dropped with its endpoint: knowledge about requests kept by something that lives shorter than the request.

NoticeOutbox decides whom to tell: each host of the service until it acknowledges, each new process again, while the quarantine lasts. QuarantineExchange sends, and appends one record for each host to the stream `quarantine` of the log when it imposes a quarantine. A process reads the stream at its start, before it may replace its own record; at the first start of a fleet it does not. The service of the request, not that of the endpoint registered now, says who is told. The reading loop of the announcer becomes readToEnd().

--- a/include/berylspring/admission/crash_report.h
+++ b/include/berylspring/admission/crash_report.h
@@ -3,6 +3,7 @@
 #include "berylspring/admission/quarantine.h"
 #include "berylspring/core/digest.h"
 #include "berylspring/core/immutable.h"
+#include "berylspring/core/name.h"
 #include "berylspring/core/time.h"
 
 #include <string>
@@ -14,6 +15,7 @@
 {
     std::string requestId;
     core::Digest requestDigest;
+    core::ServiceId service;
     bool ranAlone = false; ///< No other request ran on the endpoint from its start to the crash.
     QuarantineState state = QuarantineState::Clear;
     core::Duration remaining{}; ///< Remaining time of the quarantine; zero if there is none.
--- a/src/admission/service_core.cpp
+++ b/src/admission/service_core.cpp
@@ -200,6 +200,7 @@
     const QuarantineState state = m_quarantine->crashed(context.digest, ranAlone, now);
     m_hooks.crashed(CrashReport({.requestId = context.requestId,
                                  .requestDigest = context.digest,
+                                 .service = context.service,
                                  .ranAlone = ranAlone,
                                  .state = state,
                                  .remaining = m_quarantine->remaining(context.digest, now)}));
@@ -254,6 +255,7 @@
     RequestContext context;
     context.id = m_nextId++;
     context.requestId = request->requestId;
+    context.service = request->service;
     if (m_settings.areControlsOn) {
         context.digest = core::requestDigest(request->method, request->target, request->body, request->workspace);
     }
--- a/src/admission/service_core.h
+++ b/src/admission/service_core.h
@@ -40,6 +40,7 @@
     {
         std::uint64_t id = 0;
         std::string requestId;
+        core::ServiceId service;
         core::Digest digest;
         core::TimePoint arrivedAt;
         core::TimePoint deadline;
--- a/src/node/announcer.cpp
+++ b/src/node/announcer.cpp
@@ -2,6 +2,7 @@
 
 #include "berylspring/core/ip_address.h"
 #include "berylspring/telemetry/log.h"
+#include "node/log_reader.h"
 
 #include <limits>
 
@@ -19,7 +20,6 @@
 const std::string Stream = "announce";
 constexpr auto RefreshInterval = std::chrono::minutes(10);
 constexpr auto RetryInterval = std::chrono::seconds(2);
-constexpr std::uint32_t PageRecords = 500;
 
 std::string toJson(const wire::MemberUpdate &member)
 {
@@ -56,48 +56,14 @@
                                .port = static_cast<std::uint16_t>(port->as_int64())});
 }
 
-/** @brief How far the stream has been read. */
-struct Position
+void addContact(const AnnouncerHooks &hooks, const eventlog::LogEntry &record)
 {
-    std::uint64_t generation = 0; ///< Generation of the log that the offset belongs to.
-    core::Offset from = 0;
-};
-
-/** @return Whether the stream was read up to its end. */
-asio::awaitable<bool> readContacts(const AnnouncerHooks &hooks, Position &position)
-{
-    while (true) {
-        const auto page = co_await hooks.log.read(Stream, position.from, PageRecords, core::Duration::zero());
-        if (!page && page.error().code() == eventlog::ErrorCode::Expired && page.error().first() > position.from) {
-            position.from = *page.error().first();
-            continue;
-        }
-        if (!page) {
-            co_return false;
-        }
-        if ((*page)->generation != position.generation) {
-            const bool isFromStart = position.from == 0;
-            position = {.generation = (*page)->generation};
-            if (!isFromStart) {
-                continue;
-            }
-        }
-        for (const eventlog::LogEntry &record : (*page)->records) {
-            if (const auto member = fromJson(record.data)) {
-                hooks.addContact(*member);
-            } else if (!record.data.empty()) {
-                telemetry::log(telemetry::Severity::Warning,
-                               "invalid announcement ignored",
-                               {{"offset", static_cast<std::int64_t>(record.offset)}, {"error", member.error()}});
-            }
-        }
-        // A page before the end may hold no record, if none in its range can be read.
-        const bool reachesEnd = (*page)->records.empty() && (*page)->reachesEnd.value_or(true);
-        const bool hasAdvanced = (*page)->next > position.from;
-        position.from = (*page)->next;
-        if (reachesEnd || !hasAdvanced) {
-            co_return reachesEnd;
-        }
+    if (const auto member = fromJson(record.data)) {
+        hooks.addContact(*member);
+    } else if (!record.data.empty()) {
+        telemetry::log(telemetry::Severity::Warning,
+                       "invalid announcement ignored",
+                       {{"offset", static_cast<std::int64_t>(record.offset)}, {"error", member.error()}});
     }
 }
 
@@ -106,12 +72,13 @@
 asio::awaitable<void> announceThroughLog(AnnouncerHooks hooks)
 {
     asio::steady_timer timer(co_await asio::this_coro::executor);
-    Position position;
+    StreamPosition position;
     while (!hooks.isStopping()) {
         const std::uint64_t generation = hooks.logGeneration();
         // Appends before it reads, so that of two hosts that start together the second one in the log finds the first.
         const auto appended = co_await hooks.log.append(Stream, toJson(hooks.self()));
-        const bool hasRead = co_await readContacts(hooks, position);
+        const bool hasRead = co_await readToEnd(
+            hooks.log, Stream, position, [&](const eventlog::LogEntry &record) { addContact(hooks, record); });
         if (appended && hasRead) {
             hooks.onRead();
         }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -118,6 +118,8 @@
           idempotencyHooks())
     , m_endpoint(m_executor, m_settings->maxBodyBytes, m_protocols, m_inFlight, m_random, spanSink())
     , m_quarantine(makeQuarantine())
+    , m_quarantineExchange(
+          m_executor, {m_settings->host, m_settings->isFirstStart}, m_quarantine, quarantineExchangeHooks())
     , m_admission(makeAdmission())
     , m_dispatcher(m_settings->host, m_settings->dataCentre, m_settings->areControlsOn, dispatcherHooks())
     , m_entry(m_inFlight,
@@ -165,6 +167,7 @@
     m_config.start();
     m_limits.start();
     asio::co_spawn(m_executor, publishLoop(), detail::logFailure("publishing"));
+    asio::co_spawn(m_executor, m_quarantineExchange.restore(), detail::logFailure("quarantine record"));
     asio::co_spawn(m_executor,
                    detail::announceThroughLog(
                        {.log = m_log,
--- a/src/node/node_handlers.cpp
+++ b/src/node/node_handlers.cpp
@@ -73,17 +73,7 @@
         co_return co_await m_config.handle(std::move(from), std::move(message));
     }
     if (const auto *notice = std::get_if<wire::QuarantineNotice>(&message)) {
-        telemetry::logRequestEvent(
-            "quarantine notice received",
-            {{"from", from.value()},
-             {"digest", (*notice)->requestDigest.toHex()},
-             {"remaining_ms", std::chrono::duration<double, std::milli>((*notice)->remaining).count()}},
-            now());
-        if ((*notice)->remaining > core::Duration::zero()) {
-            m_quarantine->quarantine((*notice)->requestDigest, (*notice)->remaining, now());
-        } else {
-            m_quarantine->suspect((*notice)->requestDigest, now());
-        }
+        m_quarantineExchange.receive(from, *notice, now());
         co_return wire::Message(wire::Ack());
     }
     co_return wire::Message(wire::Refused({.detail = "not a request"}));
@@ -244,6 +234,7 @@
     core::TimePoint lastStatus = now();
     while (true) {
         publishEndpoint();
+        m_quarantineExchange.tick(now());
         if (now() - lastStatus >= StatusInterval) {
             lastStatus = now();
             logStatus();
@@ -253,25 +244,11 @@
     }
 }
 
-void Node::Implementation::notifyProviders(wire::QuarantineNotice notice)
-{
-    const std::optional<wire::EndpointState> own = m_endpoint.state(admission()->state(), now());
-    if (!own) {
-        return;
-    }
-    const std::shared_ptr<const membership::MemberSnapshot> members = m_membership->snapshot();
-    for (const membership::Member &member : members->providers((*own)->service)) {
-        if (member.host() != m_settings->host) {
-            asio::co_spawn(
-                m_executor, notify(member.host(), wire::Message(notice)), detail::logFailure("quarantine notice"));
-        }
-    }
-}
-
-asio::awaitable<void> Node::Implementation::notify(core::HostId host, wire::Message message)
+asio::awaitable<bool> Node::Implementation::sendNotice(core::HostId host, wire::QuarantineNotice notice)
 {
-    // Best effort: a provider that misses the notice detects the request itself when it runs it.
-    [[maybe_unused]] const auto ignored = co_await m_peers.call(std::move(host), std::move(message), NoticeTimeout);
+    const wire::Message message(std::move(notice));
+    const auto answer = co_await m_peers.call(std::move(host), message, NoticeTimeout);
+    co_return answer &&std::holds_alternative<wire::Ack>(*answer);
 }
 
 asio::awaitable<http::ChangePage> Node::Implementation::changes(core::Offset from)
--- a/src/node/node_hooks.cpp
+++ b/src/node/node_hooks.cpp
@@ -218,20 +218,31 @@
         const config::Workspace *workspace = catalogue->findWorkspace(name);
         return workspace == nullptr ? 1.0 : (*workspace)->weight;
     };
-    hooks.crashed = [this](const admission::CrashReport &report) {
-        const bool isQuarantined = report->state == admission::QuarantineState::Quarantined;
-        const std::vector<telemetry::LogField> fields{
-            {"request", report->requestId}, {"digest", report->requestDigest.toHex()}, {"ran_alone", report->ranAlone}};
-        if (isQuarantined) {
-            telemetry::log(telemetry::Severity::Warning, "request quarantined", fields);
-        } else {
-            telemetry::logRequestEvent("request ran during a crash", fields, now());
-        }
-        if (report->state != admission::QuarantineState::Clear) {
-            notifyProviders(
-                wire::QuarantineNotice({.requestDigest = report->requestDigest, .remaining = report->remaining}));
+    hooks.crashed = [this](const admission::CrashReport &report) { m_quarantineExchange.report(report, now()); };
+    return hooks;
+}
+
+detail::QuarantineExchangeHooks Node::Implementation::quarantineExchangeHooks()
+{
+    detail::QuarantineExchangeHooks hooks;
+    hooks.log = m_log;
+    hooks.send = [this](core::HostId host, wire::QuarantineNotice notice) {
+        return sendNotice(std::move(host), std::move(notice));
+    };
+    hooks.receivers = [this](const core::ServiceId &service) {
+        std::vector<admission::NoticeReceiver> receivers;
+        const std::shared_ptr<const membership::MemberSnapshot> members = m_membership->snapshot();
+        for (const membership::Member &member : members->providers(service)) {
+            if (member.host() != m_settings->host) {
+                receivers.push_back({member.host(), member.incarnation()});
+            }
         }
+        return receivers;
     };
+    hooks.logGeneration = [this] { return m_config.logGeneration(); };
+    hooks.now = now;
+    hooks.wallTime = [] { return std::chrono::system_clock::now(); };
+    hooks.isStopping = [this] { return m_isStopping.load(); };
     return hooks;
 }
 
--- a/src/node/node_implementation.h
+++ b/src/node/node_implementation.h
@@ -21,6 +21,7 @@
 #include "berylspring/wire/datagram_codec.h"
 #include "berylspring/wire/peer_pool.h"
 #include "berylspring/wire/peer_server.h"
+#include "node/quarantine_exchange.h"
 
 #include <atomic>
 #include <memory>
@@ -49,6 +50,7 @@
     limit::LimitHooks limitHooks();
     idempotency::IdempotencyHooks idempotencyHooks();
     admission::AdmissionHooks admissionHooks();
+    detail::QuarantineExchangeHooks quarantineExchangeHooks();
     DispatcherHooks dispatcherHooks();
     EntryHooks entryHooks();
     http::OperatorHooks operatorHooks();
@@ -76,8 +78,7 @@
     boost::asio::awaitable<void> abortRequests();
     [[nodiscard]] bool acceptsRoot(core::Duration timeout, core::TimePoint now) const;
     boost::asio::awaitable<bool> finishWork();
-    void notifyProviders(wire::QuarantineNotice notice);
-    boost::asio::awaitable<void> notify(core::HostId host, wire::Message message);
+    boost::asio::awaitable<bool> sendNotice(core::HostId host, wire::QuarantineNotice notice);
 
     [[nodiscard]] telemetry::SpanSink spanSink() const;
     [[nodiscard]] std::shared_ptr<admission::AdmissionService> admission() const;
@@ -129,6 +130,7 @@
     LocalEndpoint m_endpoint;
     /** Outlives the endpoints: a request that has ended one of them ends the next one too. */
     std::shared_ptr<admission::Quarantine> m_quarantine;
+    detail::QuarantineExchange m_quarantineExchange;
     mutable std::mutex m_admissionMutex;
     std::shared_ptr<admission::AdmissionService> m_admission; ///< Replaced whenever an endpoint starts.
     Dispatcher m_dispatcher;
--- a/tests/integration/a_request_that_ends_its_endpoints.cpp
+++ b/tests/integration/a_request_that_ends_its_endpoints.cpp
@@ -71,6 +71,19 @@
     LONGS_EQUAL(0, endedEndpoints(fleet).size());
 }
 
+/** @brief Kills nodes at the same time and starts them and their endpoints again. */
+void restartDaemons(test::Fleet &fleet, const std::vector<std::size_t> &indices)
+{
+    for (const std::size_t index : indices) {
+        fleet.node(index).daemon->kill();
+    }
+    for (const std::size_t index : indices) {
+        fleet.node(index).daemon->wait();
+        fleet.restartDaemon(index);
+    }
+    fleet.waitUntilServing({"/visits/calm"}, Key);
+}
+
 }
 
 TEST_GROUP(ARequestThatEndsItsEndpoints){};
@@ -84,3 +97,26 @@
     section("the endpoints start again and serve", [&] { restartEndedEndpoints(fleet); });
     section("none of them receives it again", [&] { checkRefusedEverywhere(fleet); });
 }
+
+// Guards against a node that has forgotten a quarantine after its own restart, while its peers know it.
+TEST(ARequestThatEndsItsEndpoints, isRefusedByANodeThatHasRestarted)
+{
+    test::Fleet fleet(threeEndpointsThatExit());
+    declare(fleet);
+    endEndpointsUntilRefused(fleet);
+    restartEndedEndpoints(fleet);
+    for (std::size_t index = 0; index < fleet.size(); ++index) {
+        section("node " + std::to_string(index) + " starts again", [&] { restartDaemons(fleet, {index}); });
+        section("no endpoint receives the request", [&] { checkRefusedEverywhere(fleet); });
+    }
+}
+
+// Guards against a quarantine that is lost when all nodes restart at the same time.
+TEST(ARequestThatEndsItsEndpoints, isRefusedAfterAllNodesHaveRestarted)
+{
+    test::Fleet fleet(threeEndpointsThatExit());
+    declare(fleet);
+    endEndpointsUntilRefused(fleet);
+    section("all nodes are killed and start again", [&] { restartDaemons(fleet, {0, 1, 2}); });
+    section("no endpoint receives the request", [&] { checkRefusedEverywhere(fleet); });
+}
