Let a retry say that its request ran during a crash

One send of an idempotent request could end three endpoints that no node had reason to suspect it on: the entry retries as soon as a host reports the lost connection, and that host's notice to the others travels at the same time. A retry that arrives first runs in company, and such a crash proves nothing.

The response says that the endpoint crashed, and the dispatcher marks the following attempts, and attempts of a request that came marked. The next host runs a marked request alone, so that a second crash quarantines it. Both fields are appended to their tables; older nodes ignore them.

--- a/include/berylspring/wire/messages.h
+++ b/include/berylspring/wire/messages.h
@@ -43,6 +43,7 @@
     std::string traceParent; ///< W3C traceparent of the sending span.
     std::string claimName; ///< Idempotency name of a non-idempotent request; empty otherwise.
     std::string requestId; ///< Correlates log lines of one attempt of the caller; may be empty.
+    bool isSuspect = false; ///< Ran while an endpoint crashed, so it must run alone.
     [[nodiscard]] bool operator==(const CallRequestFields &) const = default;
 };
 using CallRequest = core::Immutable<CallRequestFields>;
@@ -62,6 +63,7 @@
      * too. 1 means that requests wait for the target time.
      */
     double pressure = 0;
+    bool hasEndpointCrashed = false; ///< The endpoint ended while it ran the request.
     core::Duration queueTime{};
     core::Duration serviceTime{};
     [[nodiscard]] bool operator==(const CallResponseFields &) const = default;
--- a/src/admission/service_core.cpp
+++ b/src/admission/service_core.cpp
@@ -91,6 +91,11 @@
     auto known = QuarantineState::Clear;
     if (self->m_settings.areControlsOn) {
         known = self->m_quarantine->state(arrived.digest, arrived.arrivedAt);
+        // A retry may arrive before the notice of the host at which the request ran during a crash.
+        if (known == QuarantineState::Clear && request->isSuspect) {
+            self->m_quarantine->suspect(arrived.digest, arrived.arrivedAt);
+            known = QuarantineState::Suspect;
+        }
     }
     if (known == QuarantineState::Quarantined) {
         co_return self->refuse(core::RefusalReason::Quarantined, core::Outcome::NotRun, arrived);
@@ -178,7 +183,8 @@
         if (result.maybeSent && m_settings.areControlsOn) {
             recordCrash(context, ranAlone);
         }
-        return refuse(core::RefusalReason::ConnectionLost, outcome, context);
+        return refuse(core::RefusalReason::ConnectionLost, outcome, context)
+            .with(&wire::CallResponseFields::hasEndpointCrashed, result.maybeSent);
     }
     if (result.response->refusal) {
         auto refusal = result.response->refusal;
--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -90,6 +90,7 @@
     std::uint32_t reroutes = 0; ///< Attempts that a node refused before the request reached its endpoint.
     bool mayHaveRun = false;
     double pressure = 0; ///< Reported by the last response.
+    bool isSuspect = false; ///< An endpoint crashed while it ran the request.
     bool wasShed = false; ///< An endpoint was excluded because it admits only higher priorities.
 };
 
@@ -118,11 +119,13 @@
             attempts.hosts.push_back(*decision.host);
             const wire::CallRequest sent =
                 call.with(&wire::CallRequestFields::remaining, remaining)
+                    .with(&wire::CallRequestFields::isSuspect, call->isSuspect || attempts.isSuspect)
                     .with(&wire::CallRequestFields::retryAllowance,
                           call->retryAllowance - std::min(call->retryAllowance, attempts.retries));
             const wire::CallResponse response = co_await attempt(sent, *decision.host);
             attempts.retries += response->retriesSpent;
             attempts.pressure = response->pressure;
+            attempts.isSuspect = attempts.isSuspect || response->hasEndpointCrashed;
             if (!response->refusal) {
                 m_budgets.onSuccess(call->service);
                 co_return response.with(&wire::CallResponseFields::retriesSpent, attempts.retries);
--- a/src/wire/envelope_decode.cpp
+++ b/src/wire/envelope_decode.cpp
@@ -164,6 +164,7 @@
         fields.traceParent = text(value.trace_parent());
         fields.claimName = text(value.claim_name());
         fields.requestId = text(value.request_id());
+        fields.isSuspect = value.is_suspect();
         return CallRequest(std::move(fields));
     }
 
@@ -180,6 +181,7 @@
         fields.admittedLevel = admittedLevel(value.admitted_level());
         fields.inFlight = value.in_flight();
         fields.pressure = static_cast<double>(value.pressure());
+        fields.hasEndpointCrashed = value.has_endpoint_crashed();
         fields.queueTime = duration(value.queue_time_ns());
         fields.serviceTime = duration(value.service_time_ns());
         return CallResponse(std::move(fields));
--- a/src/wire/envelope_encode.cpp
+++ b/src/wire/envelope_encode.cpp
@@ -158,7 +158,8 @@
                                          value->retryAllowance,
                                          traceParent,
                                          claimName,
-                                         requestId);
+                                         requestId,
+                                         value->isSuspect);
     }
     Offset<schema::CallResponse> write(const CallResponse &value)
     {
@@ -175,7 +176,8 @@
                                           value->inFlight,
                                           value->queueTime.count(),
                                           value->serviceTime.count(),
-                                          static_cast<float>(value->pressure));
+                                          static_cast<float>(value->pressure),
+                                          value->hasEndpointCrashed);
     }
     Offset<schema::HomeRequest> write(const HomeRequest &value)
     {
--- a/tests/admission/a_request_that_crashes.cpp
+++ b/tests/admission/a_request_that_crashes.cpp
@@ -122,6 +122,29 @@
     });
 }
 
+// Guards against a retry that overtakes the notice about it and runs in company on the next endpoint.
+TEST(ARequestThatCrashes, isSuspectedWhenItsSenderKnowsOfACrash)
+{
+    Harness harness;
+    harness.service().setSlots(2);
+    const auto first = harness.send(callNamed("crasher"));
+    section("the response tells the sender that the endpoint crashed", [&] {
+        harness.finish("crasher", Harness::lost());
+        CHECK_TRUE((*first->response)->hasEndpointCrashed);
+    });
+    Harness next;
+    next.service().setSlots(2);
+    section("the retry runs alone at another host that was not told", [&] {
+        next.send(callNamed("crasher").with(&wire::CallRequestFields::isSuspect, true));
+        next.send(callNamed("other"));
+        CHECK(next.running() == Names{"crasher"});
+    });
+    section("its second crash quarantines it", [&] {
+        next.finish("crasher", Harness::lost());
+        LONGS_EQUAL(1, next.notices.size());
+    });
+}
+
 // Guards against suspecting a request that the endpoint has never received.
 TEST(ARequestThatCrashes, needsASentByteToBeSuspected)
 {
--- a/tests/wire/generators.h
+++ b/tests/wire/generators.h
@@ -103,6 +103,7 @@
     fields.traceParent = text();
     fields.claimName = text();
     fields.requestId = text();
+    fields.isSuspect = value<bool>();
     return wire::CallRequest(fields);
 }
 
@@ -123,6 +124,7 @@
     fields.admittedLevel = priority();
     fields.inFlight = value<std::uint32_t>();
     fields.pressure = value<bool>() ? 0.5 : 3;
+    fields.hasEndpointCrashed = value<bool>();
     fields.queueTime = duration();
     fields.serviceTime = duration();
     return wire::CallResponse(fields);
