Refuse what waits for an endpoint when another one replaces it

When the running ones end, the waiting ones start on the new endpoint, beyond the limit that its own service keeps; an endpoint that hangs when it is full would hang, and a suspect would not run alone.

A service that is replaced refuses what waits as Draining, not run, so that entries try other hosts, and starts nothing more. What runs ends as before.

The new case of ACallThroughTheService covers both; there was no way to state it before, as a replaced service was just forgotten.

--- a/include/berylspring/admission/admission_service.h
+++ b/include/berylspring/admission/admission_service.h
@@ -66,6 +66,12 @@
     void setSlots(std::uint32_t slots);
     /** @brief Refuses new requests from now on; running and waiting requests are completed. */
     void startDrain();
+    /**
+     * @brief Refuses new and waiting requests as Draining, for an endpoint that another one has replaced.
+     *
+     * The hook endpointCall reaches the new endpoint, so a waiting request would start there beyond its limit.
+     */
+    void retire();
     /** @brief Completes when no request runs or waits. */
     [[nodiscard]] boost::asio::awaitable<void> idle();
     [[nodiscard]] AdmissionState state() const;
--- a/include/berylspring/admission/endpoint_gate.h
+++ b/include/berylspring/admission/endpoint_gate.h
@@ -72,6 +72,8 @@
     [[nodiscard]] std::vector<std::uint64_t> finish(const RunReport &report, core::TimePoint now);
     [[nodiscard]] std::vector<std::uint64_t> setSlots(std::uint32_t slots, core::TimePoint now);
     void startDrain();
+    /** @brief Refuses new and waiting requests, for an endpoint that another one has replaced. */
+    [[nodiscard]] std::vector<std::uint64_t> retire();
     [[nodiscard]] bool isIdle() const;
     [[nodiscard]] AdmissionStateFields state(core::TimePoint now) const;
     /** @return Queue time that counts as a pressure of 1. */
@@ -92,6 +94,7 @@
     void raiseLevel(core::TimePoint now);
     void startWaiting(core::TimePoint now, RequestIds &decided);
     [[nodiscard]] bool startSuspect(core::TimePoint now, RequestIds &decided);
+    void refuseWaiting(core::RefusalReason reason, RequestIds &decided);
     void decide(std::uint64_t id, AdmissionDecision decision, RequestIds &decided);
     [[nodiscard]] std::optional<AdmissionDecision> resolveWaiting(std::uint64_t id, core::TimePoint now);
 
--- a/src/admission/admission_service.cpp
+++ b/src/admission/admission_service.cpp
@@ -34,6 +34,11 @@
     m_core->startDrain();
 }
 
+void AdmissionService::retire()
+{
+    m_core->retire();
+}
+
 boost::asio::awaitable<void> AdmissionService::idle()
 {
     return Core::idle(m_core);
--- a/src/admission/endpoint_gate.cpp
+++ b/src/admission/endpoint_gate.cpp
@@ -229,19 +229,32 @@
     RequestIds decided;
     m_limit = m_limit.withSlots(slots, now);
     if (slots == 0) {
-        const AdmissionDecision refused{.kind = AdmissionDecision::Kind::Refuse,
-                                        .reason = core::RefusalReason::NoEndpoint};
-        for (const std::uint64_t id : m_queue.clear()) {
-            decide(id, refused, decided);
-        }
-        for (const Suspect &suspect : std::exchange(m_suspects, {})) {
-            decide(suspect.id, refused, decided);
-        }
+        refuseWaiting(core::RefusalReason::NoEndpoint, decided);
     }
     startWaiting(now, decided);
     return decided;
 }
 
+void EndpointGate::refuseWaiting(core::RefusalReason reason, RequestIds &decided)
+{
+    const AdmissionDecision refused{.kind = AdmissionDecision::Kind::Refuse, .reason = reason};
+    for (const std::uint64_t id : m_queue.clear()) {
+        decide(id, refused, decided);
+    }
+    for (const Suspect &suspect : std::exchange(m_suspects, {})) {
+        decide(suspect.id, refused, decided);
+    }
+}
+
+std::vector<std::uint64_t> EndpointGate::retire()
+{
+    const std::scoped_lock lock(m_mutex);
+    m_isDraining = true;
+    RequestIds decided;
+    refuseWaiting(core::RefusalReason::Draining, decided);
+    return decided;
+}
+
 void EndpointGate::startDrain()
 {
     const std::scoped_lock lock(m_mutex);
--- a/src/admission/service_core.cpp
+++ b/src/admission/service_core.cpp
@@ -313,6 +313,11 @@
     m_gate.startDrain();
 }
 
+void AdmissionService::Core::retire()
+{
+    wake(m_gate.retire());
+}
+
 AdmissionState AdmissionService::Core::state() const
 {
     AdmissionStateFields fields = m_gate.state(m_hooks.now());
--- a/src/admission/service_core.h
+++ b/src/admission/service_core.h
@@ -30,6 +30,7 @@
 
     void setSlots(std::uint32_t slots);
     void startDrain();
+    void retire();
     [[nodiscard]] AdmissionState state() const;
     /** @brief Destroys the waiting coroutines, whose frames keep this object alive. */
     void abandonWaiting();
--- a/src/node/node_handlers.cpp
+++ b/src/node/node_handlers.cpp
@@ -184,8 +184,7 @@
                     {"sequence", static_cast<std::int64_t>(heartbeat.sequence)},
                     {"draining", heartbeat.isDraining}});
     if (result == HeartbeatResult::Started) {
-        const std::scoped_lock lock(m_admissionMutex);
-        m_admission = makeAdmission();
+        replaceAdmission();
     }
     if (m_endpoint.isDraining()) {
         admission()->startDrain();
@@ -195,6 +194,16 @@
     }
 }
 
+void Node::Implementation::replaceAdmission()
+{
+    std::shared_ptr<admission::AdmissionService> retired = makeAdmission();
+    {
+        const std::scoped_lock lock(m_admissionMutex);
+        std::swap(retired, m_admission);
+    }
+    retired->retire();
+}
+
 void Node::Implementation::drainEndpoint()
 {
     m_endpoint.drain();
--- a/src/node/node_implementation.h
+++ b/src/node/node_implementation.h
@@ -70,6 +70,8 @@
 
     boost::asio::awaitable<http::Reply> handleOperator(http::Request request);
     void processHeartbeat(const http::EndpointHeartbeat &heartbeat);
+    /** @brief Starts afresh with an endpoint that has just announced itself. */
+    void replaceAdmission();
     void drainEndpoint();
     void publishEndpoint();
     void logStatus() const;
--- a/tests/admission/a_call_through_the_service.cpp
+++ b/tests/admission/a_call_through_the_service.cpp
@@ -141,6 +141,27 @@
     checkRefused(second, core::RefusalReason::NoEndpoint, core::Outcome::NotRun);
 }
 
+// Guards against requests that wait for one endpoint and start on its successor, beyond the limit there.
+TEST(ACallThroughTheService, refusesWhatWaitsWhenAnotherEndpointStarts)
+{
+    Harness harness;
+    harness.service().setSlots(1);
+    const auto first = harness.send(callNamed("first"));
+    const auto second = harness.send(callNamed("second"));
+    section("what waits is refused as not run", [&] {
+        harness.service().retire();
+        harness.poll();
+        checkRefused(second, core::RefusalReason::Draining, core::Outcome::NotRun);
+    });
+    section("what runs ends as usual, and starts nothing", [&] {
+        const auto third = harness.send(callNamed("third"));
+        harness.finish("first");
+        LONGS_EQUAL(200, (*first->response)->status);
+        checkRefused(third, core::RefusalReason::Draining, core::Outcome::NotRun);
+        CHECK(harness.running().empty());
+    });
+}
+
 // G8: guards against not-run for a request of which the endpoint may have received a byte.
 TEST(ACallThroughTheService, tellsNotRunOnlyWhenNothingWasSent)
 {
