Keep the admission counters when an endpoint starts again

The counters of the admission are documented as counts since the start of the process.

AdmissionHistory holds what outlives the endpoints of a host, quarantine and totals, and the services share it. A case of the admission tests counts over three endpoints.

--- a/include/berylspring/admission/admission_service.h
+++ b/include/berylspring/admission/admission_service.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "berylspring/admission/admission_history.h"
 #include "berylspring/admission/admission_state.h"
 #include "berylspring/admission/crash_report.h"
 #include "berylspring/admission/settings.h"
@@ -45,11 +46,11 @@
 class AdmissionService
 {
 public:
-    /** @param quarantine Shared by the services of all endpoints that this host runs in turn. */
+    /** @param history Shared by the services of all endpoints that this host runs in turn. */
     AdmissionService(boost::asio::any_io_executor executor,
                      AdmissionSettings settings,
                      AdmissionHooks hooks,
-                     std::shared_ptr<Quarantine> quarantine);
+                     std::shared_ptr<AdmissionHistory> history);
     ~AdmissionService();
     AdmissionService(const AdmissionService &) = delete;
     AdmissionService &operator=(const AdmissionService &) = delete;
--- a/src/admission/admission_service.cpp
+++ b/src/admission/admission_service.cpp
@@ -9,8 +9,8 @@
 AdmissionService::AdmissionService(boost::asio::any_io_executor executor,
                                    AdmissionSettings settings,
                                    AdmissionHooks hooks,
-                                   std::shared_ptr<Quarantine> quarantine)
-    : m_core(std::make_shared<Core>(std::move(executor), settings, std::move(hooks), std::move(quarantine)))
+                                   std::shared_ptr<AdmissionHistory> history)
+    : m_core(std::make_shared<Core>(std::move(executor), settings, std::move(hooks), std::move(history)))
 {
 }
 
--- a/src/admission/service_core.cpp
+++ b/src/admission/service_core.cpp
@@ -73,12 +73,12 @@
 AdmissionService::Core::Core(asio::any_io_executor executor,
                              AdmissionSettings settings,
                              AdmissionHooks hooks,
-                             std::shared_ptr<Quarantine> quarantine)
+                             std::shared_ptr<AdmissionHistory> history)
     : m_executor(std::move(executor))
     , m_settings(settings)
     , m_hooks(std::move(hooks))
     , m_gate(settings, m_hooks.now())
-    , m_quarantine(std::move(quarantine))
+    , m_history(std::move(history))
 {
 }
 
@@ -90,10 +90,10 @@
     }
     auto known = QuarantineState::Clear;
     if (self->m_settings.areControlsOn) {
-        known = self->m_quarantine->state(arrived.digest, arrived.arrivedAt);
+        known = self->m_history->quarantine.state(arrived.digest, arrived.arrivedAt);
         // A retry may arrive before the notice of the host at which the request ran during a crash.
         if (known == QuarantineState::Clear && request->isSuspect) {
-            self->m_quarantine->suspect(arrived.digest, arrived.arrivedAt);
+            self->m_history->quarantine.suspect(arrived.digest, arrived.arrivedAt);
             known = QuarantineState::Suspect;
         }
     }
@@ -120,7 +120,7 @@
     self->recordPressure(std::chrono::duration<double>(startedAt - arrived.arrivedAt)
                              / std::chrono::duration<double>(self->m_gate.pressureWait(startedAt)),
                          startedAt);
-    ++self->m_counters.started;
+    ++self->m_history->totals.started;
     wire::CallRequest forwarded = request.with(&wire::CallRequestFields::remaining, context.deadline - startedAt);
     EndpointResult result = co_await callEndpoint(self, std::move(forwarded));
     guard.ended(result, self->m_hooks.now() - startedAt);
@@ -179,7 +179,7 @@
 {
     const auto outcome = result.maybeSent ? core::Outcome::Unknown : core::Outcome::NotRun;
     if (result.connectionLost) {
-        ++m_counters.connectionsLost;
+        ++m_history->totals.connectionsLost;
         if (result.maybeSent && m_settings.areControlsOn) {
             recordCrash(context, ranAlone);
         }
@@ -193,9 +193,9 @@
         }
         return withFeedback(result.response.with(&wire::CallResponseFields::refusal, refusal), context);
     }
-    ++m_counters.answered;
+    ++m_history->totals.answered;
     if (m_settings.areControlsOn) {
-        m_quarantine->answered(context.digest, m_hooks.now());
+        m_history->quarantine.answered(context.digest, m_hooks.now());
     }
     return withFeedback(result.response, context);
 }
@@ -203,13 +203,13 @@
 void AdmissionService::Core::recordCrash(const RequestContext &context, bool ranAlone)
 {
     const core::TimePoint now = m_hooks.now();
-    const QuarantineState state = m_quarantine->crashed(context.digest, ranAlone, now);
+    const QuarantineState state = m_history->quarantine.crashed(context.digest, ranAlone, now);
     m_hooks.crashed(CrashReport({.requestId = context.requestId,
                                  .requestDigest = context.digest,
                                  .service = context.service,
                                  .ranAlone = ranAlone,
                                  .state = state,
-                                 .remaining = m_quarantine->remaining(context.digest, now)}));
+                                 .remaining = m_history->quarantine.remaining(context.digest, now)}));
 }
 
 asio::awaitable<void> AdmissionService::Core::idle(std::shared_ptr<Core> self)
@@ -321,14 +321,7 @@
 AdmissionState AdmissionService::Core::state() const
 {
     AdmissionStateFields fields = m_gate.state(m_hooks.now());
-    fields.counters = AdmissionCounters{.started = m_counters.started,
-                                        .answered = m_counters.answered,
-                                        .overloaded = m_counters.overloaded,
-                                        .tooLate = m_counters.tooLate,
-                                        .quarantined = m_counters.quarantined,
-                                        .keyWithdrawn = m_counters.keyWithdrawn,
-                                        .cancelled = m_counters.cancelled,
-                                        .connectionsLost = m_counters.connectionsLost};
+    fields.counters = m_history->totals.counters();
     return AdmissionState(fields);
 }
 
@@ -343,20 +336,20 @@
     switch (reason) {
     case core::RefusalReason::Overloaded:
         recordPressure(Pressure::MaxSample, m_hooks.now());
-        ++m_counters.overloaded;
+        ++m_history->totals.overloaded;
         break;
     case core::RefusalReason::DeadlineExceeded:
         recordPressure(Pressure::MaxSample, m_hooks.now());
-        ++m_counters.tooLate;
+        ++m_history->totals.tooLate;
         break;
     case core::RefusalReason::Quarantined:
-        ++m_counters.quarantined;
+        ++m_history->totals.quarantined;
         break;
     case core::RefusalReason::KeyInvalid:
-        ++m_counters.keyWithdrawn;
+        ++m_history->totals.keyWithdrawn;
         break;
     case core::RefusalReason::Cancelled:
-        ++m_counters.cancelled;
+        ++m_history->totals.cancelled;
         break;
     default:
         break;
@@ -378,7 +371,7 @@
     if (reason == core::RefusalReason::Overloaded) {
         refusal = refusal.withRetryAfter(jitteredRetryAfter());
     } else if (reason == core::RefusalReason::Quarantined) {
-        refusal = refusal.withRetryAfter(m_quarantine->remaining(context.digest, context.arrivedAt));
+        refusal = refusal.withRetryAfter(m_history->quarantine.remaining(context.digest, context.arrivedAt));
     }
     wire::CallResponseFields fields;
     fields.refusal = std::move(refusal);
--- a/src/admission/service_core.h
+++ b/src/admission/service_core.h
@@ -23,7 +23,7 @@
     Core(boost::asio::any_io_executor executor,
          AdmissionSettings settings,
          AdmissionHooks hooks,
-         std::shared_ptr<Quarantine> quarantine);
+         std::shared_ptr<AdmissionHistory> history);
 
     static boost::asio::awaitable<wire::CallResponse> run(std::shared_ptr<Core> self, wire::CallRequest request);
     static boost::asio::awaitable<void> idle(std::shared_ptr<Core> self);
@@ -74,25 +74,13 @@
     AdmissionSettings m_settings;
     AdmissionHooks m_hooks;
     EndpointGate m_gate;
-    std::shared_ptr<Quarantine> m_quarantine;
+    std::shared_ptr<AdmissionHistory> m_history;
     core::ShardedMap<std::uint64_t, std::shared_ptr<detail::AsyncEvent>> m_waiting;
     mutable std::mutex m_pressureMutex;
     Pressure m_pressure;
     std::mutex m_idleMutex;
     std::vector<std::shared_ptr<detail::AsyncEvent>> m_idleWaiters;
     std::atomic<std::uint64_t> m_nextId{1};
-
-    struct Counters
-    {
-        std::atomic<std::uint64_t> started{0};
-        std::atomic<std::uint64_t> answered{0};
-        std::atomic<std::uint64_t> overloaded{0};
-        std::atomic<std::uint64_t> tooLate{0};
-        std::atomic<std::uint64_t> quarantined{0};
-        std::atomic<std::uint64_t> keyWithdrawn{0};
-        std::atomic<std::uint64_t> cancelled{0};
-        std::atomic<std::uint64_t> connectionsLost{0};
-    } m_counters;
 };
 
 }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -71,12 +71,6 @@
     return options;
 }
 
-std::shared_ptr<admission::Quarantine> makeQuarantine()
-{
-    const admission::AdmissionSettings defaults;
-    return std::make_shared<admission::Quarantine>(defaults.quarantineDuration, defaults.suspicionDuration);
-}
-
 std::vector<telemetry::Sample> admissionSamples(const admission::AdmissionState &state)
 {
     return {{"berylspring_admission_running", static_cast<double>(state->running), {}},
@@ -117,9 +111,11 @@
           {.self = m_settings->host, .dataCentre = m_settings->dataCentre, .declared = m_settings->dataCentres},
           idempotencyHooks())
     , m_endpoint(m_executor, m_settings->maxBodyBytes, m_protocols, m_inFlight, m_random, spanSink())
-    , m_quarantine(makeQuarantine())
-    , m_quarantineExchange(
-          m_executor, {m_settings->host, m_settings->isFirstStart}, m_quarantine, quarantineExchangeHooks())
+    , m_admissionHistory(std::make_shared<admission::AdmissionHistory>(admission::AdmissionSettings()))
+    , m_quarantineExchange(m_executor,
+                           {m_settings->host, m_settings->isFirstStart},
+                           std::shared_ptr<admission::Quarantine>(m_admissionHistory, &m_admissionHistory->quarantine),
+                           quarantineExchangeHooks())
     , m_admission(makeAdmission())
     , m_dispatcher(m_settings->host, m_settings->dataCentre, m_settings->areControlsOn, dispatcherHooks())
     , m_entry(m_inFlight,
@@ -298,7 +294,7 @@
 std::shared_ptr<admission::AdmissionService> Node::Implementation::makeAdmission()
 {
     const admission::AdmissionSettings settings{.areControlsOn = m_settings->areControlsOn};
-    return std::make_shared<admission::AdmissionService>(m_executor, settings, admissionHooks(), m_quarantine);
+    return std::make_shared<admission::AdmissionService>(m_executor, settings, admissionHooks(), m_admissionHistory);
 }
 
 std::vector<telemetry::Sample> Node::Implementation::samples() const
--- a/src/node/node_implementation.h
+++ b/src/node/node_implementation.h
@@ -131,7 +131,7 @@
     idempotency::IdempotencyService m_idempotency;
     LocalEndpoint m_endpoint;
     /** Outlives the endpoints: a request that has ended one of them ends the next one too. */
-    std::shared_ptr<admission::Quarantine> m_quarantine;
+    std::shared_ptr<admission::AdmissionHistory> m_admissionHistory;
     detail::QuarantineExchange m_quarantineExchange;
     mutable std::mutex m_admissionMutex;
     std::shared_ptr<admission::AdmissionService> m_admission; ///< Replaced whenever an endpoint starts.
--- a/tests/admission/a_request_that_crashes.cpp
+++ b/tests/admission/a_request_that_crashes.cpp
@@ -120,6 +120,10 @@
         startEndpoint();
         CHECK(isRefusedFor(harness.send(crasher), core::RefusalReason::Quarantined));
     });
+    section("the counts go on", [&] {
+        LONGS_EQUAL(2, harness.service().state()->counters.connectionsLost);
+        LONGS_EQUAL(1, harness.service().state()->counters.quarantined);
+    });
 }
 
 // Guards against a retry that overtakes the notice about it and runs in company on the next endpoint.
--- a/tests/admission/harness.h
+++ b/tests/admission/harness.h
@@ -67,7 +67,7 @@
 public:
     explicit Harness(admission::AdmissionSettings settings = settingsWithoutRealTimers())
         : m_settings(settings)
-        , m_quarantine(std::make_shared<admission::Quarantine>(settings.quarantineDuration, settings.suspicionDuration))
+        , m_history(std::make_shared<admission::AdmissionHistory>(settings))
     {
         startEndpoint();
     }
@@ -85,12 +85,11 @@
     /** @brief Replaces the service, as a node does for each endpoint that starts. */
     void startEndpoint()
     {
-        m_service =
-            std::make_unique<admission::AdmissionService>(m_io.get_executor(), m_settings, hooks(), m_quarantine);
+        m_service = std::make_unique<admission::AdmissionService>(m_io.get_executor(), m_settings, hooks(), m_history);
     }
     [[nodiscard]] admission::Quarantine &quarantine()
     {
-        return *m_quarantine;
+        return m_history->quarantine;
     }
     [[nodiscard]] core::TimePoint now() const
     {
@@ -211,7 +210,7 @@
     }
 
     admission::AdmissionSettings m_settings;
-    std::shared_ptr<admission::Quarantine> m_quarantine;
+    std::shared_ptr<admission::AdmissionHistory> m_history;
     core::TimePoint m_now{std::chrono::hours(1000)};
     std::mt19937_64 m_random{1};
     boost::asio::io_context m_io{1};
--- a/tests/admission/many_threads_share_an_endpoint.cpp
+++ b/tests/admission/many_threads_share_an_endpoint.cpp
@@ -102,9 +102,8 @@
     Tally tally;
     admission::AdmissionSettings settings;
     settings.targetWait = std::chrono::hours(1);
-    const auto quarantine =
-        std::make_shared<admission::Quarantine>(settings.quarantineDuration, settings.suspicionDuration);
-    admission::AdmissionService service(io.get_executor(), settings, hooksFor(tally), quarantine);
+    const auto history = std::make_shared<admission::AdmissionHistory>(settings);
+    admission::AdmissionService service(io.get_executor(), settings, hooksFor(tally), history);
     service.setSlots(SlotCount);
 
     std::vector<Strand> strands;
