--- a/src/node/node_handlers.cpp
+++ b/src/node/node_handlers.cpp
@@ -255,9 +255,12 @@
 
 asio::awaitable<bool> Node::Implementation::sendNotice(core::HostId host, wire::QuarantineNotice notice)
 {
-    const wire::Message message(std::move(notice));
+    const wire::Message message(notice);
     const auto answer = co_await m_peers.call(std::move(host), message, NoticeTimeout);
-    co_return answer &&std::holds_alternative<wire::Ack>(*answer);
+    if (!answer) {
+        co_return false;
+    }
+    co_return std::holds_alternative<wire::Ack>(*answer);
 }
 
 asio::awaitable<http::ChangePage> Node::Implementation::changes(core::Offset from)
--- a/src/node/node_hooks.cpp
+++ b/src/node/node_hooks.cpp
@@ -227,7 +227,7 @@
     detail::QuarantineExchangeHooks hooks;
     hooks.log = m_log;
     hooks.send = [this](core::HostId host, wire::QuarantineNotice notice) {
-        return sendNotice(std::move(host), std::move(notice));
+        return sendNotice(std::move(host), notice);
     };
     hooks.receivers = [this](const core::ServiceId &service) {
         std::vector<admission::NoticeReceiver> receivers;
--- a/src/node/quarantine_exchange.cpp
+++ b/src/node/quarantine_exchange.cpp
@@ -146,7 +146,7 @@
 
 asio::awaitable<void> QuarantineExchange::deliverOnce(core::HostId host, wire::QuarantineNotice notice)
 {
-    [[maybe_unused]] const bool ignored = co_await m_hooks.send(std::move(host), std::move(notice));
+    [[maybe_unused]] const bool ignored = co_await m_hooks.send(std::move(host), notice);
 }
 
 void QuarantineExchange::startRecording(core::TimePoint now)
--- a/tests/integration/an_endpoint_that_never_stops.cpp
+++ b/tests/integration/an_endpoint_that_never_stops.cpp
@@ -31,6 +31,7 @@
 /** Memory of the smallest hosts of the users' platform. */
 constexpr std::size_t HostMemoryKilobytes = 160'000;
 constexpr int Slots = 16;
+constexpr std::size_t PieceBytes = 65'536;
 
 /** @brief Bytes that an endpoint writes once, and then again and again until the connection is closed. */
 struct Flood
@@ -52,9 +53,9 @@
 /** @param head Head of a proper answer, without the empty line. */
 std::vector<Flood> floodsAfter(const std::string &head)
 {
-    const std::string text(64 * 1024, 'x');
+    const std::string text(PieceBytes, 'x');
     return {{"no-answer", "", text},
-            {"zeros", "", std::string(64 * 1024, '\0')},
+            {"zeros", "", std::string(PieceBytes, '\0')},
             {"field", head + "Field: ", text},
             {"fields", head, "Field: value\r\n"},
             {"body", head + "\r\n", text},
