Report a crash from the request instead of copies in each context

Found on the last read: since the reports of crashes, the context of every request held copies of its id and service, and the context itself is copied on the way into the queue and out of it. Only a crash reads them, and the request is at hand there.

The functions that handle the result take the request.

--- a/src/admission/service_core.cpp
+++ b/src/admission/service_core.cpp
@@ -124,7 +124,7 @@
     wire::CallRequest forwarded = request.with(&wire::CallRequestFields::remaining, context.deadline - startedAt);
     EndpointResult result = co_await callEndpoint(self, std::move(forwarded));
     guard.ended(result, self->m_hooks.now() - startedAt);
-    co_return self->processResult(context, ranAlone, result);
+    co_return self->processResult(context, request, ranAlone, result);
 }
 
 asio::awaitable<AdmissionDecision> AdmissionService::Core::waitForStart(std::shared_ptr<Core> self,
@@ -174,14 +174,16 @@
     }
 }
 
-wire::CallResponse
-AdmissionService::Core::processResult(const RequestContext &context, bool ranAlone, const EndpointResult &result)
+wire::CallResponse AdmissionService::Core::processResult(const RequestContext &context,
+                                                         const wire::CallRequest &request,
+                                                         bool ranAlone,
+                                                         const EndpointResult &result)
 {
     const auto outcome = result.maybeSent ? core::Outcome::Unknown : core::Outcome::NotRun;
     if (result.connectionLost) {
         ++m_history->totals.connectionsLost;
         if (result.maybeSent && m_settings.areControlsOn) {
-            recordCrash(context, ranAlone);
+            recordCrash(context.digest, request, ranAlone);
         }
         return refuse(core::RefusalReason::ConnectionLost, outcome, context)
             .with(&wire::CallResponseFields::hasEndpointCrashed, result.maybeSent);
@@ -200,16 +202,16 @@
     return withFeedback(result.response, context);
 }
 
-void AdmissionService::Core::recordCrash(const RequestContext &context, bool ranAlone)
+void AdmissionService::Core::recordCrash(const core::Digest &digest, const wire::CallRequest &request, bool ranAlone)
 {
     const core::TimePoint now = m_hooks.now();
-    const QuarantineState state = m_history->quarantine.crashed(context.digest, ranAlone, now);
-    m_hooks.crashed(CrashReport({.requestId = context.requestId,
-                                 .requestDigest = context.digest,
-                                 .service = context.service,
+    const QuarantineState state = m_history->quarantine.crashed(digest, ranAlone, now);
+    m_hooks.crashed(CrashReport({.requestId = request->requestId,
+                                 .requestDigest = digest,
+                                 .service = request->service,
                                  .ranAlone = ranAlone,
                                  .state = state,
-                                 .remaining = m_history->quarantine.remaining(context.digest, now)}));
+                                 .remaining = m_history->quarantine.remaining(digest, now)}));
 }
 
 asio::awaitable<void> AdmissionService::Core::idle(std::shared_ptr<Core> self)
@@ -260,8 +262,6 @@
     const core::TimePoint now = m_hooks.now();
     RequestContext context;
     context.id = m_nextId++;
-    context.requestId = request->requestId;
-    context.service = request->service;
     if (m_settings.areControlsOn) {
         context.digest = core::requestDigest(request->method, request->target, request->body, request->workspace);
     }
--- a/src/admission/service_core.h
+++ b/src/admission/service_core.h
@@ -11,7 +11,6 @@
 #include <memory>
 #include <mutex>
 #include <optional>
-#include <string>
 #include <vector>
 
 namespace berylspring::admission {
@@ -40,8 +39,6 @@
     struct RequestContext
     {
         std::uint64_t id = 0;
-        std::string requestId;
-        core::ServiceId service;
         core::Digest digest;
         core::TimePoint arrivedAt;
         core::TimePoint deadline;
@@ -56,9 +53,11 @@
     [[nodiscard]] RequestContext contextOf(const wire::CallRequest &request);
     [[nodiscard]] QueueEntry entryOf(const RequestContext &context, const wire::CallRequest &request) const;
     [[nodiscard]] bool isKeyWithdrawn(const wire::CallRequest &request) const;
-    [[nodiscard]] wire::CallResponse
-    processResult(const RequestContext &context, bool ranAlone, const EndpointResult &result);
-    void recordCrash(const RequestContext &context, bool ranAlone);
+    [[nodiscard]] wire::CallResponse processResult(const RequestContext &context,
+                                                   const wire::CallRequest &request,
+                                                   bool ranAlone,
+                                                   const EndpointResult &result);
+    void recordCrash(const core::Digest &digest, const wire::CallRequest &request, bool ranAlone);
     void release(const RunReport &report);
     void wake(const std::vector<std::uint64_t> &ids);
     void wakeIdleWaiters();
