--- a/src/node/entry.cpp
+++ b/src/node/entry.cpp
@@ -2,6 +2,7 @@
 
 #include "berylspring/idempotency/claim_name.h"
 #include "berylspring/telemetry/log.h"
+#include "node/milliseconds.h"
 
 namespace berylspring::node {
 
@@ -11,6 +12,7 @@
 using core::Outcome;
 using core::Refusal;
 using core::RefusalReason;
+using detail::milliseconds;
 
 wire::CallResponse refused(const Refusal &refusal)
 {
@@ -44,11 +46,6 @@
     return {.route = plan->route, .service = plan->service, .level = plan->priority, .routeLevel = plan->routeLevel};
 }
 
-double milliseconds(core::Duration duration)
-{
-    return std::chrono::duration<double, std::milli>(duration).count();
-}
-
 bool isServerError(std::uint16_t status) noexcept
 {
     constexpr std::uint16_t FirstServerError = 500;
--- a/src/node/node_handlers.cpp
+++ b/src/node/node_handlers.cpp
@@ -1,4 +1,5 @@
 #include "node/background.h"
+#include "node/milliseconds.h"
 #include "node/node_implementation.h"
 
 #include "berylspring/config/log_record.h"
@@ -232,8 +233,7 @@
         }
         fields.push_back({name, sample.value});
     }
-    const double ageMs = std::chrono::duration<double, std::milli>(configurationAge()).count();
-    fields.push_back({"configuration_age_ms", ageMs});
+    fields.push_back({"configuration_age_ms", detail::milliseconds(configurationAge())});
     telemetry::log(telemetry::Severity::Info, "status", fields);
 }
 
--- a/src/node/quarantine_exchange.cpp
+++ b/src/node/quarantine_exchange.cpp
@@ -3,6 +3,7 @@
 #include "berylspring/telemetry/log.h"
 #include "node/background.h"
 #include "node/log_reader.h"
+#include "node/milliseconds.h"
 #include "node/quarantine_record.h"
 
 #include <algorithm>
@@ -49,11 +50,6 @@
     std::atomic<bool> &m_isRecording;
 };
 
-double milliseconds(core::Duration duration)
-{
-    return std::chrono::duration<double, std::milli>(duration).count();
-}
-
 }
 
 QuarantineExchange::QuarantineExchange(asio::any_io_executor executor,
