--- a/review/5/case.cpp
+++ b/review/5/case.cpp
@@ -9,6 +9,7 @@
 constexpr milliseconds StableWindow(3000);
 constexpr int Slots = 4;
 constexpr int Calls = 24;
+constexpr int WarmUpCalls = 30;
 
 bool isRuleBroken(Record &record)
 {
@@ -25,8 +26,12 @@
     deployment.waitUntilReady();
     sleepFor(StableWindow + milliseconds(500));
     const Address outbound = deployment.machine(0).outbound();
-    if (send(outbound, {.target = "/inner/x?work_ms=5", .id = "first"}).status != 200) {
-        throw std::runtime_error("the route is not served");
+    // Ordinary calls, so that the node knows how long its upstream takes.
+    for (int number = 0; number < WarmUpCalls; ++number) {
+        const std::string id = "ordinary-" + std::to_string(number);
+        if (send(outbound, {.target = "/inner/x?work_ms=100", .id = id}).status != 200) {
+            throw std::runtime_error("the route is not served");
+        }
     }
     // The upstream of the first machine makes many calls at once.
     std::vector<std::thread> callers;
