Handle no request behind a response that closes its connection (LOST)

Cause: the writer of a connection ends after a response with Connection: close, but the reader continued for up to a second and started a handler for each further request, whose response could no longer be sent. It also did so while that response was being written.

The session now records that its last response has been chosen, before it is written. What is read from then on is dropped; clients take it as not read. A streamed response ends its connection too and sets the same state.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -66,6 +66,7 @@
     std::deque<std::shared_ptr<Exchange>> exchanges; ///< In order of arrival.
     bool isReading = false; ///< A request has been received in part.
     bool isReadEnded = false; ///< The client has disconnected, or no further request is read.
+    bool isClosing = false; ///< The last response has been chosen, so no request behind it may be handled.
     bool isWriteEnded = false; ///< The last response has been written.
 };
 using SessionPointer = std::shared_ptr<Session>;
@@ -242,6 +243,7 @@
      */
     static asio::awaitable<void> closeGracefully(SessionPointer session)
     {
+        session->isClosing = true;
         session->isWriteEnded = true;
         session->idleTimer.cancel();
         error_code ignored;
@@ -297,7 +299,8 @@
     {
         Parser parser;
         const error_code error = co_await read(session, parser);
-        if (error && session->isWriteEnded) {
+        if (session->isClosing) {
+            // The client takes the request as not read, and sends it again on another connection.
             co_return false;
         }
         auto exchange = std::make_shared<Exchange>();
@@ -429,12 +432,14 @@
     {
         const Exchange &exchange = *session.exchanges.front();
         if (const auto *streamed = std::get_if<StreamedResponse>(&*exchange.reply)) {
+            session.isClosing = true;
             co_await writeStream(session, *streamed);
             co_return false;
         }
         // Requests that have already been read after this one are still answered.
         const bool isLast = session.exchanges.size() == 1;
         const bool keepAlive = exchange.keepAlive && !(isLast && (m_isStopping || m_isClosing));
+        session.isClosing = !keepAlive;
         co_await write(session, std::get<Response>(*exchange.reply), keepAlive);
         co_return keepAlive;
     }
--- a/tests/http/a_server_and_its_client.cpp
+++ b/tests/http/a_server_and_its_client.cpp
@@ -169,6 +169,10 @@
         }
         return bytes;
     }
+    void endSending()
+    {
+        m_socket.shutdown(asio::ip::tcp::socket::shutdown_send);
+    }
 
 private:
     asio::io_context m_context;
@@ -327,6 +331,31 @@
     LONGS_EQUAL(2, server.cancelled());
 }
 
+// Guards against a request that is handled though the response before it has closed the connection: its own response
+// can no longer be sent.
+TEST(AServerAndItsClient, handleNoRequestBehindAResponseThatCloses)
+{
+    EchoServer server;
+    RawConnection connection(server.address());
+    connection.write(getRequest("/", "1"));
+    connection.readUntil("X-Method: GET", 1);
+    server.server().closeAfterResponses();
+    section("requests that were read before the response are answered", [&] {
+        connection.write(getRequest("/later", "2") + getRequest("/", "3"));
+        const std::string answers = connection.readUntil("X-Method: GET", 2);
+        CHECK(answers.find("Connection: close") > answers.find("\r\n\r\n2"));
+        CHECK(answers.find("Connection: close") != std::string::npos);
+        LONGS_EQUAL(3, server.started());
+    });
+    section("requests that arrive behind it are read and dropped", [&] {
+        connection.write(getRequest("/", "4") + getRequest("/", "5"));
+        connection.endSending();
+        server.server().stopAccepting();
+        asio::co_spawn(server.pool(), server.server().waitUntilDrained(), asio::use_future).get();
+        LONGS_EQUAL(3, server.started());
+    });
+}
+
 // Guards against a late response that is taken for the response to the next request.
 TEST(AServerAndItsClient, dropAnswersOfOtherRequests)
 {
