Take a node for the only one only after it has read the announcements (QUOTA)

Cause: 3 s after its start, a node without contact was ready and owned every bucket of its data centre, although it had not read the announcements in the log and so had asked no other host. The announcer tried only every 2 s.

JoinProgress decides from the start, the read of the announcements and the first answer of another member: a node is alone when it has read the announcements and nobody has answered for a second. Contact without them counts from the first answer. The announcer tries again half a second after a failed attempt once the log answers other calls.

--- a/include/berylspring/membership/membership_service.h
+++ b/include/berylspring/membership/membership_service.h
@@ -77,6 +77,8 @@
      * reachable at some moment after it, so a lease that counts from the send time never ends too late.
      */
     [[nodiscard]] core::TimePoint lastPeerAck() const;
+    /** @return When another member first answered a ping of this process; no value if none has. */
+    [[nodiscard]] std::optional<core::TimePoint> firstPeerAck() const;
     /** @return When the last datagram from another data centre arrived. */
     [[nodiscard]] std::optional<core::TimePoint> lastContactWithOtherDataCentre() const;
     /** @return Number of detected pauses of this process. */
--- a/include/berylspring/membership/swim_protocol.h
+++ b/include/berylspring/membership/swim_protocol.h
@@ -64,6 +64,8 @@
     [[nodiscard]] Member self(core::TimePoint now) const;
     /** @return Send time of the newest ping that was acknowledged; TimePoint{} before the first. */
     [[nodiscard]] core::TimePoint lastPeerAck() const noexcept;
+    /** @return When another member first answered a ping of this process; no value if none has. */
+    [[nodiscard]] std::optional<core::TimePoint> firstPeerAck() const noexcept;
     [[nodiscard]] std::optional<core::TimePoint> lastContactWithOtherDataCentre() const noexcept;
     /** @return Number of pauses of this process that were detected. */
     [[nodiscard]] std::uint64_t resumeCount() const noexcept;
@@ -133,6 +135,7 @@
     SyncSchedule m_syncSchedule;
 
     std::atomic<core::TimePoint> m_lastPeerAck{core::TimePoint{}};
+    std::atomic<core::TimePoint> m_firstPeerAck{core::TimePoint::max()}; ///< The maximum before the first one.
     std::atomic<core::TimePoint> m_lastRemoteContact{core::TimePoint::min()};
     std::atomic<std::uint64_t> m_resumeCount{0};
 };
--- a/src/membership/membership_service.cpp
+++ b/src/membership/membership_service.cpp
@@ -96,6 +96,11 @@
     return m_state->protocol().lastPeerAck();
 }
 
+std::optional<core::TimePoint> MembershipService::firstPeerAck() const
+{
+    return m_state->protocol().firstPeerAck();
+}
+
 std::optional<core::TimePoint> MembershipService::lastContactWithOtherDataCentre() const
 {
     return m_state->protocol().lastContactWithOtherDataCentre();
--- a/src/membership/swim_protocol.cpp
+++ b/src/membership/swim_protocol.cpp
@@ -239,6 +239,8 @@
     }
     if (ack->target == sender->host && ping->sentAt > m_lastPeerAck.load()) {
         m_lastPeerAck.store(ping->sentAt);
+        auto none = core::TimePoint::max();
+        m_firstPeerAck.compare_exchange_strong(none, now);
     }
     if (ping->isProbe) {
         m_health.recordAck();
@@ -421,6 +423,12 @@
     return m_lastPeerAck.load();
 }
 
+std::optional<core::TimePoint> SwimProtocol::firstPeerAck() const noexcept
+{
+    const auto firstAck = m_firstPeerAck.load();
+    return firstAck == core::TimePoint::max() ? std::nullopt : std::optional(firstAck);
+}
+
 std::optional<core::TimePoint> SwimProtocol::lastContactWithOtherDataCentre() const noexcept
 {
     const auto lastContact = m_lastRemoteContact.load();
--- a/src/node/announcer.cpp
+++ b/src/node/announcer.cpp
@@ -18,8 +18,13 @@
 namespace asio = boost::asio;
 
 const std::string Stream = "announce";
-constexpr auto RefreshInterval = std::chrono::minutes(10);
-constexpr auto RetryInterval = std::chrono::seconds(2);
+constexpr core::Duration RefreshInterval = std::chrono::minutes(10);
+/** Interval between attempts while the log does not answer. */
+constexpr core::Duration RetryInterval = std::chrono::seconds(2);
+/** Least interval between attempts; bounds the calls of a node that the log answers only in part. */
+constexpr core::Duration MinRetryInterval = std::chrono::milliseconds(500);
+/** Interval at which the state of the log is checked after a failed attempt. */
+constexpr core::Duration CheckInterval = std::chrono::milliseconds(100);
 
 std::string toJson(const wire::MemberUpdate &member)
 {
@@ -69,6 +74,16 @@
 
 }
 
+bool isAttemptDue(const Attempt &last, const LogView &log, core::TimePoint now)
+{
+    const core::Duration age = now - last->at;
+    if (last->hasSucceeded) {
+        return age >= (log->generation == last->generation ? RefreshInterval : RetryInterval);
+    }
+    const bool hasAnsweredSince = log->lastContact && *log->lastContact > last->at;
+    return age >= (hasAnsweredSince ? MinRetryInterval : RetryInterval);
+}
+
 asio::awaitable<void> announceThroughLog(AnnouncerHooks hooks)
 {
     asio::steady_timer timer(co_await asio::this_coro::executor);
@@ -82,13 +97,11 @@
         if (appended && hasRead) {
             hooks.onRead();
         }
-        const auto interval =
-            appended && hasRead ? std::chrono::seconds(RefreshInterval) : std::chrono::seconds(RetryInterval);
-        const auto next = std::chrono::steady_clock::now() + interval;
+        const Attempt last({.at = hooks.now(), .generation = generation, .hasSucceeded = appended && hasRead});
         do {
-            timer.expires_after(RetryInterval);
+            timer.expires_after(last->hasSucceeded ? RetryInterval : CheckInterval);
             co_await timer.async_wait(asio::use_awaitable);
-        } while (std::chrono::steady_clock::now() < next && hooks.logGeneration() == generation);
+        } while (!isAttemptDue(last, LogView({hooks.lastLogContact(), hooks.logGeneration()}), hooks.now()));
     }
 }
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -174,6 +174,8 @@
                                 auto unread = core::TimePoint::max();
                                 m_announcementsReadAt.compare_exchange_strong(unread, now());
                             },
+                        .lastLogContact = [this] { return m_config.lastLogContact(); },
+                        .now = now,
                         .logGeneration = [this] { return m_config.logGeneration(); },
                         .isStopping = [this] { return m_isStopping.load(); }}),
                    detail::logFailure("announcer"));
--- a/src/node/node_hooks.cpp
+++ b/src/node/node_hooks.cpp
@@ -22,12 +22,6 @@
 constexpr core::Duration RemotePullDelay = std::chrono::milliseconds(200);
 /** Generation of a log that has never been restored. */
 constexpr std::uint64_t FirstLogGeneration = 1;
-/** Time in which a new node receives the whole member table after its first contact with a member. */
-constexpr core::Duration JoinDelay = std::chrono::seconds(1);
-/** Time in which the announced hosts of the data centre answer; a lost datagram is sent again within it. */
-constexpr core::Duration IntroductionDelay = std::chrono::milliseconds(350);
-/** A node without contact to another member after this time assumes that it is the only one. */
-constexpr core::Duration SoloJoinDelay = std::chrono::seconds(3);
 
 /** Rendezvous hashing key that selects the log readers among the hosts of a data centre. */
 constexpr std::string_view ReaderKey = "log-reader";
@@ -308,37 +302,31 @@
 std::vector<core::HostId> Node::Implementation::claimHosts(const core::DataCentreId &dataCentre) const
 {
     std::vector<core::HostId> hosts = liveHosts(dataCentre);
-    if (m_isStopping || !knowsDataCentre()) {
+    if (m_isStopping || !knowsDataCentre(joinProgress(), now())) {
         std::erase(hosts, m_settings->host);
     }
     return hosts;
 }
 
-bool Node::Implementation::knowsDataCentre() const
+JoinProgress Node::Implementation::joinProgress() const
 {
     const core::TimePoint readAt = m_announcementsReadAt;
-    const bool isIntroduced = readAt != core::TimePoint::max() && now() - readAt >= IntroductionDelay
-                              && m_membership->lastPeerAck() > m_startedAt;
-    return isIntroduced || hasJoined();
-}
-
-bool Node::Implementation::hasJoined() const
-{
-    const core::Duration age = now() - m_startedAt;
-    const bool hasPeerContact = m_membership->lastPeerAck() > m_startedAt;
-    return age >= SoloJoinDelay || (hasPeerContact && age >= JoinDelay);
+    return JoinProgress(
+        {.startedAt = m_startedAt,
+         .announcementsReadAt = readAt == core::TimePoint::max() ? std::nullopt : std::optional(readAt),
+         .firstContactAt = m_membership->firstPeerAck()});
 }
 
 bool Node::Implementation::isConfigurationUsable() const
 {
     // Other members may have a newer configuration than a log that was restored from a copy.
     const bool mayLogBeBehind = m_config.logGeneration() > FirstLogGeneration;
-    return m_config.isReady() && (!mayLogBeBehind || hasJoined());
+    return m_config.isReady() && (!mayLogBeBehind || hasJoined(joinProgress(), now()));
 }
 
 bool Node::Implementation::isReady() const
 {
-    return m_config.isReady() && hasJoined() && !m_isStopping;
+    return m_config.isReady() && hasJoined(joinProgress(), now()) && !m_isStopping;
 }
 
 core::Duration Node::Implementation::configurationAge() const
--- a/src/node/node_implementation.h
+++ b/src/node/node_implementation.h
@@ -12,6 +12,7 @@
 #include "berylspring/node/endpoint_views.h"
 #include "berylspring/node/entry.h"
 #include "berylspring/node/in_flight_table.h"
+#include "berylspring/node/join_progress.h"
 #include "berylspring/node/local_endpoint.h"
 #include "berylspring/node/node.h"
 #include "berylspring/node/protocols.h"
@@ -87,9 +88,7 @@
     [[nodiscard]] std::shared_ptr<admission::AdmissionService> makeAdmission();
     [[nodiscard]] std::vector<core::HostId> liveHosts(const core::DataCentreId &dataCentre) const;
     [[nodiscard]] std::vector<core::HostId> claimHosts(const core::DataCentreId &dataCentre) const;
-    [[nodiscard]] bool hasJoined() const;
-    /** @return Whether the other hosts of the data centre that may own buckets and claims are known. */
-    [[nodiscard]] bool knowsDataCentre() const;
+    [[nodiscard]] JoinProgress joinProgress() const;
     /** @return Whether callers' requests may be decided by the configuration of this node. */
     [[nodiscard]] bool isConfigurationUsable() const;
     [[nodiscard]] bool isReady() const;
--- a/tests/node/announcements_of_other_hosts.cpp
+++ b/tests/node/announcements_of_other_hosts.cpp
@@ -11,6 +11,7 @@
 #include <CppUTest/TestHarness.h>
 
 using namespace berylspring;
+using namespace std::chrono_literals;
 using test::checkProperty;
 using test::section;
 
@@ -19,6 +20,8 @@
 namespace asio = boost::asio;
 using eventlog::LogEntry;
 using eventlog::LogPage;
+using node::detail::Attempt;
+using node::detail::LogView;
 
 std::string
 announcement(const std::string &host, const std::string &address = "10.1.0.26", const std::string &port = "7000")
@@ -114,6 +117,8 @@
             .addContact =
                 [this](const wire::MemberUpdate &member) { contacts[member->host.value()] = member->address; },
             .onRead = [] {},
+            .lastLogContact = [] { return std::nullopt; },
+            .now = [] { return core::TimePoint(); },
             .logGeneration = [] { return std::uint64_t{0}; },
             .isStopping = [this] { return isStopping; }};
         asio::co_spawn(context,
@@ -141,6 +146,27 @@
     section("the odd ones are not", [&] { LONGS_EQUAL(2, contacts.size()); });
 }
 
+// Guards against a node that takes part seconds after the log has come back, since its next attempt is a fixed time away.
+TEST(AnnouncementsOfOtherHosts, areReadSoonAfterTheLogAnswersAgain)
+{
+    const core::TimePoint start{core::Duration(1h)};
+    const Attempt failed({.at = start});
+    section("without an answer of the log, the next attempt is in 2 s", [&] {
+        CHECK_FALSE(isAttemptDue(failed, LogView({.lastContact = start - 1s}), start + 1999ms));
+        CHECK_TRUE(isAttemptDue(failed, LogView({.lastContact = start - 1s}), start + 2s));
+    });
+    section("once it answers, in half a second", [&] {
+        const LogView view({.lastContact = start + 1ms});
+        CHECK_FALSE(isAttemptDue(failed, view, start + 499ms));
+        CHECK_TRUE(isAttemptDue(failed, view, start + 500ms));
+    });
+    section("after a success, only when the log was restored", [&] {
+        const Attempt succeeded({.at = start, .generation = 1, .hasSucceeded = true});
+        CHECK_FALSE(isAttemptDue(succeeded, LogView({.lastContact = start + 1s, .generation = 1}), start + 5min));
+        CHECK_TRUE(isAttemptDue(succeeded, LogView({.lastContact = start + 1s, .generation = 2}), start + 2s));
+    });
+}
+
 // Guards against a loop without a pause on a log that returns the same page again and again.
 TEST(AnnouncementsOfOtherHosts, areNotReadAgainWithoutAPause)
 {
