--- a/include/berylspring/node/entry.h
+++ b/include/berylspring/node/entry.h
@@ -2,10 +2,13 @@
 
 #include "berylspring/admission/root_admission.h"
 #include "berylspring/config/catalogue.h"
+#include "berylspring/core/sharded_map.h"
 #include "berylspring/core/time.h"
 #include "berylspring/http/caller_request.h"
 #include "berylspring/node/call_plan.h"
+#include "berylspring/node/call_time.h"
 #include "berylspring/node/in_flight_table.h"
+#include "berylspring/node/stop_schedule.h"
 #include "berylspring/routing/weighted_splitter.h"
 #include "berylspring/telemetry/metrics.h"
 #include "berylspring/telemetry/span.h"
@@ -13,6 +16,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 #include <boost/asio/awaitable.hpp>
 #include <tl/expected.hpp>
@@ -25,8 +29,7 @@
     std::function<std::shared_ptr<const config::Catalogue>()> catalogue; ///< Null while the node is not ready.
     std::function<bool(const core::Digest &)> isKeyWithdrawn;
     std::function<core::Duration()> configurationAge;
-    /** @return Whether the node accepts a root request that may take the given time; false late in a graceful stop. */
-    std::function<bool(core::Duration, core::TimePoint)> acceptsRoot;
+    std::function<std::optional<StopSchedule>()> stopSchedule; ///< Has a value during a graceful stop.
     /** Applies the rate limit of a workspace. */
     std::function<boost::asio::awaitable<tl::expected<void, core::Refusal>>(core::WorkspaceId)> admit;
     std::function<boost::asio::awaitable<wire::CallResponse>(wire::CallRequest)> dispatch;
@@ -62,6 +65,9 @@
     [[nodiscard]] boost::asio::awaitable<wire::CallResponse>
     run(http::CallerRequest request, telemetry::TraceContext trace, core::PriorityLevel &priority);
     [[nodiscard]] boost::asio::awaitable<tl::expected<void, core::Refusal>> admit(CallPlan plan);
+    /** @return The plan within the time that a graceful stop leaves, or a refusal. */
+    [[nodiscard]] tl::expected<CallPlan, core::Refusal> planWithinStop(const CallPlan &plan, core::TimePoint now) const;
+    void recordNestedTime(const CallPlan &plan, const wire::CallResponse &response, core::Duration time);
     void recordRootResult(const CallPlan &plan, const wire::CallResponse &response, core::Duration latency);
     [[nodiscard]] boost::asio::awaitable<wire::CallResponse>
     forward(wire::CallRequest call, http::CallerRequest request, CallPlan plan);
@@ -78,6 +84,7 @@
     EntryHooks m_hooks;
     routing::WeightedSplitter m_splitter;
     admission::RootAdmission m_rootAdmission;
+    core::ShardedMap<core::RouteId, CallTime> m_nestedTimes;
 };
 
 }
--- a/include/berylspring/node/stop_schedule.h
+++ b/include/berylspring/node/stop_schedule.h
@@ -2,6 +2,9 @@
 
 #include "berylspring/core/time.h"
 
+#include <algorithm>
+#include <chrono>
+
 namespace berylspring::node {
 
 /** @brief Times of a graceful stop, fixed when it begins. */
@@ -30,15 +33,33 @@
     /**
      * @param timeout Time that is left for the request.
      * @param now Arrival of the request.
-     * @return Whether a new request is accepted: callers are still leaving, or it ends by itself before the abort.
+     * @return Whether a new root request is accepted: callers are still leaving, or it ends by itself before the abort.
      */
     [[nodiscard]] bool accepts(core::Duration timeout, core::TimePoint now) const noexcept
     {
         return now < m_lingerUntil || now + timeout <= m_abortAt;
     }
+    /**
+     * A refused nested call wastes the work of its root request, so one is accepted also if its timeout is longer than the
+     * stop.
+     * @param expected Time that the call is expected to take.
+     * @return Whether a nested call is accepted: it is expected to end before the abort.
+     */
+    [[nodiscard]] bool acceptsNested(core::Duration expected, core::TimePoint now) const noexcept
+    {
+        return now + expected <= m_abortAt - AnswerReserve;
+    }
+    /** @return The timeout of an accepted nested call, which must not outlast the stop. */
+    [[nodiscard]] core::Duration nestedTimeout(core::Duration timeout, core::TimePoint now) const noexcept
+    {
+        return std::min<core::Duration>(timeout, m_abortAt - AnswerReserve - now);
+    }
     [[nodiscard]] bool operator==(const StopSchedule &) const = default;
 
 private:
+    /** In which the answer of a nested call reaches its caller. */
+    static constexpr core::Duration AnswerReserve = std::chrono::milliseconds(50);
+
     core::TimePoint m_lingerUntil;
     core::TimePoint m_abortAt;
 };
--- a/src/node/entry.cpp
+++ b/src/node/entry.cpp
@@ -140,16 +140,17 @@
 Entry::run(http::CallerRequest request, telemetry::TraceContext trace, core::PriorityLevel &priority)
 {
     const core::TimePoint startedAt = m_hooks.now();
-    const auto plan = this->plan(request, startedAt);
-    if (!plan) {
+    const auto unlimited = this->plan(request, startedAt);
+    if (!unlimited) {
         const bool isKeyWithdrawn = request->key && m_hooks.isKeyWithdrawn(core::sha256(*request->key));
-        co_return refused(refusalWithoutPlan(plan.error(), request, isKeyWithdrawn));
+        co_return refused(refusalWithoutPlan(unlimited.error(), request, isKeyWithdrawn));
+    }
+    priority = (*unlimited)->priority;
+    const auto plan = planWithinStop(*unlimited, startedAt);
+    if (!plan) {
+        co_return refused(refusalBeforeHome(plan.error(), request, *unlimited));
     }
-    priority = (*plan)->priority;
     if (!(*plan)->isNested) {
-        if (!m_hooks.acceptsRoot((*plan)->timeout, startedAt)) {
-            co_return refused(refusalBeforeHome(stoppingRefusal(m_hooks.random()), request, *plan));
-        }
         const auto admitted = co_await admit(*plan);
         if (!admitted) {
             co_return refused(refusalBeforeHome(admitted.error(), request, *plan));
@@ -174,13 +175,45 @@
                                   .requestId = request->requestId});
     const core::TimePoint sentAt = m_hooks.now();
     const wire::CallResponse response = co_await forward(call, request, *plan);
-    if (!(*plan)->isNested) {
-        recordRootResult(*plan, response, m_hooks.now() - sentAt);
+    const core::Duration time = m_hooks.now() - sentAt;
+    if ((*plan)->isNested) {
+        recordNestedTime(*plan, response, time);
+    } else {
+        recordRootResult(*plan, response, time);
     }
     allowance.setSpent(response->retriesSpent);
     co_return response;
 }
 
+tl::expected<CallPlan, Refusal> Entry::planWithinStop(const CallPlan &plan, core::TimePoint now) const
+{
+    const std::optional<StopSchedule> stop = m_hooks.stopSchedule();
+    if (!stop) {
+        return plan;
+    }
+    if (!plan->isNested) {
+        return stop->accepts(plan->timeout, now) ? tl::expected<CallPlan, Refusal>(plan)
+                                                 : tl::unexpected(stoppingRefusal(m_hooks.random()));
+    }
+    const auto time = m_nestedTimes.find(plan->route);
+    const core::Duration expected = time ? std::min(time->upperEstimate(), plan->timeout) : plan->timeout;
+    if (!stop->acceptsNested(expected, now)) {
+        return tl::unexpected(stoppingRefusal(m_hooks.random()));
+    }
+    return plan.with(&CallPlanFields::timeout, stop->nestedTimeout(plan->timeout, now));
+}
+
+void Entry::recordNestedTime(const CallPlan &plan, const wire::CallResponse &response, core::Duration time)
+{
+    // The time until a deadline is a lower bound of the time of the call; other refusals tell nothing about it.
+    const bool isSample = !response->refusal || response->refusal->reason() == RefusalReason::DeadlineExceeded;
+    if (isSample) {
+        m_nestedTimes.update(plan->route, [&](std::optional<CallTime> &known) {
+            known = known.value_or(CallTime()).withSample(time);
+        });
+    }
+}
+
 asio::awaitable<tl::expected<void, Refusal>> Entry::admit(CallPlan plan)
 {
     // Checked before the rate limit, so that a shed request uses no token of its workspace.
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -263,13 +263,13 @@
     co_await (m_callerServer.waitUntilDrained() || timer.async_wait(asio::use_awaitable));
 }
 
-bool Node::Implementation::acceptsRoot(core::Duration timeout, core::TimePoint now) const
+std::optional<StopSchedule> Node::Implementation::stopSchedule() const
 {
     if (!m_isStopping) {
-        return true;
+        return std::nullopt;
     }
     const std::scoped_lock lock(m_stopMutex);
-    return m_stopSchedule->accepts(timeout, now);
+    return m_stopSchedule;
 }
 
 asio::awaitable<bool> Node::Implementation::finishWork()
--- a/src/node/node_hooks.cpp
+++ b/src/node/node_hooks.cpp
@@ -261,7 +261,7 @@
     hooks.catalogue = [this] { return isConfigurationUsable() ? m_config.catalogue() : nullptr; };
     hooks.isKeyWithdrawn = [this](const core::Digest &digest) { return m_config.isKeyWithdrawn(digest); };
     hooks.configurationAge = [this] { return configurationAge(); };
-    hooks.acceptsRoot = [this](core::Duration timeout, core::TimePoint now) { return acceptsRoot(timeout, now); };
+    hooks.stopSchedule = [this] { return stopSchedule(); };
     hooks.admit = [this](core::WorkspaceId workspace) {
         return m_limits.admit(std::move(workspace), m_settings->maxLimitHold);
     };
--- a/src/node/node_implementation.h
+++ b/src/node/node_implementation.h
@@ -79,7 +79,7 @@
     boost::asio::awaitable<void> publishLoop();
     boost::asio::awaitable<void> linger(StopSchedule schedule);
     boost::asio::awaitable<void> abortRequests();
-    [[nodiscard]] bool acceptsRoot(core::Duration timeout, core::TimePoint now) const;
+    [[nodiscard]] std::optional<StopSchedule> stopSchedule() const;
     boost::asio::awaitable<bool> finishWork();
     boost::asio::awaitable<bool> sendNotice(core::HostId host, wire::QuarantineNotice notice);
 
--- a/tests/node/a_refusal_at_the_entry.cpp
+++ b/tests/node/a_refusal_at_the_entry.cpp
@@ -41,6 +41,10 @@
         config::ResourceType::Route,
         "prices",
         R"({"prefix":"/prices","service":"prices","priority":"normal","is_open":true})");
+    add(4,
+        config::ResourceType::Route,
+        "ledger",
+        R"({"prefix":"/ledger","service":"ledger","priority":"normal","is_open":true,"is_internal":true})");
     return catalogue;
 }
 
@@ -56,13 +60,19 @@
     core::Duration configurationAge{};
     core::TimePoint now{};
     std::optional<node::StopSchedule> stopSchedule;
+    core::Duration callTime{}; ///< Time after which the endpoint answers; zero: there is no endpoint.
+    core::Duration lastRemaining{}; ///< Time that was left for the last request that was passed on.
 
-    core::Refusal refusalOf(const http::CallerRequest &request)
+    wire::CallResponse call(const http::CallerRequest &request)
     {
         auto response = asio::co_spawn(m_context, m_entry.call(request), asio::use_future);
         m_context.restart();
         m_context.run();
-        return response.get()->refusal.value();
+        return response.get();
+    }
+    core::Refusal refusalOf(const http::CallerRequest &request)
+    {
+        return call(request)->refusal.value();
     }
 
 private:
@@ -76,11 +86,14 @@
         hooks.catalogue = [shared] { return shared; };
         hooks.isKeyWithdrawn = [](const core::Digest &digest) { return digest == core::sha256(Withdrawn); };
         hooks.configurationAge = [this] { return configurationAge; };
-        hooks.acceptsRoot = [this](core::Duration timeout, core::TimePoint now) {
-            return !stopSchedule || stopSchedule->accepts(timeout, now);
-        };
+        hooks.stopSchedule = [this] { return stopSchedule; };
         hooks.now = [this] { return now; };
-        hooks.dispatch = [](wire::CallRequest) -> asio::awaitable<wire::CallResponse> {
+        hooks.dispatch = [this](wire::CallRequest call) -> asio::awaitable<wire::CallResponse> {
+            lastRemaining = call->remaining;
+            if (callTime > core::Duration::zero()) {
+                now += callTime;
+                co_return wire::CallResponse({.status = 200});
+            }
             co_return wire::CallResponse({.refusal = core::Refusal(RefusalReason::NoEndpoint, Outcome::NotRun)});
         };
         hooks.random = core::systemRandom();
@@ -183,3 +196,38 @@
         CHECK(refusalAt(10s, 1h).reason() == RefusalReason::NoEndpoint);
     });
 }
+
+// Guards against nested calls that a stopping node passes on until its end and then cuts while their endpoint is at work.
+TEST(ARefusalAtTheEntry, turnsAwayNestedCallsThatCannotEndBeforeTheStop)
+{
+    using namespace std::chrono_literals;
+    EntryThatRefuses entry(catalogueWithRoute());
+    const auto callAt = [&](core::Duration sinceStop) {
+        entry.now = core::TimePoint() + sinceStop;
+        return entry.call(booking("/ledger", std::nullopt, std::nullopt)
+                              .with(&http::CallerRequestFields::timeout, std::optional<core::Duration>(2s)));
+    };
+    entry.stopSchedule = node::StopSchedule(core::TimePoint(), 2s, 5s);
+    section("a call of unknown length is passed on only if its timeout ends before the stop", [&] {
+        CHECK(callAt(2s)->refusal->reason() == RefusalReason::NoEndpoint);
+        const wire::CallResponse late = callAt(3s);
+        CHECK(late->refusal->reason() == RefusalReason::Draining);
+        CHECK(late->refusal->outcome() == Outcome::NotRun);
+    });
+    section("one that is known to be short is passed on with the time that is left", [&] {
+        entry.callTime = 400ms;
+        for (int i = 0; i < 20; ++i) {
+            LONGS_EQUAL(200, callAt(0s)->status);
+        }
+        LONGS_EQUAL(200, callAt(4s)->status);
+        CHECK(entry.lastRemaining < 1s);
+    });
+    section("but not so late that it would be cut", [&] {
+        CHECK(callAt(4700ms)->refusal->reason() == RefusalReason::Draining);
+    });
+    section("a node that does not stop passes on all", [&] {
+        entry.stopSchedule.reset();
+        LONGS_EQUAL(200, callAt(10s)->status);
+        CHECK(entry.lastRemaining == 2s);
+    });
+}
