Start no waiting request late in the drain of an endpoint (DRAIN)

Cause: a drain refused new requests only. Nested calls and suspects that waited for a slot stayed in the queue until their deadlines.

The gate checks the time as well.

--- a/include/berylspring/admission/endpoint_gate.h
+++ b/include/berylspring/admission/endpoint_gate.h
@@ -71,7 +71,13 @@
     [[nodiscard]] GateResult leave(std::uint64_t id, core::TimePoint now);
     [[nodiscard]] std::vector<std::uint64_t> finish(const RunReport &report, core::TimePoint now);
     [[nodiscard]] std::vector<std::uint64_t> setSlots(std::uint32_t slots, core::TimePoint now);
-    void startDrain();
+    /**
+     * @brief Refuses new requests. Waiting ones start for AdmissionSettings::drainStart more.
+     * @return Whether the drain begins now; false if it has begun before.
+     */
+    bool startDrain(core::TimePoint now);
+    /** @brief Refuses what still waits; to be called when AdmissionSettings::drainStart has passed. */
+    [[nodiscard]] std::vector<std::uint64_t> endDrainStart();
     /** @brief Refuses new and waiting requests, for an endpoint that another one has replaced. */
     [[nodiscard]] std::vector<std::uint64_t> retire();
     [[nodiscard]] bool isIdle() const;
@@ -110,7 +116,7 @@
     bool m_isSuspectRunning = false;
     std::optional<core::TimePoint> m_drainingForSuspectSince;
     core::TimePoint m_nextSuspectAt;
-    bool m_isDraining = false;
+    std::optional<core::TimePoint> m_drainingSince;
 };
 
 }
--- a/src/admission/admission_service.cpp
+++ b/src/admission/admission_service.cpp
@@ -31,7 +31,7 @@
 
 void AdmissionService::startDrain()
 {
-    m_core->startDrain();
+    Core::startDrain(m_core);
 }
 
 void AdmissionService::retire()
--- a/src/admission/endpoint_gate.cpp
+++ b/src/admission/endpoint_gate.cpp
@@ -51,7 +51,7 @@
 
 std::optional<core::RefusalReason> EndpointGate::refusalReason(const QueueEntry &entry, core::TimePoint now) const
 {
-    if (m_isDraining) {
+    if (m_drainingSince) {
         return core::RefusalReason::Draining;
     }
     if (m_limit.slots() == 0) {
@@ -121,6 +121,10 @@
 
 void EndpointGate::startWaiting(core::TimePoint now, RequestIds &decided)
 {
+    if (m_drainingSince && now - *m_drainingSince >= m_settings.drainStart) {
+        refuseWaiting(core::RefusalReason::Draining, decided);
+        return;
+    }
     if (m_isSuspectRunning || startSuspect(now, decided)) {
         return;
     }
@@ -249,16 +253,26 @@
 std::vector<std::uint64_t> EndpointGate::retire()
 {
     const std::scoped_lock lock(m_mutex);
-    m_isDraining = true;
+    m_drainingSince = m_drainingSince.value_or(core::TimePoint());
     RequestIds decided;
     refuseWaiting(core::RefusalReason::Draining, decided);
     return decided;
 }
 
-void EndpointGate::startDrain()
+bool EndpointGate::startDrain(core::TimePoint now)
 {
     const std::scoped_lock lock(m_mutex);
-    m_isDraining = true;
+    const bool begins = !m_drainingSince;
+    m_drainingSince = m_drainingSince.value_or(now);
+    return begins;
+}
+
+std::vector<std::uint64_t> EndpointGate::endDrainStart()
+{
+    const std::scoped_lock lock(m_mutex);
+    RequestIds decided;
+    refuseWaiting(core::RefusalReason::Draining, decided);
+    return decided;
 }
 
 bool EndpointGate::isIdle() const
@@ -282,7 +296,7 @@
                                 .limit = m_limit.limit(),
                                 .slots = m_limit.slots(),
                                 .admittedLevel = m_level.level(now),
-                                .isDraining = m_isDraining,
+                                .isDraining = m_drainingSince.has_value(),
                                 .counters = {}};
 }
 
--- a/src/admission/service_core.cpp
+++ b/src/admission/service_core.cpp
@@ -8,6 +8,7 @@
 
 #include <boost/asio/cancellation_state.hpp>
 #include <boost/asio/error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/system/system_error.hpp>
 
@@ -308,9 +309,18 @@
     wake(m_gate.setSlots(slots, m_hooks.now()));
 }
 
-void AdmissionService::Core::startDrain()
+void AdmissionService::Core::startDrain(const std::shared_ptr<Core> &self)
 {
-    m_gate.startDrain();
+    if (!self->m_gate.startDrain(self->m_hooks.now())) {
+        return;
+    }
+    const auto timer = std::make_shared<asio::steady_timer>(self->m_executor, self->m_settings.drainStart);
+    timer->async_wait([timer, weak = std::weak_ptr<Core>(self)](const boost::system::error_code &error) {
+        const std::shared_ptr<Core> core = weak.lock();
+        if (!error && core) {
+            core->wake(core->m_gate.endDrainStart());
+        }
+    });
 }
 
 void AdmissionService::Core::retire()
--- a/src/admission/service_core.h
+++ b/src/admission/service_core.h
@@ -28,7 +28,7 @@
     static boost::asio::awaitable<void> idle(std::shared_ptr<Core> self);
 
     void setSlots(std::uint32_t slots);
-    void startDrain();
+    static void startDrain(const std::shared_ptr<Core> &self);
     void retire();
     [[nodiscard]] AdmissionState state() const;
     /** @brief Destroys the waiting coroutines, whose frames keep this object alive. */
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -295,7 +295,8 @@
 
 std::shared_ptr<admission::AdmissionService> Node::Implementation::makeAdmission()
 {
-    const admission::AdmissionSettings settings{.areControlsOn = m_settings->areControlsOn};
+    const admission::AdmissionSettings settings{.areControlsOn = m_settings->areControlsOn,
+                                                .drainStart = m_settings->drainStart};
     return std::make_shared<admission::AdmissionService>(m_executor, settings, admissionHooks(), m_admissionHistory);
 }
 
--- a/tests/admission/a_call_through_the_service.cpp
+++ b/tests/admission/a_call_through_the_service.cpp
@@ -2,6 +2,7 @@
 #include "support/section.h"
 
 #include <chrono>
+#include <thread>
 #include <vector>
 
 #include <boost/asio/post.hpp>
@@ -129,6 +130,38 @@
     CHECK(isIdle);
 }
 
+// Guards against requests that wait until their deadlines for a leaving endpoint, and reach it when it is about to
+// exit.
+TEST(ACallThroughTheService, startsNothingLateInADrain)
+{
+    admission::AdmissionSettings settings = test::settingsWithoutRealTimers();
+    section("what still waits is refused when its time is over", [&] {
+        settings.drainStart = std::chrono::milliseconds(5);
+        Harness harness(settings);
+        harness.service().setSlots(1);
+        harness.send(callNamed("first"));
+        const auto nested = harness.send(callNamed("second").with(&wire::CallRequestFields::isNested, true));
+        harness.service().startDrain();
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        harness.poll();
+        checkRefused(nested, core::RefusalReason::Draining, core::Outcome::NotRun);
+    });
+    section("a slot that becomes free later starts nothing, however often the endpoint tells that it drains", [&] {
+        settings.drainStart = std::chrono::minutes(30);
+        Harness harness(settings);
+        harness.service().setSlots(1);
+        harness.send(callNamed("first"));
+        const auto nested = harness.send(callNamed("second").with(&wire::CallRequestFields::isNested, true));
+        harness.service().startDrain();
+        harness.advance(std::chrono::minutes(20));
+        harness.service().startDrain();
+        harness.advance(std::chrono::minutes(10));
+        harness.finish("first");
+        checkRefused(nested, core::RefusalReason::Draining, core::Outcome::NotRun);
+        CHECK(harness.running().empty());
+    });
+}
+
 // Guards against requests that wait until their deadlines for an endpoint that has left.
 TEST(ACallThroughTheService, refusesWhatWaitsWhenTheEndpointIsGone)
 {
