--- a/tests/node/announcements_of_other_hosts.cpp
+++ b/tests/node/announcements_of_other_hosts.cpp
@@ -146,7 +146,7 @@
     section("the odd ones are not", [&] { LONGS_EQUAL(2, contacts.size()); });
 }
 
-// Guards against a node that takes part seconds after the log has come back, since its next attempt is a fixed time away.
+// Guards against a node that takes part only seconds after the log has come back.
 TEST(AnnouncementsOfOtherHosts, areReadSoonAfterTheLogAnswersAgain)
 {
     const core::TimePoint start{core::Duration(1h)};
