--- a/include/berylspring/node/call_time.h
+++ b/include/berylspring/node/call_time.h
@@ -7,8 +7,8 @@
 namespace berylspring::node {
 
 /**
- * @brief Estimate of the time that a call takes, from the times of earlier calls: smoothed mean and mean deviation, as the
- * retransmission timer of TCP has them (RFC 6298, section 2).
+ * @brief Estimate of the time that a call takes, from the times of earlier calls: smoothed mean and mean deviation, as
+ * the retransmission timer of TCP has them (RFC 6298, section 2).
  */
 class CallTime
 {
--- a/include/berylspring/node/join_progress.h
+++ b/include/berylspring/node/join_progress.h
@@ -20,8 +20,8 @@
 /** @return Whether the node takes part in the fleet: a member has answered, or there is none. */
 [[nodiscard]] bool hasJoined(const JoinProgress &progress, core::TimePoint now);
 /**
- * @return Whether the other hosts of the data centre that may own buckets and claims are known. Until then, a node would
- * regard itself as the owner of each of them.
+ * @return Whether the other hosts of the data centre that may own buckets and claims are known. Until then, a node
+ * would regard itself as the owner of each of them.
  */
 [[nodiscard]] bool knowsDataCentre(const JoinProgress &progress, core::TimePoint now);
 
--- a/include/berylspring/node/stop_schedule.h
+++ b/include/berylspring/node/stop_schedule.h
@@ -40,8 +40,8 @@
         return now < m_lingerUntil || now + timeout <= m_abortAt;
     }
     /**
-     * A refused nested call wastes the work of its root request, so one is accepted also if its timeout is longer than the
-     * stop.
+     * A refused nested call wastes the work of its root request, so one is accepted also if its timeout is longer than
+     * the stop.
      * @param expected Time that the call is expected to take.
      * @return Whether a nested call is accepted: it is expected to end before the abort.
      */
--- a/src/node/entry.cpp
+++ b/src/node/entry.cpp
@@ -208,9 +208,8 @@
     // The time until a deadline is a lower bound of the time of the call; other refusals tell nothing about it.
     const bool isSample = !response->refusal || response->refusal->reason() == RefusalReason::DeadlineExceeded;
     if (isSample) {
-        m_nestedTimes.update(plan->route, [&](std::optional<CallTime> &known) {
-            known = known.value_or(CallTime()).withSample(time);
-        });
+        m_nestedTimes.update(
+            plan->route, [&](std::optional<CallTime> &known) { known = known.value_or(CallTime()).withSample(time); });
     }
 }
 
--- a/src/node/node_hooks.cpp
+++ b/src/node/node_hooks.cpp
@@ -311,10 +311,9 @@
 JoinProgress Node::Implementation::joinProgress() const
 {
     const core::TimePoint readAt = m_announcementsReadAt;
-    return JoinProgress(
-        {.startedAt = m_startedAt,
-         .announcementsReadAt = readAt == core::TimePoint::max() ? std::nullopt : std::optional(readAt),
-         .firstContactAt = m_membership->firstPeerAck()});
+    return JoinProgress({.startedAt = m_startedAt,
+                         .announcementsReadAt = readAt == core::TimePoint::max() ? std::nullopt : std::optional(readAt),
+                         .firstContactAt = m_membership->firstPeerAck()});
 }
 
 bool Node::Implementation::isConfigurationUsable() const
--- a/tests/node/a_refusal_at_the_entry.cpp
+++ b/tests/node/a_refusal_at_the_entry.cpp
@@ -197,7 +197,8 @@
     });
 }
 
-// Guards against nested calls that a stopping node passes on until its end and then cuts while their endpoint is at work.
+// Guards against nested calls that a stopping node passes on until its end and then cuts while their endpoint is at
+// work.
 TEST(ARefusalAtTheEntry, turnsAwayNestedCallsThatCannotEndBeforeTheStop)
 {
     using namespace std::chrono_literals;
@@ -222,9 +223,8 @@
         LONGS_EQUAL(200, callAt(4s)->status);
         CHECK(entry.lastRemaining < 1s);
     });
-    section("but not so late that it would be cut", [&] {
-        CHECK(callAt(4700ms)->refusal->reason() == RefusalReason::Draining);
-    });
+    section("but not so late that it would be cut",
+            [&] { CHECK(callAt(4700ms)->refusal->reason() == RefusalReason::Draining); });
     section("a node that does not stop passes on all", [&] {
         entry.stopSchedule.reset();
         LONGS_EQUAL(200, callAt(10s)->status);
