--- a/include/berylspring/admission/endpoint_gate.h
+++ b/include/berylspring/admission/endpoint_gate.h
@@ -72,12 +72,12 @@
     [[nodiscard]] std::vector<std::uint64_t> finish(const RunReport &report, core::TimePoint now);
     [[nodiscard]] std::vector<std::uint64_t> setSlots(std::uint32_t slots, core::TimePoint now);
     /**
-     * @brief Refuses new requests. Waiting ones start for AdmissionSettings::drainStart more.
+     * @brief Refuses new requests. Waiting ones start for AdmissionSettings::drainStartWindow more.
      * @return Whether the drain begins now; false if it has begun before.
      */
     bool startDrain(core::TimePoint now);
-    /** @brief Refuses what still waits; to be called when AdmissionSettings::drainStart has passed. */
-    [[nodiscard]] std::vector<std::uint64_t> endDrainStart();
+    /** @brief Refuses what still waits; to be called when AdmissionSettings::drainStartWindow has passed. */
+    [[nodiscard]] std::vector<std::uint64_t> endStartWindow();
     /** @brief Refuses new and waiting requests, for an endpoint that another one has replaced. */
     [[nodiscard]] std::vector<std::uint64_t> retire();
     [[nodiscard]] bool isIdle() const;
--- a/include/berylspring/admission/settings.h
+++ b/include/berylspring/admission/settings.h
@@ -34,7 +34,7 @@
     /** Time for which a request that ran during a crash must run alone. */
     core::Duration suspicionDuration = std::chrono::minutes(1);
     /** Time after the begin of a drain in which waiting requests still start; later ones may be cut by its end. */
-    core::Duration drainStart = std::chrono::seconds(1);
+    core::Duration drainStartWindow = std::chrono::seconds(1);
     /** Shortest time after which a refused caller should retry; the actual value is up to twice as long. */
     core::Duration retryAfter = std::chrono::seconds(1);
 
--- a/include/berylspring/node/deployment_bounds.h
+++ b/include/berylspring/node/deployment_bounds.h
@@ -25,7 +25,7 @@
 struct DerivedSettingsFields
 {
     std::optional<core::Duration> stopTimeout;
-    std::optional<core::Duration> drainStart;
+    std::optional<core::Duration> drainStartWindow;
     std::optional<core::Duration> stopLinger;
     std::optional<core::Duration> logPoll;
     std::optional<core::Duration> proofRefresh;
--- a/include/berylspring/node/settings.h
+++ b/include/berylspring/node/settings.h
@@ -55,7 +55,7 @@
     core::Duration maxLimitHold{}; ///< Longest wait of a request for rate limit tokens.
     DeploymentBounds bounds;
     core::Duration stopTimeout{}; ///< Upper bound of a graceful stop.
-    core::Duration drainStart{}; ///< Part of a drain in which requests that wait for the endpoint still start.
+    core::Duration drainStartWindow{}; ///< Part of a drain in which requests that wait for the endpoint still start.
     core::Duration stopLinger{}; ///< Initial phase of a graceful stop in which new requests are still accepted.
 
     std::string otlpAddress; ///< OTLP collector, "IP:PORT"; empty: none.
--- a/src/admission/endpoint_gate.cpp
+++ b/src/admission/endpoint_gate.cpp
@@ -121,7 +121,7 @@
 
 void EndpointGate::startWaiting(core::TimePoint now, RequestIds &decided)
 {
-    if (m_drainingSince && now - *m_drainingSince >= m_settings.drainStart) {
+    if (m_drainingSince && now - *m_drainingSince >= m_settings.drainStartWindow) {
         refuseWaiting(core::RefusalReason::Draining, decided);
         return;
     }
@@ -253,7 +253,8 @@
 std::vector<std::uint64_t> EndpointGate::retire()
 {
     const std::scoped_lock lock(m_mutex);
-    m_drainingSince = m_drainingSince.value_or(core::TimePoint());
+    // Its drain has begun long ago, so nothing that waits may start.
+    m_drainingSince = core::TimePoint();
     RequestIds decided;
     refuseWaiting(core::RefusalReason::Draining, decided);
     return decided;
@@ -267,7 +268,7 @@
     return begins;
 }
 
-std::vector<std::uint64_t> EndpointGate::endDrainStart()
+std::vector<std::uint64_t> EndpointGate::endStartWindow()
 {
     const std::scoped_lock lock(m_mutex);
     RequestIds decided;
--- a/src/admission/service_core.cpp
+++ b/src/admission/service_core.cpp
@@ -314,11 +314,11 @@
     if (!self->m_gate.startDrain(self->m_hooks.now())) {
         return;
     }
-    const auto timer = std::make_shared<asio::steady_timer>(self->m_executor, self->m_settings.drainStart);
+    const auto timer = std::make_shared<asio::steady_timer>(self->m_executor, self->m_settings.drainStartWindow);
     timer->async_wait([timer, weak = std::weak_ptr<Core>(self)](const boost::system::error_code &error) {
         const std::shared_ptr<Core> core = weak.lock();
         if (!error && core) {
-            core->wake(core->m_gate.endDrainStart());
+            core->wake(core->m_gate.endStartWindow());
         }
     });
 }
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -66,7 +66,7 @@
     std::deque<std::shared_ptr<Exchange>> exchanges; ///< In order of arrival.
     bool isReading = false; ///< A request has been received in part.
     bool isReadEnded = false; ///< The client has disconnected, or no further request is read.
-    bool isClosing = false; ///< The last response has been chosen, so no request behind it may be handled.
+    bool isLastResponseChosen = false; ///< No request behind that response may be handled.
     bool isWriteEnded = false; ///< The last response has been written.
 };
 using SessionPointer = std::shared_ptr<Session>;
@@ -243,7 +243,7 @@
      */
     static asio::awaitable<void> closeGracefully(SessionPointer session)
     {
-        session->isClosing = true;
+        session->isLastResponseChosen = true;
         session->isWriteEnded = true;
         session->idleTimer.cancel();
         error_code ignored;
@@ -299,7 +299,7 @@
     {
         Parser parser;
         const error_code error = co_await read(session, parser);
-        if (session->isClosing) {
+        if (session->isLastResponseChosen) {
             // The client takes the request as not read, and sends it again on another connection.
             co_return false;
         }
@@ -432,14 +432,14 @@
     {
         const Exchange &exchange = *session.exchanges.front();
         if (const auto *streamed = std::get_if<StreamedResponse>(&*exchange.reply)) {
-            session.isClosing = true;
+            session.isLastResponseChosen = true;
             co_await writeStream(session, *streamed);
             co_return false;
         }
         // Requests that have already been read after this one are still answered.
         const bool isLast = session.exchanges.size() == 1;
         const bool keepAlive = exchange.keepAlive && !(isLast && (m_isStopping || m_isClosing));
-        session.isClosing = !keepAlive;
+        session.isLastResponseChosen = !keepAlive;
         co_await write(session, std::get<Response>(*exchange.reply), keepAlive);
         co_return keepAlive;
     }
--- a/src/node/deployment_bounds.cpp
+++ b/src/node/deployment_bounds.cpp
@@ -13,7 +13,7 @@
 constexpr core::Duration MinStopReserve = 200ms;
 constexpr core::Duration MaxStopReserve = 700ms;
 /** The rest of the drain is left to requests that start last, which the endpoint must end before it exits. */
-constexpr double DrainStartFraction = 0.5;
+constexpr double DrainStartWindowFraction = 0.5;
 /** Callers that learn late of the stop still find the node during this multiple of the drain bound. */
 constexpr double LingerFactor = 1.25;
 /** The rest of a graceful stop is left to the requests that arrive last. */
@@ -52,7 +52,7 @@
         settings.stopTimeout = stopTimeoutOf(*bounds->stopGrace);
     }
     if (bounds->drain) {
-        settings.drainStart = scaled(*bounds->drain, DrainStartFraction);
+        settings.drainStartWindow = scaled(*bounds->drain, DrainStartWindowFraction);
         settings.stopLinger = scaled(*bounds->drain, LingerFactor);
         if (settings.stopTimeout) {
             settings.stopLinger = std::min(*settings.stopLinger, scaled(*settings.stopTimeout, MaxLingerFraction));
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -296,7 +296,7 @@
 std::shared_ptr<admission::AdmissionService> Node::Implementation::makeAdmission()
 {
     const admission::AdmissionSettings settings{.areControlsOn = m_settings->areControlsOn,
-                                                .drainStart = m_settings->drainStart};
+                                                .drainStartWindow = m_settings->drainStartWindow};
     return std::make_shared<admission::AdmissionService>(m_executor, settings, admissionHooks(), m_admissionHistory);
 }
 
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -258,7 +258,8 @@
     }
     const DerivedSettings derived = derivedSettings(fields.bounds);
     fields.stopTimeout = reader.derivedMilliseconds("node.stop_timeout_ms", derived->stopTimeout, 30'000, 100, 600'000);
-    fields.drainStart = reader.derivedMilliseconds("node.drain_start_ms", derived->drainStart, 1'000, 0, 600'000);
+    fields.drainStartWindow =
+        reader.derivedMilliseconds("node.drain_start_window_ms", derived->drainStartWindow, 1'000, 0, 600'000);
     fields.stopLinger = reader.derivedMilliseconds(
         "node.stop_linger_ms", derived->stopLinger, 0, 0, millisecondsOf(fields.stopTimeout));
     fields.callerPort = reader.port("ports.caller");
--- a/tests/admission/a_call_through_the_service.cpp
+++ b/tests/admission/a_call_through_the_service.cpp
@@ -136,7 +136,7 @@
 {
     admission::AdmissionSettings settings = test::settingsWithoutRealTimers();
     section("what still waits is refused when its time is over", [&] {
-        settings.drainStart = std::chrono::milliseconds(5);
+        settings.drainStartWindow = std::chrono::milliseconds(5);
         Harness harness(settings);
         harness.service().setSlots(1);
         harness.send(callNamed("first"));
@@ -147,7 +147,7 @@
         checkRefused(nested, core::RefusalReason::Draining, core::Outcome::NotRun);
     });
     section("a slot that becomes free later starts nothing, however often the endpoint tells that it drains", [&] {
-        settings.drainStart = std::chrono::minutes(30);
+        settings.drainStartWindow = std::chrono::minutes(30);
         Harness harness(settings);
         harness.service().setSlots(1);
         harness.send(callNamed("first"));
