--- a/include/berylspring/admission/endpoint_gate.h
+++ b/include/berylspring/admission/endpoint_gate.h
@@ -76,9 +76,8 @@
      * @return Whether the drain begins now; false if it has begun before.
      */
     bool startDrain(core::TimePoint now);
-    /** @brief Refuses what still waits; to be called when AdmissionSettings::drainStartWindow has passed. */
-    [[nodiscard]] std::vector<std::uint64_t> endStartWindow();
-    /** @brief Refuses new and waiting requests, for an endpoint that another one has replaced. */
+    /** @brief Refuses new and waiting requests: the endpoint was replaced, or its drain leaves no time to start them.
+     */
     [[nodiscard]] std::vector<std::uint64_t> retire();
     [[nodiscard]] bool isIdle() const;
     [[nodiscard]] AdmissionStateFields state(core::TimePoint now) const;
--- a/include/berylspring/node/entry.h
+++ b/include/berylspring/node/entry.h
@@ -67,6 +67,8 @@
     [[nodiscard]] boost::asio::awaitable<tl::expected<void, core::Refusal>> admit(CallPlan plan);
     /** @return The plan within the time that a graceful stop leaves, or a refusal. */
     [[nodiscard]] tl::expected<CallPlan, core::Refusal> planWithinStop(const CallPlan &plan, core::TimePoint now) const;
+    /** @return Time that few calls of the route exceed; the timeout if none has ended yet. */
+    [[nodiscard]] core::Duration expectedNestedTime(const CallPlan &plan) const;
     void recordNestedTime(const CallPlan &plan, const wire::CallResponse &response, core::Duration time);
     void recordRootResult(const CallPlan &plan, const wire::CallResponse &response, core::Duration latency);
     [[nodiscard]] boost::asio::awaitable<wire::CallResponse>
--- a/include/berylspring/node/stop_schedule.h
+++ b/include/berylspring/node/stop_schedule.h
@@ -2,7 +2,6 @@
 
 #include "berylspring/core/time.h"
 
-#include <algorithm>
 #include <chrono>
 
 namespace berylspring::node {
@@ -39,20 +38,10 @@
     {
         return now < m_lingerUntil || now + timeout <= m_abortAt;
     }
-    /**
-     * A refused nested call wastes the work of its root request, so one is accepted also if its timeout is longer than
-     * the stop.
-     * @param expected Time that the call is expected to take.
-     * @return Whether a nested call is accepted: it is expected to end before the abort.
-     */
-    [[nodiscard]] bool acceptsNested(core::Duration expected, core::TimePoint now) const noexcept
-    {
-        return now + expected <= m_abortAt - AnswerReserve;
-    }
-    /** @return The timeout of an accepted nested call, which must not outlast the stop. */
-    [[nodiscard]] core::Duration nestedTimeout(core::Duration timeout, core::TimePoint now) const noexcept
+    /** @return Time in which a nested call must end; negative when none is left. */
+    [[nodiscard]] core::Duration timeForNested(core::TimePoint now) const noexcept
     {
-        return std::min<core::Duration>(timeout, m_abortAt - AnswerReserve - now);
+        return m_abortAt - AnswerReserve - now;
     }
     [[nodiscard]] bool operator==(const StopSchedule &) const = default;
 
--- a/src/admission/endpoint_gate.cpp
+++ b/src/admission/endpoint_gate.cpp
@@ -268,14 +268,6 @@
     return begins;
 }
 
-std::vector<std::uint64_t> EndpointGate::endStartWindow()
-{
-    const std::scoped_lock lock(m_mutex);
-    RequestIds decided;
-    refuseWaiting(core::RefusalReason::Draining, decided);
-    return decided;
-}
-
 bool EndpointGate::isIdle() const
 {
     const std::scoped_lock lock(m_mutex);
--- a/src/admission/service_core.cpp
+++ b/src/admission/service_core.cpp
@@ -318,7 +318,7 @@
     timer->async_wait([timer, weak = std::weak_ptr<Core>(self)](const boost::system::error_code &error) {
         const std::shared_ptr<Core> core = weak.lock();
         if (!error && core) {
-            core->wake(core->m_gate.endStartWindow());
+            core->retire();
         }
     });
 }
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -67,7 +67,6 @@
     bool isReading = false; ///< A request has been received in part.
     bool isReadEnded = false; ///< The client has disconnected, or no further request is read.
     bool isLastResponseChosen = false; ///< No request behind that response may be handled.
-    bool isWriteEnded = false; ///< The last response has been written.
 };
 using SessionPointer = std::shared_ptr<Session>;
 
@@ -244,7 +243,6 @@
     static asio::awaitable<void> closeGracefully(SessionPointer session)
     {
         session->isLastResponseChosen = true;
-        session->isWriteEnded = true;
         session->idleTimer.cancel();
         error_code ignored;
         session->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
@@ -263,7 +261,7 @@
 
     static void closeWhenIdle(const SessionPointer &session, core::Duration after)
     {
-        if (session->isWriteEnded) {
+        if (session->isLastResponseChosen) {
             return;
         }
         session->idleTimer.expires_after(after);
--- a/src/node/entry.cpp
+++ b/src/node/entry.cpp
@@ -4,6 +4,8 @@
 #include "berylspring/telemetry/log.h"
 #include "node/milliseconds.h"
 
+#include <algorithm>
+
 namespace berylspring::node {
 
 namespace {
@@ -191,16 +193,20 @@
     if (!stop) {
         return plan;
     }
-    if (!plan->isNested) {
-        return stop->accepts(plan->timeout, now) ? tl::expected<CallPlan, Refusal>(plan)
-                                                 : tl::unexpected(stoppingRefusal(m_hooks.random()));
-    }
-    const auto time = m_nestedTimes.find(plan->route);
-    const core::Duration expected = time ? std::min(time->upperEstimate(), plan->timeout) : plan->timeout;
-    if (!stop->acceptsNested(expected, now)) {
+    const core::Duration timeForNested = stop->timeForNested(now);
+    // A refused nested call wastes the work of its root request, so the time that it is expected to take counts.
+    const bool isAccepted =
+        plan->isNested ? expectedNestedTime(plan) <= timeForNested : stop->accepts(plan->timeout, now);
+    if (!isAccepted) {
         return tl::unexpected(stoppingRefusal(m_hooks.random()));
     }
-    return plan.with(&CallPlanFields::timeout, stop->nestedTimeout(plan->timeout, now));
+    return plan->isNested ? plan.with(&CallPlanFields::timeout, std::min(plan->timeout, timeForNested)) : plan;
+}
+
+core::Duration Entry::expectedNestedTime(const CallPlan &plan) const
+{
+    const auto known = m_nestedTimes.find(plan->route);
+    return known ? std::min(known->upperEstimate(), plan->timeout) : plan->timeout;
 }
 
 void Entry::recordNestedTime(const CallPlan &plan, const wire::CallResponse &response, core::Duration time)
--- a/tests/admission/a_call_through_the_service.cpp
+++ b/tests/admission/a_call_through_the_service.cpp
@@ -135,13 +135,18 @@
 TEST(ACallThroughTheService, startsNothingLateInADrain)
 {
     admission::AdmissionSettings settings = test::settingsWithoutRealTimers();
-    section("what still waits is refused when its time is over", [&] {
-        settings.drainStartWindow = std::chrono::milliseconds(5);
-        Harness harness(settings);
+    // Returns a nested call that waits for the only slot.
+    const auto startDrainWithNestedCall = [](Harness &harness) {
         harness.service().setSlots(1);
         harness.send(callNamed("first"));
         const auto nested = harness.send(callNamed("second").with(&wire::CallRequestFields::isNested, true));
         harness.service().startDrain();
+        return nested;
+    };
+    section("what still waits is refused when its time is over", [&] {
+        settings.drainStartWindow = std::chrono::milliseconds(5);
+        Harness harness(settings);
+        const auto nested = startDrainWithNestedCall(harness);
         std::this_thread::sleep_for(std::chrono::milliseconds(20));
         harness.poll();
         checkRefused(nested, core::RefusalReason::Draining, core::Outcome::NotRun);
@@ -149,10 +154,7 @@
     section("a slot that becomes free later starts nothing, however often the endpoint tells that it drains", [&] {
         settings.drainStartWindow = std::chrono::minutes(30);
         Harness harness(settings);
-        harness.service().setSlots(1);
-        harness.send(callNamed("first"));
-        const auto nested = harness.send(callNamed("second").with(&wire::CallRequestFields::isNested, true));
-        harness.service().startDrain();
+        const auto nested = startDrainWithNestedCall(harness);
         harness.advance(std::chrono::minutes(20));
         harness.service().startDrain();
         harness.advance(std::chrono::minutes(10));
