--- a/tests/admission/a_call_through_the_service.cpp
+++ b/tests/admission/a_call_through_the_service.cpp
@@ -139,7 +139,7 @@
     const auto startDrainWithNestedCall = [](Harness &harness) {
         harness.service().setSlots(1);
         harness.send(callNamed("first"));
-        const auto nested = harness.send(callNamed("second").with(&wire::CallRequestFields::isNested, true));
+        auto nested = harness.send(callNamed("second").with(&wire::CallRequestFields::isNested, true));
         harness.service().startDrain();
         return nested;
     };
