--- a/include/berylspring/node/call_plan.h
+++ b/include/berylspring/node/call_plan.h
@@ -25,6 +25,7 @@
     core::PriorityLevel priority = 0;
     core::PriorityLevel routeLevel = 0; ///< Priority level that the route itself is configured with.
     core::Duration timeout{}; ///< Minimum of the route's, the caller's and the inherited timeout.
+    core::Duration answerGrace{}; ///< See wire::CallRequestFields.
     std::uint32_t retries = 0; ///< Retry allowance of a root request.
     bool isNested = false;
     bool isIdempotent = true;
--- a/include/berylspring/node/stop_schedule.h
+++ b/include/berylspring/node/stop_schedule.h
@@ -2,6 +2,7 @@
 
 #include "berylspring/core/time.h"
 
+#include <algorithm>
 #include <chrono>
 
 namespace berylspring::node {
@@ -18,6 +19,7 @@
     StopSchedule(core::TimePoint begin, core::Duration linger, core::Duration timeout) noexcept
         : m_lingerUntil(begin + linger)
         , m_abortAt(begin + timeout)
+        , m_answerGrace(std::min<core::Duration>(MaxAnswerGrace, timeout / AnswerGraceDivisor))
     {
     }
 
@@ -38,10 +40,18 @@
     {
         return now < m_lingerUntil || now + timeout <= m_abortAt;
     }
-    /** @return Time in which a nested call must end; negative when none is left. */
+    /** @return Time after which the endpoint of a nested call must stop its work; negative when none is left. */
     [[nodiscard]] core::Duration timeForNested(core::TimePoint now) const noexcept
     {
-        return m_abortAt - AnswerReserve - now;
+        return m_abortAt - AnswerReserve - m_answerGrace - now;
+    }
+    /**
+     * @return Time for which the answer of an endpoint is awaited after timeForNested(). An endpoint that has run out
+     * of time says so itself; without this time, the abort would overtake its answer.
+     */
+    [[nodiscard]] core::Duration answerGrace() const noexcept
+    {
+        return m_answerGrace;
     }
     [[nodiscard]] bool operator==(const StopSchedule &) const = default;
 
@@ -49,8 +59,14 @@
     /** In which the answer of a nested call reaches its caller. */
     static constexpr core::Duration AnswerReserve = std::chrono::milliseconds(50);
 
+    /** Covers the answer of an endpoint on a busy host. */
+    static constexpr core::Duration MaxAnswerGrace = std::chrono::milliseconds(300);
+    /** Leaves most of a short stop to the calls themselves. */
+    static constexpr int AnswerGraceDivisor = 10;
+
     core::TimePoint m_lingerUntil;
     core::TimePoint m_abortAt;
+    core::Duration m_answerGrace;
 };
 
 }
--- a/include/berylspring/wire/messages.h
+++ b/include/berylspring/wire/messages.h
@@ -44,6 +44,8 @@
     std::string claimName; ///< Idempotency name of a non-idempotent request; empty otherwise.
     std::string requestId; ///< Correlates log lines of one attempt of the caller; may be empty.
     bool isSuspect = false; ///< Ran while an endpoint crashed, so it must run alone.
+    /** Time after `remaining` for which the endpoint's own answer, which may be that its time is over, is awaited. */
+    core::Duration answerGrace{};
     [[nodiscard]] bool operator==(const CallRequestFields &) const = default;
 };
 using CallRequest = core::Immutable<CallRequestFields>;
--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -256,7 +256,7 @@
     if (host == m_self) {
         co_return co_await m_hooks.runLocally(std::move(call));
     }
-    const core::Duration timeout = call->remaining + ResponseMargin;
+    const core::Duration timeout = call->remaining + call->answerGrace + ResponseMargin;
     wire::Message message(std::move(call));
     const wire::Result<wire::Message> answer = co_await m_hooks.call(std::move(host), std::move(message), timeout);
     if (!answer) {
--- a/src/node/entry.cpp
+++ b/src/node/entry.cpp
@@ -174,7 +174,8 @@
                                   .remaining = remaining,
                                   .retryAllowance = allowance.amount(),
                                   .traceParent = trace.traceParent(),
-                                  .requestId = request->requestId});
+                                  .requestId = request->requestId,
+                                  .answerGrace = (*plan)->answerGrace});
     const core::TimePoint sentAt = m_hooks.now();
     const wire::CallResponse response = co_await forward(call, request, *plan);
     const core::Duration time = m_hooks.now() - sentAt;
@@ -200,7 +201,10 @@
     if (!isAccepted) {
         return tl::unexpected(stoppingRefusal(m_hooks.random()));
     }
-    return plan->isNested ? plan.with(&CallPlanFields::timeout, std::min(plan->timeout, timeForNested)) : plan;
+    if (!plan->isNested || plan->timeout <= timeForNested) {
+        return plan;
+    }
+    return plan.with(&CallPlanFields::timeout, timeForNested).with(&CallPlanFields::answerGrace, stop->answerGrace());
 }
 
 core::Duration Entry::expectedNestedTime(const CallPlan &plan) const
--- a/src/node/local_endpoint.cpp
+++ b/src/node/local_endpoint.cpp
@@ -278,7 +278,8 @@
                                   .trace = trace}));
     const http::Request message =
         m_protocols.encodeEndpointCall({request, target.id, entry.token(), trace.traceParent()});
-    const http::Result<http::Response> answer = co_await target.client->send(message, request->remaining);
+    const http::Result<http::Response> answer =
+        co_await target.client->send(message, request->remaining + request->answerGrace);
     if (trace.isSampled()) {
         m_spans(telemetry::Span(
             {.context = trace,
--- a/src/wire/envelope_decode.cpp
+++ b/src/wire/envelope_decode.cpp
@@ -165,6 +165,7 @@
         fields.claimName = text(value.claim_name());
         fields.requestId = text(value.request_id());
         fields.isSuspect = value.is_suspect();
+        fields.answerGrace = duration(value.answer_grace_ns());
         return CallRequest(std::move(fields));
     }
 
--- a/src/wire/envelope_encode.cpp
+++ b/src/wire/envelope_encode.cpp
@@ -159,7 +159,8 @@
                                          traceParent,
                                          claimName,
                                          requestId,
-                                         value->isSuspect);
+                                         value->isSuspect,
+                                         value->answerGrace.count());
     }
     Offset<schema::CallResponse> write(const CallResponse &value)
     {
--- a/tests/node/a_refusal_at_the_entry.cpp
+++ b/tests/node/a_refusal_at_the_entry.cpp
@@ -62,6 +62,7 @@
     std::optional<node::StopSchedule> stopSchedule;
     core::Duration callTime{}; ///< Time after which the endpoint answers; zero: there is no endpoint.
     core::Duration lastRemaining{}; ///< Time that was left for the last request that was passed on.
+    core::Duration lastAnswerGrace{}; ///< Its time for an answer after that.
 
     wire::CallResponse call(const http::CallerRequest &request)
     {
@@ -90,6 +91,7 @@
         hooks.now = [this] { return now; };
         hooks.dispatch = [this](wire::CallRequest call) -> asio::awaitable<wire::CallResponse> {
             lastRemaining = call->remaining;
+            lastAnswerGrace = call->answerGrace;
             if (callTime > core::Duration::zero()) {
                 now += callTime;
                 co_return wire::CallResponse({.status = 200});
@@ -223,11 +225,17 @@
         LONGS_EQUAL(200, callAt(4s)->status);
         CHECK(entry.lastRemaining < 1s);
     });
+    section("an endpoint whose work takes longer ends it by itself and answers before the abort", [&] {
+        LONGS_EQUAL(200, callAt(4s)->status);
+        CHECK(entry.lastAnswerGrace >= 200ms);
+        CHECK(4s + entry.lastRemaining + entry.lastAnswerGrace < 5s);
+    });
     section("but not so late that it would be cut",
             [&] { CHECK(callAt(4700ms)->refusal->reason() == RefusalReason::Draining); });
     section("a node that does not stop passes on all", [&] {
         entry.stopSchedule.reset();
         LONGS_EQUAL(200, callAt(10s)->status);
         CHECK(entry.lastRemaining == 2s);
+        CHECK(entry.lastAnswerGrace == core::Duration::zero());
     });
 }
--- a/tests/node/answers_of_a_faulty_endpoint.cpp
+++ b/tests/node/answers_of_a_faulty_endpoint.cpp
@@ -88,6 +88,7 @@
 {
     std::string before; ///< Written before the answer, after the request was read.
     std::optional<Kind> own; ///< The answer; empty: the connection is closed.
+    std::chrono::milliseconds delay{}; ///< Between the request and the answer.
     std::string after; ///< Written in the same segment as the answer.
     std::string late; ///< Written LateWriteDelay after the answer.
 };
@@ -109,7 +110,8 @@
     ScriptedEndpoint &operator=(const ScriptedEndpoint &) = delete;
 
     /** @brief Sends a request through a node's endpoint. */
-    admission::EndpointResult call(const std::string &id, Reply reply, core::Duration timeout = DefaultTimeout)
+    admission::EndpointResult
+    call(const std::string &id, Reply reply, core::Duration timeout = DefaultTimeout, core::Duration answerGrace = {})
     {
         {
             const std::scoped_lock lock(m_mutex);
@@ -120,7 +122,8 @@
                                          .target = "/" + id,
                                          .headers = {{"Berylspring-Request-Id", id}},
                                          .remaining = timeout,
-                                         .requestId = id});
+                                         .requestId = id,
+                                         .answerGrace = answerGrace});
         return asio::co_spawn(m_pool, m_endpoint->call(request), asio::use_future).get();
     }
 
@@ -159,6 +162,10 @@
             const std::string id = buffer.substr(buffer.find('/') + 1, buffer.find(" HTTP") - buffer.find('/') - 1);
             buffer.erase(0, size);
             const Reply reply = take(number);
+            if (reply.delay > 0ms) {
+                asio::steady_timer timer(m_pool, reply.delay);
+                co_await timer.async_wait(asio::use_awaitable);
+            }
             const std::string bytes = reply.before + (reply.own ? answer(*reply.own, id) + reply.after : std::string());
             co_await asio::async_write(socket, asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, error));
             if (error || !reply.own) {
@@ -325,6 +332,17 @@
             [&] { LONGS_EQUAL(500, endpoint.call("c", {.own = Kind::Failure}).response->status); });
 }
 
+// Guards against a call that a stopping node cuts while its endpoint answers that the time is over.
+TEST(AnswersOfAFaultyEndpoint, areAwaitedAfterTheDeadlineForTheAnswerGrace)
+{
+    ScriptedEndpoint endpoint;
+    const Reply late{.own = Kind::Failure, .delay = 50ms};
+    section("without it, the call ends at its deadline",
+            [&] { CHECK(outcomeOf(endpoint.call("a", late, 1ms)) == Outcome::Unknown); });
+    section("with it, the answer of the endpoint is passed on",
+            [&] { LONGS_EQUAL(500, endpoint.call("b", late, 1ms, DefaultTimeout).response->status); });
+}
+
 // Guards against any sequence of repeated, foreign and unidentified answers that gives a request a wrong outcome.
 TEST(AnswersOfAFaultyEndpoint, neverGiveARequestAWrongOutcome)
 {
--- a/tests/wire/generators.h
+++ b/tests/wire/generators.h
@@ -104,6 +104,7 @@
     fields.claimName = text();
     fields.requestId = text();
     fields.isSuspect = value<bool>();
+    fields.answerGrace = duration();
     return wire::CallRequest(fields);
 }
 
