Fix the interfaces for cold endpoints, evacuations and routing by cost

- wire: EndpointState::coldRate, CallResponse::outstandingWork and pace, omitted from messages while they are 0;
- config: the resources `services` (cold rate and time) and `evacuations`, with their lookups;

--- a/include/berylspring/config/catalogue.h
+++ b/include/berylspring/config/catalogue.h
@@ -77,6 +77,10 @@
     [[nodiscard]] const Priority *findPriority(const PriorityId &name) const;
     /** @return The configured request limits, or null. */
     [[nodiscard]] const RequestLimits *requestLimits() const;
+    /** @return The properties of the endpoints of a service, or null. */
+    [[nodiscard]] const Service *findService(const core::ServiceId &name) const;
+    /** @return Whether nothing may be sent to the endpoints of the data centre. */
+    [[nodiscard]] bool isEvacuated(const core::DataCentreId &dataCentre) const;
     /** @return The key with this name, or null. */
     [[nodiscard]] const Key *findKeyNamed(std::string_view name) const;
     /**
--- a/include/berylspring/config/resource.h
+++ b/include/berylspring/config/resource.h
@@ -112,8 +112,26 @@
 };
 using RequestLimits = core::Immutable<RequestLimitsFields>;
 
+/** @brief Properties of the endpoints of a service. A service without this resource has the defaults. */
+struct ServiceFields
+{
+    core::ServiceId name;
+    double coldRate = 0; ///< Requests per second that a cold endpoint tolerates, up to 10^6; 0: any number.
+    core::Duration coldTime = std::chrono::seconds(3); ///< How long an endpoint is cold after a start; 0 to 10 min.
+    [[nodiscard]] bool operator==(const ServiceFields &) const = default;
+};
+using Service = core::Immutable<ServiceFields>;
+
+/** @brief An operator's request that nothing more be sent to the endpoints of a data centre, until it is deleted. */
+struct EvacuationFields
+{
+    core::DataCentreId name;
+    [[nodiscard]] bool operator==(const EvacuationFields &) const = default;
+};
+using Evacuation = core::Immutable<EvacuationFields>;
+
 /** @brief Any resource; the alternatives are in the order of ResourceType. */
-using Resource = std::variant<Workspace, Key, Limit, Priority, Route, RequestLimits>;
+using Resource = std::variant<Workspace, Key, Limit, Priority, Route, RequestLimits, Service, Evacuation>;
 
 /**
  * @brief Parses a resource strictly: unknown members, wrong types and values out of range are errors.
--- a/include/berylspring/config/resource_type.h
+++ b/include/berylspring/config/resource_type.h
@@ -13,14 +13,18 @@
     Priority,
     Route,
     RequestLimits,
+    Service,
+    Evacuation,
 };
 
-inline constexpr std::array<ResourceType, 6> ResourceTypes{ResourceType::Workspace,
+inline constexpr std::array<ResourceType, 8> ResourceTypes{ResourceType::Workspace,
                                                            ResourceType::Key,
                                                            ResourceType::Limit,
                                                            ResourceType::Priority,
                                                            ResourceType::Route,
-                                                           ResourceType::RequestLimits};
+                                                           ResourceType::RequestLimits,
+                                                           ResourceType::Service,
+                                                           ResourceType::Evacuation};
 
 /** @return The plural name used in URL paths and log records, for example "workspaces". */
 [[nodiscard]] std::string_view toString(ResourceType type) noexcept;
--- a/include/berylspring/http/endpoint_announcement.h
+++ b/include/berylspring/http/endpoint_announcement.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "berylspring/core/name.h"
+#include "berylspring/core/time.h"
 
 #include <cstdint>
 #include <string>
@@ -27,6 +28,7 @@
     EndpointAnnouncement announcement;
     std::uint64_t sequence = 0; ///< Increases with each heartbeat of an incarnation; 0: unknown.
     bool isDraining = false; ///< The endpoint shuts down soon and accepts no new requests.
+    core::Duration coldFor{}; ///< How long the endpoint is still cold, as of the heartbeat.
     [[nodiscard]] bool operator==(const EndpointHeartbeat &) const = default;
 };
 
--- a/include/berylspring/node/deployment_bounds.h
+++ b/include/berylspring/node/deployment_bounds.h
@@ -17,6 +17,10 @@
     std::optional<core::Duration> keyWithdrawal; ///< From the withdrawal of a key until its last use.
     /** Requests of a workspace over rate x window + burst that the deployment tolerates in any window. */
     std::optional<std::uint32_t> limitExcess;
+    /** Factor of the rate of a cold endpoint that the deployment tolerates in any second, plus coldSlack requests. */
+    std::optional<double> coldExcess;
+    std::optional<std::uint32_t> coldSlack;
+    std::optional<core::Duration> evacuation; ///< From the request to evacuate until nothing more is sent.
     [[nodiscard]] bool operator==(const DeploymentBoundsFields &) const = default;
 };
 using DeploymentBounds = core::Immutable<DeploymentBoundsFields>;
--- a/include/berylspring/routing/endpoint_view.h
+++ b/include/berylspring/routing/endpoint_view.h
@@ -22,6 +22,7 @@
     double reportedLoad = 0; ///< Requests in flight as reported by the endpoint; may be outdated or wrong.
     core::TimePoint reportedAt; ///< Estimated time at which the report was made.
     core::PriorityLevel admittedLevel = 0;
+    double coldRate = 0; ///< Requests per second that the cold endpoint tolerates from all nodes; 0: it is not cold.
     core::TimePoint firstSeen;
     [[nodiscard]] bool operator==(const EndpointViewFields &) const = default;
 };
--- a/include/berylspring/wire/datagrams.h
+++ b/include/berylspring/wire/datagrams.h
@@ -28,6 +28,7 @@
     bool isDraining = false;
     std::uint32_t load = 0; ///< Requests in flight on the endpoint.
     core::PriorityLevel admittedLevel = 0; ///< Lowest priority level that the node admits.
+    double coldRate = 0; ///< Requests per second that the cold endpoint tolerates; 0: it is not cold.
     [[nodiscard]] bool operator==(const EndpointStateFields &) const = default;
 };
 using EndpointState = core::Immutable<EndpointStateFields>;
--- a/include/berylspring/wire/messages.h
+++ b/include/berylspring/wire/messages.h
@@ -68,6 +68,9 @@
     bool hasEndpointCrashed = false; ///< The endpoint ended while it ran the request.
     core::Duration queueTime{};
     core::Duration serviceTime{};
+    double outstandingWork = 0; ///< Expected time of all work that runs or waits at the endpoint, in seconds.
+    /** How long work takes on the endpoint at present, as it reports: 1 as usual, 2 twice as long; 0: no report. */
+    double pace = 0;
     [[nodiscard]] bool operator==(const CallResponseFields &) const = default;
 };
 using CallResponse = core::Immutable<CallResponseFields>;
--- a/src/config/catalogue.cpp
+++ b/src/config/catalogue.cpp
@@ -118,6 +118,16 @@
         m_tables->byName[static_cast<std::size_t>(ResourceType::RequestLimits)].find(std::string_view("default")));
 }
 
+const Service *Catalogue::findService(const core::ServiceId &name) const
+{
+    return valueOf<Service>(m_tables->byName[static_cast<std::size_t>(ResourceType::Service)].find(name.value()));
+}
+
+bool Catalogue::isEvacuated(const core::DataCentreId &dataCentre) const
+{
+    return m_tables->byName[static_cast<std::size_t>(ResourceType::Evacuation)].find(dataCentre.value()) != nullptr;
+}
+
 const Key *Catalogue::findKeyNamed(std::string_view name) const
 {
     return valueOf<Key>(m_tables->byName[static_cast<std::size_t>(ResourceType::Key)].find(name));
--- a/src/config/resource.cpp
+++ b/src/config/resource.cpp
@@ -16,8 +16,8 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 6> TypeNames{
-    "workspaces", "keys", "limits", "priorities", "routes", "request-limits"};
+constexpr std::array<std::string_view, ResourceTypes.size()> TypeNames{
+    "workspaces", "keys", "limits", "priorities", "routes", "request-limits", "services", "evacuations"};
 constexpr double MinWeight = 0.001;
 constexpr double MaxWeight = 1000;
 constexpr double MinRate = 0.001;
@@ -34,6 +34,7 @@
 constexpr std::uint64_t MinHeaderBytes = 256;
 constexpr std::uint64_t MaxHeaderBytes = 1'048'576;
 constexpr std::uint64_t MaxBodyBytes = 1'073'741'824;
+constexpr double MaxColdRate = 1e6;
 
 template<typename Unit>
 core::Duration durationOf(std::uint64_t count)
@@ -41,6 +42,12 @@
     return std::chrono::duration_cast<core::Duration>(Unit(count));
 }
 
+template<typename Unit>
+std::int64_t countOf(core::Duration duration)
+{
+    return std::chrono::duration_cast<Unit>(duration).count();
+}
+
 Workspace parseWorkspace(JsonReader &reader, std::string name)
 {
     const WorkspaceFields defaults;
@@ -206,6 +213,17 @@
     return RequestLimits(std::move(fields));
 }
 
+Service parseService(JsonReader &reader, std::string name)
+{
+    const ServiceFields defaults;
+    ServiceFields fields;
+    fields.name = core::ServiceId(std::move(name));
+    fields.coldRate = reader.number("cold_rate", 0, MaxColdRate, defaults.coldRate);
+    const auto coldTime = static_cast<std::uint64_t>(countOf<std::chrono::milliseconds>(defaults.coldTime));
+    fields.coldTime = durationOf<std::chrono::milliseconds>(reader.integer("cold_time_ms", 0, MaxTimeoutMs, coldTime));
+    return Service(std::move(fields));
+}
+
 Resource parseMembers(ResourceType type, JsonReader &reader, std::string name)
 {
     switch (type) {
@@ -220,15 +238,13 @@
     case ResourceType::Route:
         return parseRoute(reader, std::move(name));
     case ResourceType::RequestLimits:
+        return parseRequestLimits(reader, std::move(name));
+    case ResourceType::Service:
+        return parseService(reader, std::move(name));
+    case ResourceType::Evacuation:
         break;
     }
-    return parseRequestLimits(reader, std::move(name));
-}
-
-template<typename Unit>
-std::int64_t countOf(core::Duration duration)
-{
-    return std::chrono::duration_cast<Unit>(duration).count();
+    return Evacuation({.name = core::DataCentreId(std::move(name))});
 }
 
 json::object members(const Workspace &workspace)
@@ -295,6 +311,18 @@
     return object;
 }
 
+json::object members(const Service &service)
+{
+    return {{"name", service->name.value()},
+            {"cold_rate", service->coldRate},
+            {"cold_time_ms", countOf<std::chrono::milliseconds>(service->coldTime)}};
+}
+
+json::object members(const Evacuation &evacuation)
+{
+    return {{"name", evacuation->name.value()}};
+}
+
 json::object members(const RequestLimits &limits)
 {
     return {{"name", limits->name.value()},
--- a/src/membership/datagram_size.cpp
+++ b/src/membership/datagram_size.cpp
@@ -10,7 +10,7 @@
 /** Length, terminating zero, padding and the offset that refers to it. */
 constexpr std::size_t StringOverheadBytes = 12;
 constexpr std::size_t RecordBytes = 64;
-constexpr std::size_t EndpointBytes = 32;
+constexpr std::size_t EndpointBytes = 36;
 /** Sequence number, target offset and list length of a message. */
 constexpr std::size_t MessageBytes = 32;
 
--- a/src/node/endpoint_views.cpp
+++ b/src/node/endpoint_views.cpp
@@ -17,6 +17,7 @@
                                                .isAlive = member.isLive(),
                                                .reportedLoad = static_cast<double>(endpoint->load),
                                                .reportedAt = member.lastSeenAt(),
+                                               .coldRate = endpoint->coldRate,
                                                .firstSeen = member.stateSince()}));
     }
     return views;
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -22,6 +22,7 @@
 constexpr const char *SecretName = "fleet.secret";
 constexpr std::uint64_t MaxBoundMs = 3'600'000;
 constexpr std::uint64_t MaxLimitExcess = 1'000'000;
+constexpr double MaxColdExcess = 100;
 
 std::uint64_t millisecondsOf(core::Duration duration)
 {
@@ -141,12 +142,25 @@
 
     double ratio(const std::string &name, double fallback)
     {
-        const std::string value = text(name, std::to_string(fallback));
+        return parseFactor(name, text(name, std::to_string(fallback)), 0, 1);
+    }
+
+    /** @return Empty if the setting is missing or empty. */
+    std::optional<double> optionalFactor(const std::string &name, double low, double high)
+    {
+        const std::string value = text(name, {});
+        return value.empty() ? std::nullopt : std::optional(parseFactor(name, value, low, high));
+    }
+
+    static double parseFactor(const std::string &name, const std::string &value, double low, double high)
+    {
         std::istringstream stream(value);
-        double result = -1;
+        double result = low - 1;
         stream >> result;
-        if (!stream.eof() || stream.fail() || result < 0 || result > 1) {
-            reject(name, value, "a number from 0 to 1");
+        if (!stream.eof() || stream.fail() || result < low || result > high) {
+            std::ostringstream range;
+            range << "a number from " << low << " to " << high;
+            reject(name, value, range.str());
         }
         return result;
     }
@@ -244,7 +258,10 @@
                              .drain = reader.bound("bounds.drain_ms", 100, MaxBoundMs),
                              .changeApply = reader.bound("bounds.change_apply_ms", 500, MaxBoundMs),
                              .keyWithdrawal = reader.bound("bounds.key_withdrawal_ms", 500, MaxBoundMs),
-                             .limitExcess = reader.optionalNumber("bounds.limit_excess_requests", 0, MaxLimitExcess)});
+                             .limitExcess = reader.optionalNumber("bounds.limit_excess_requests", 0, MaxLimitExcess),
+                             .coldExcess = reader.optionalFactor("bounds.cold_excess", 1, MaxColdExcess),
+                             .coldSlack = reader.optionalNumber("bounds.cold_slack_requests", 0, MaxLimitExcess),
+                             .evacuation = reader.bound("bounds.evacuate_ms", 100, MaxBoundMs)});
 }
 
 void readNode(SettingsReader &reader, SettingsFields &fields)
--- a/src/wire/datagram_format.cpp
+++ b/src/wire/datagram_format.cpp
@@ -48,7 +48,8 @@
                                            value->slots,
                                            value->isDraining,
                                            value->load,
-                                           value->admittedLevel);
+                                           value->admittedLevel,
+                                           static_cast<float>(value->coldRate));
     }
 
     Offset<schema::MemberUpdate> write(const MemberUpdate &value)
@@ -144,7 +145,8 @@
                                                  value.slots(),
                                                  value.is_draining(),
                                                  value.load(),
-                                                 admittedLevel(value.admitted_level())});
+                                                 admittedLevel(value.admitted_level()),
+                                                 nonNegative(value.cold_rate())});
     }
 
     [[nodiscard]] MemberUpdate read(const schema::MemberUpdate &value)
--- a/src/wire/envelope_decode.cpp
+++ b/src/wire/envelope_decode.cpp
@@ -185,6 +185,8 @@
         fields.hasEndpointCrashed = value.has_endpoint_crashed();
         fields.queueTime = duration(value.queue_time_ns());
         fields.serviceTime = duration(value.service_time_ns());
+        fields.outstandingWork = nonNegative(value.outstanding_work());
+        fields.pace = nonNegative(value.pace());
         return CallResponse(std::move(fields));
     }
 
--- a/src/wire/envelope_encode.cpp
+++ b/src/wire/envelope_encode.cpp
@@ -178,7 +178,9 @@
                                           value->queueTime.count(),
                                           value->serviceTime.count(),
                                           static_cast<float>(value->pressure),
-                                          value->hasEndpointCrashed);
+                                          value->hasEndpointCrashed,
+                                          static_cast<float>(value->outstandingWork),
+                                          static_cast<float>(value->pace));
     }
     Offset<schema::HomeRequest> write(const HomeRequest &value)
     {
--- a/src/wire/schema_reader.h
+++ b/src/wire/schema_reader.h
@@ -94,6 +94,15 @@
     }
 
     /** @brief Accepts one level above MaxPriority, which a node reports while it admits nothing. */
+    /** @return The value; values that are negative or no number make the message malformed. */
+    [[nodiscard]] double nonNegative(float value)
+    {
+        if (!(value >= 0) || std::isinf(value)) {
+            fail("a value is negative or not a number");
+            return 0;
+        }
+        return static_cast<double>(value);
+    }
     [[nodiscard]] core::PriorityLevel admittedLevel(std::uint8_t value)
     {
         if (value > core::MaxPriority + 1) {
--- a/tests/config/a_catalogue_folds_its_records.cpp
+++ b/tests/config/a_catalogue_folds_its_records.cpp
@@ -42,6 +42,10 @@
         return putRecord(operation, type, name, R"({"level":2})", version);
     case ResourceType::RequestLimits:
         return putRecord(operation, type, "default", R"({"idle_timeout_ms":7})", version);
+    case ResourceType::Service:
+        return putRecord(operation, type, name, R"({"cold_rate":16})", version);
+    case ResourceType::Evacuation:
+        return putRecord(operation, type, name, "{}", version);
     case ResourceType::Route:
         break;
     }
--- a/tests/wire/generators.h
+++ b/tests/wire/generators.h
@@ -128,6 +128,8 @@
     fields.hasEndpointCrashed = value<bool>();
     fields.queueTime = duration();
     fields.serviceTime = duration();
+    fields.outstandingWork = value<bool>() ? 0.25 : 0;
+    fields.pace = value<bool>() ? 1.5 : 0;
     return wire::CallResponse(fields);
 }
 
