--- a/include/berylspring/node/deployment_bounds.h
+++ b/include/berylspring/node/deployment_bounds.h
@@ -20,7 +20,6 @@
     /** Factor of the rate of a cold endpoint that the deployment tolerates in any second, plus coldSlack requests. */
     std::optional<double> coldExcess;
     std::optional<std::uint32_t> coldSlack;
-    std::optional<core::Duration> evacuation; ///< From the request to evacuate until nothing more is sent.
     [[nodiscard]] bool operator==(const DeploymentBoundsFields &) const = default;
 };
 using DeploymentBounds = core::Immutable<DeploymentBoundsFields>;
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -260,8 +260,7 @@
                              .keyWithdrawal = reader.bound("bounds.key_withdrawal_ms", 500, MaxBoundMs),
                              .limitExcess = reader.optionalNumber("bounds.limit_excess_requests", 0, MaxLimitExcess),
                              .coldExcess = reader.optionalFactor("bounds.cold_excess", 1, MaxColdExcess),
-                             .coldSlack = reader.optionalNumber("bounds.cold_slack_requests", 0, MaxLimitExcess),
-                             .evacuation = reader.bound("bounds.evacuate_ms", 100, MaxBoundMs)});
+                             .coldSlack = reader.optionalNumber("bounds.cold_slack_requests", 0, MaxLimitExcess)});
 }
 
 void readNode(SettingsReader &reader, SettingsFields &fields)
