Send a cold endpoint no more requests than it tolerates

An endpoint that has just started is cold: it tolerates a bounded number of requests per second and crashes well above that. After a power cut of all hosts, the returning load crashed the endpoints again and again.

The node of an endpoint is its only sender, so it enforces the bound. While the endpoint is cold (its heartbeat says so, a connection to it failed, its heartbeats are overdue, or its data centre was taken back), each start takes a token of a bucket that is empty at first, also with the controls off and for suspects. Waiting requests start in the order of the queue when the next token is due, which a timer tells. The queue holds what can start within the target wait; the others are refused at once, each with the time of a token of its own, or with the time when the endpoint is warm.

The rate comes from the service resource and the burst from the bounds; without a resource nothing changes. The cold state belongs to the host and outlasts the registration and the admission service, whose bucket starts empty. Copies of the state carry a revision, so that a thread that is late can't bring an older one back; a lock held from the read to the gate was ruled out, since the state is read through a hook. The bucket is kept in whole nanoseconds (generic cell rate algorithm), because sums of fractions of tokens drift.

The answers and refusals of the admission service moved to service_responses.cpp, as its core held two jobs.

parseAnnouncement() returns a heartbeat now, so its test reads the slots one level deeper; nothing else in it is changed but the added cases of cold_ms.

--- a/include/berylspring/admission/admission_queue.h
+++ b/include/berylspring/admission/admission_queue.h
@@ -80,6 +80,11 @@
     {
         return m_entries.size();
     }
+    /** @return Number of waiting entries that are nested, or that are not. */
+    [[nodiscard]] std::size_t size(bool isNested) const noexcept
+    {
+        return isNested ? m_entries.size() - m_newCount : m_newCount;
+    }
     [[nodiscard]] bool isEmpty() const noexcept
     {
         return m_entries.empty();
--- a/include/berylspring/admission/admission_service.h
+++ b/include/berylspring/admission/admission_service.h
@@ -2,6 +2,7 @@
 
 #include "berylspring/admission/admission_history.h"
 #include "berylspring/admission/admission_state.h"
+#include "berylspring/admission/cold_state.h"
 #include "berylspring/admission/crash_report.h"
 #include "berylspring/admission/settings.h"
 #include "berylspring/core/digest.h"
@@ -65,6 +66,11 @@
     [[nodiscard]] boost::asio::awaitable<wire::CallResponse> run(wire::CallRequest request);
     /** @param slots Announced slots of the endpoint; 0 when there is no endpoint. */
     void setSlots(std::uint32_t slots);
+    /**
+     * @brief Limits the starts while the endpoint is cold. A new service takes no request before the first call of
+     *        setSlots(), so the state of the endpoint is set before its slots.
+     */
+    void setCold(const ColdLimit &cold);
     /** @brief Refuses new requests from now on; running and waiting requests are completed. */
     void startDrain();
     /**
--- a/include/berylspring/admission/admission_state.h
+++ b/include/berylspring/admission/admission_state.h
@@ -19,6 +19,8 @@
     std::uint64_t keyWithdrawn = 0; ///< Key withdrawn while waiting.
     std::uint64_t cancelled = 0; ///< Cancelled before the start.
     std::uint64_t connectionsLost = 0;
+    std::uint64_t coldStarted = 0; ///< Started while the endpoint was cold.
+    std::uint64_t coldRefused = 0; ///< Refused because a cold endpoint could not start them in time.
     [[nodiscard]] bool operator==(const AdmissionCounters &) const = default;
 };
 
--- a/include/berylspring/admission/endpoint_gate.h
+++ b/include/berylspring/admission/endpoint_gate.h
@@ -3,9 +3,11 @@
 #include "berylspring/admission/admission_queue.h"
 #include "berylspring/admission/admission_state.h"
 #include "berylspring/admission/admitted_level.h"
+#include "berylspring/admission/cold_state.h"
 #include "berylspring/admission/concurrency_limit.h"
 #include "berylspring/admission/service_times.h"
 #include "berylspring/admission/settings.h"
+#include "berylspring/admission/start_rate.h"
 #include "berylspring/core/outcome.h"
 #include "berylspring/core/time.h"
 
@@ -31,6 +33,8 @@
     Kind kind = Kind::Wait;
     core::RefusalReason reason = core::RefusalReason::Overloaded; ///< With Refuse.
     core::Duration maxWait{}; ///< With Wait: time after which the request calls leave().
+    /** Set if the endpoint is cold: with Refuse, when a token is due for the caller; with a start, zero. */
+    std::optional<core::Duration> coldWait;
     [[nodiscard]] bool operator==(const AdmissionDecision &) const = default;
     [[nodiscard]] bool isStart() const noexcept
     {
@@ -59,6 +63,9 @@
  *
  * Each request calls arrive(). A request that has to wait calls leave() when it is woken, cancelled or out of time. A
  * request that was started calls finish().
+ *
+ * While the endpoint is cold, each start takes a token of a StartRate, also with the controls off. The owner calls
+ * tick() at nextStartAt().
  */
 class EndpointGate
 {
@@ -71,6 +78,13 @@
     [[nodiscard]] GateResult leave(std::uint64_t id, core::TimePoint now);
     [[nodiscard]] std::vector<std::uint64_t> finish(const RunReport &report, core::TimePoint now);
     [[nodiscard]] std::vector<std::uint64_t> setSlots(std::uint32_t slots, core::TimePoint now);
+    /** @brief Takes the state of the endpoint over, unless it is older than the one it has. */
+    [[nodiscard]] std::vector<std::uint64_t> setCold(const ColdLimit &cold, core::TimePoint now);
+    /** @return When a request that waits for a token, or for the endpoint to be warm, can start; nothing if none does.
+     */
+    [[nodiscard]] std::optional<core::TimePoint> nextStartAt(core::TimePoint now) const;
+    /** @brief Starts the waiting requests whose time has come. */
+    [[nodiscard]] std::vector<std::uint64_t> tick(core::TimePoint now);
     /**
      * @brief Refuses new requests. Waiting ones start for AdmissionSettings::drainStartWindow more.
      * @return Whether the drain begins now; false if it has begun before.
@@ -96,6 +110,13 @@
     [[nodiscard]] AdmissionDecision enqueue(const QueueEntry &entry, core::TimePoint now, RequestIds &decided);
     [[nodiscard]] AdmissionDecision enqueueSuspect(const QueueEntry &entry, core::TimePoint now);
     [[nodiscard]] std::size_t maxQueueLength(core::TimePoint now) const;
+    /** @brief Begins or ends the use of tokens, as the endpoint has become cold or warm with time. */
+    void refreshStartRate(core::TimePoint now);
+    [[nodiscard]] bool hasToken(core::TimePoint now) const;
+    [[nodiscard]] AdmissionDecision start(AdmissionDecision::Kind kind, core::TimePoint now);
+    [[nodiscard]] AdmissionDecision refuseOverloaded(core::TimePoint now);
+    /** @return Number of requests of the entry's kind that may wait for tokens of a cold endpoint. */
+    [[nodiscard]] std::size_t maxColdQueueLength(const QueueEntry &entry, core::TimePoint now) const;
     void raiseLevel(core::TimePoint now);
     void startWaiting(core::TimePoint now, RequestIds &decided);
     [[nodiscard]] bool startSuspect(core::TimePoint now, RequestIds &decided);
@@ -116,6 +137,9 @@
     std::optional<core::TimePoint> m_drainingForSuspectSince;
     core::TimePoint m_nextSuspectAt;
     std::optional<core::TimePoint> m_drainingSince;
+    ColdLimit m_cold;
+    std::optional<StartRate> m_startRate; ///< While the endpoint is cold.
+    core::TimePoint m_lastReturn; ///< Time named to the caller that was refused last while the endpoint was cold.
 };
 
 }
--- a/include/berylspring/http/endpoint_announcement.h
+++ b/include/berylspring/http/endpoint_announcement.h
@@ -52,8 +52,11 @@
 /** @return Whether a text is the address of an HTTP server: an IP number of one host with a port from 1 to 65535. */
 [[nodiscard]] bool isServerAddress(std::string_view text);
 
-/** @return The announcement `{service, address, slots}`, or an error message that names the invalid member. */
-[[nodiscard]] tl::expected<EndpointAnnouncement, std::string> parseAnnouncement(std::string_view json);
+/**
+ * @return The announcement `{service, address, slots}` with the optional member `cold_ms`, how long the endpoint is
+ *         still cold, or an error message that names the invalid member.
+ */
+[[nodiscard]] tl::expected<EndpointHeartbeat, std::string> parseAnnouncement(std::string_view json);
 
 /** @return The report `{running, connections}`, or an error message that names the invalid member. */
 [[nodiscard]] tl::expected<LoadReport, std::string> parseLoadReport(std::string_view json);
--- a/include/berylspring/node/local_endpoint.h
+++ b/include/berylspring/node/local_endpoint.h
@@ -20,12 +20,23 @@
 
 namespace berylspring::node {
 
+/** @brief Dependencies of the local endpoint. No hook is called under a lock. */
+struct LocalEndpointHooks
+{
+    /** How many requests a cold endpoint of a service may be sent; without this hook, any number. */
+    std::function<admission::ColdRule(const core::ServiceId &)> coldRule;
+    /** Called when coldLimit() has changed for another reason than a heartbeat or the time. */
+    std::function<void()> coldChanged;
+};
+
 /** @brief Registration of the endpoint on this host, and the HTTP client that calls it. Thread-safe. */
 class LocalEndpoint
 {
 public:
     /** An announcement expires if no heartbeat renews it within this time. */
     static constexpr core::Duration AnnouncementLifetime = std::chrono::seconds(5);
+    /** Age from which a heartbeat is overdue: the endpoint may have restarted, so it counts as cold. */
+    static constexpr core::Duration HeartbeatTimeout = AnnouncementLifetime / 2;
 
     /** @brief Effect of a heartbeat on the registration. */
     enum class HeartbeatResult {
@@ -40,7 +51,8 @@
                   const Protocols &protocols,
                   InFlightTable &inFlight,
                   core::RandomSource random,
-                  telemetry::SpanSink spans);
+                  telemetry::SpanSink spans,
+                  LocalEndpointHooks hooks = {});
 
     /** @brief Registers or renews the endpoint. A late heartbeat counts only if nothing renews the registration. */
     HeartbeatResult heartbeat(const http::EndpointHeartbeat &heartbeat, core::TimePoint now);
@@ -52,9 +64,15 @@
      */
     [[nodiscard]] bool leave(const http::EndpointLeave &leave);
     void reportLoad(const http::LoadReport &report);
+    /** @brief Records that its data centre was taken back after an evacuation, in which it may have become cold. */
+    void takenBack(core::TimePoint now);
+    /** @return Whether the endpoint is cold and what it tolerates then; it outlasts the registration. */
+    [[nodiscard]] admission::ColdLimit coldLimit() const;
     /** @return Announced slots; 0 without an endpoint or after its announcement has expired. */
     [[nodiscard]] std::uint32_t slots(core::TimePoint now) const;
     [[nodiscard]] bool isDraining() const;
+    /** @return Id of the registered endpoint; empty without one or in a protocol without ids. */
+    [[nodiscard]] std::string id() const;
     /** @return State to publish to the members, with load and level of the admission; nothing without an endpoint. */
     [[nodiscard]] std::optional<wire::EndpointState> state(const admission::AdmissionState &admission,
                                                            core::TimePoint now) const;
@@ -78,11 +96,14 @@
         std::string id;
         std::shared_ptr<http::Client> client;
     };
+    [[nodiscard]] HeartbeatResult registerHeartbeat(const http::EndpointHeartbeat &heartbeat, core::TimePoint now);
     [[nodiscard]] Target target() const;
     [[nodiscard]] bool hasLeft(const http::EndpointAnnouncement &announcement) const;
     [[nodiscard]] Registration makeRegistration(const http::EndpointHeartbeat &heartbeat, core::TimePoint now) const;
     [[nodiscard]] boost::asio::awaitable<admission::EndpointResult>
-    failedCall(const wire::CallRequest &request, const http::Error &error, const Target &target) const;
+    failedCall(const wire::CallRequest &request, const http::Error &error, const Target &target);
+    /** @brief Records a failed connection, unless another endpoint has replaced the target since. */
+    void recordConnectionFailure(const Target &target);
 
     boost::asio::any_io_executor m_executor;
     std::uint64_t m_maxBodyBytes;
@@ -91,8 +112,10 @@
     InFlightTable &m_inFlight;
     core::RandomSource m_random;
     telemetry::SpanSink m_spans;
+    LocalEndpointHooks m_hooks;
     mutable std::mutex m_mutex;
     std::optional<Registration> m_registration;
+    admission::ColdState m_cold{HeartbeatTimeout};
     std::deque<http::EndpointLeave> m_recentLeaves; ///< Most recent leaves, oldest first.
 };
 
--- a/src/admission/admission_service.cpp
+++ b/src/admission/admission_service.cpp
@@ -29,6 +29,11 @@
     m_core->setSlots(slots);
 }
 
+void AdmissionService::setCold(const ColdLimit &cold)
+{
+    m_core->setCold(cold);
+}
+
 void AdmissionService::startDrain()
 {
     Core::startDrain(m_core);
--- a/src/admission/endpoint_gate.cpp
+++ b/src/admission/endpoint_gate.cpp
@@ -29,14 +29,14 @@
 GateResult EndpointGate::arrive(const QueueEntry &entry, bool isSuspect, core::TimePoint now)
 {
     const std::scoped_lock lock(m_mutex);
+    refreshStartRate(now);
     GateResult result;
     if (const auto reason = refusalReason(entry, now)) {
         result.decision = AdmissionDecision{.kind = AdmissionDecision::Kind::Refuse, .reason = *reason};
         return result;
     }
-    if (!m_settings.areControlsOn) {
-        ++m_running;
-        result.decision.kind = AdmissionDecision::Kind::Start;
+    if (!m_settings.areControlsOn && !m_startRate && m_queue.isEmpty()) {
+        result.decision = start(AdmissionDecision::Kind::Start, now);
         return result;
     }
     result.decision = isSuspect ? enqueueSuspect(entry, now) : enqueue(entry, now, result.decided);
@@ -69,19 +69,18 @@
 AdmissionDecision EndpointGate::enqueue(const QueueEntry &entry, core::TimePoint now, RequestIds &decided)
 {
     const std::uint32_t limit = m_limit.limit();
-    const bool canStart = m_queue.isEmpty() && m_running < limit;
+    const bool canStart = m_queue.isEmpty() && m_running < limit && hasToken(now);
     const std::size_t factor = entry->isNested ? NestedQueueFactor : 1;
+    const std::size_t warmLength = std::max<std::size_t>(factor * maxQueueLength(now), canStart ? 1 : 0);
     const OfferResult offer =
-        m_queue.offer(entry, std::max<std::size_t>(factor * maxQueueLength(now), canStart ? 1 : 0));
+        m_queue.offer(entry, m_startRate ? std::min(warmLength, maxColdQueueLength(entry, now)) : warmLength);
     if (!offer.isAccepted) {
         raiseLevel(now);
-        return AdmissionDecision{.kind = AdmissionDecision::Kind::Refuse, .reason = core::RefusalReason::Overloaded};
+        return refuseOverloaded(now);
     }
     if (offer.displaced) {
         raiseLevel(now);
-        decide(*offer.displaced,
-               AdmissionDecision{.kind = AdmissionDecision::Kind::Refuse, .reason = core::RefusalReason::Overloaded},
-               decided);
+        decide(*offer.displaced, refuseOverloaded(now), decided);
     }
     const core::Duration untilTooLate = entry->deadline - now - m_serviceTimes.lowQuantile(now);
     const core::Duration bound = entry->isNested ? untilTooLate : std::min(untilTooLate, m_settings.targetWait);
@@ -92,7 +91,7 @@
 AdmissionDecision EndpointGate::enqueueSuspect(const QueueEntry &entry, core::TimePoint now)
 {
     if (m_suspects.size() >= MaxSuspects) {
-        return AdmissionDecision{.kind = AdmissionDecision::Kind::Refuse, .reason = core::RefusalReason::Overloaded};
+        return refuseOverloaded(now);
     }
     m_suspects.push_back(Suspect{entry->id, entry->deadline});
     return AdmissionDecision{.kind = AdmissionDecision::Kind::Wait,
@@ -111,6 +110,92 @@
         std::clamp(startsInTargetWait, 1.0, static_cast<double>(m_settings.maxQueueLength)));
 }
 
+std::size_t EndpointGate::maxColdQueueLength(const QueueEntry &entry, core::TimePoint now) const
+{
+    const core::Duration target = static_cast<int>(entry->isNested ? NestedQueueFactor : 1) * m_settings.targetWait;
+    const core::Duration wait = std::min(target, entry->deadline - now - m_serviceTimes.lowQuantile(now));
+    const std::size_t due = m_startRate->dueUntil(now + wait, now);
+    // Nested and new requests take turns, so the other kind gets up to half of the tokens.
+    return due - std::min(m_queue.size(!entry->isNested), due / 2);
+}
+
+void EndpointGate::refreshStartRate(core::TimePoint now)
+{
+    const bool isCold = m_cold.reason(now).has_value();
+    if (isCold && !m_startRate) {
+        m_startRate = StartRate(m_cold.rule.rate, m_cold.rule.burst, now);
+    } else if (!isCold) {
+        m_startRate.reset();
+    }
+}
+
+bool EndpointGate::hasToken(core::TimePoint now) const
+{
+    return !m_startRate || m_startRate->hasToken(now);
+}
+
+AdmissionDecision EndpointGate::start(AdmissionDecision::Kind kind, core::TimePoint now)
+{
+    ++m_running;
+    AdmissionDecision decision{.kind = kind};
+    if (m_startRate) {
+        m_startRate = m_startRate->withStart(now);
+        decision.coldWait = core::Duration::zero();
+    }
+    return decision;
+}
+
+AdmissionDecision EndpointGate::refuseOverloaded(core::TimePoint now)
+{
+    AdmissionDecision decision{.kind = AdmissionDecision::Kind::Refuse, .reason = core::RefusalReason::Overloaded};
+    if (m_startRate) {
+        // Each refused caller is given a token of its own, so that they do not return together. An endpoint that will
+        // be warm earlier takes all of them then.
+        const core::TimePoint next = m_startRate->dueAt(m_queue.size() + m_suspects.size() + 1, now);
+        const core::TimePoint warmAt = m_cold.state.warmAt(now).value_or(now + m_cold.rule.coldTime);
+        m_lastReturn = std::max(next, std::min(warmAt, m_lastReturn + m_startRate->interval()));
+        decision.coldWait = m_lastReturn - now;
+    }
+    return decision;
+}
+
+std::vector<std::uint64_t> EndpointGate::setCold(const ColdLimit &cold, core::TimePoint now)
+{
+    const std::scoped_lock lock(m_mutex);
+    RequestIds decided;
+    if (cold.state.revision() < m_cold.state.revision()) {
+        return decided;
+    }
+    if (cold.rule != m_cold.rule) {
+        m_startRate.reset();
+    }
+    m_cold = cold;
+    refreshStartRate(now);
+    startWaiting(now, decided);
+    return decided;
+}
+
+std::optional<core::TimePoint> EndpointGate::nextStartAt(core::TimePoint now) const
+{
+    const std::scoped_lock lock(m_mutex);
+    const bool isWaiting = !m_queue.isEmpty() || !m_suspects.empty();
+    // With a token at hand, a request waits for another one to finish.
+    if (!m_startRate || !isWaiting || m_startRate->hasToken(now)) {
+        return std::nullopt;
+    }
+    const auto warmAt = m_cold.state.warmAt(now);
+    return warmAt ? std::min(*warmAt, m_startRate->nextAt()) : m_startRate->nextAt();
+}
+
+std::vector<std::uint64_t> EndpointGate::tick(core::TimePoint now)
+{
+    const std::scoped_lock lock(m_mutex);
+    refreshStartRate(now);
+    RequestIds decided;
+    startWaiting(now, decided);
+    return decided;
+}
+
 void EndpointGate::raiseLevel(core::TimePoint now)
 {
     // Requests of the lowest waiting priority are still served in part, so only the levels below it are shed.
@@ -128,7 +213,7 @@
     if (m_isSuspectRunning || startSuspect(now, decided)) {
         return;
     }
-    while (m_running < m_limit.limit()) {
+    while ((m_running < m_limit.limit() || !m_settings.areControlsOn) && hasToken(now)) {
         const core::Duration needed = m_running == 0 ? core::Duration::zero() : m_serviceTimes.lowQuantile(now);
         const TakeResult taken = m_queue.take(now, needed);
         for (const std::uint64_t id : taken.tooLate) {
@@ -140,8 +225,7 @@
         if (!taken.next) {
             return;
         }
-        ++m_running;
-        decide((*taken.next)->id, AdmissionDecision{.kind = AdmissionDecision::Kind::Start}, decided);
+        decide((*taken.next)->id, start(AdmissionDecision::Kind::Start, now), decided);
     }
 }
 
@@ -156,12 +240,11 @@
     if (!m_drainingForSuspectSince) {
         m_drainingForSuspectSince = now;
     }
-    if (m_running == 0) {
+    if (m_running == 0 && hasToken(now)) {
         const Suspect next = m_suspects.front();
         m_suspects.pop_front();
-        m_running = 1;
         m_isSuspectRunning = true;
-        decide(next.id, AdmissionDecision{.kind = AdmissionDecision::Kind::StartAlone}, decided);
+        decide(next.id, start(AdmissionDecision::Kind::StartAlone, now), decided);
     }
     return true;
 }
@@ -191,15 +274,17 @@
         deadline = suspect->deadline;
         m_suspects.erase(suspect);
     }
-    const bool isTooLate = deadline - now <= m_serviceTimes.lowQuantile(now);
-    return AdmissionDecision{.kind = AdmissionDecision::Kind::Refuse,
-                             .reason =
-                                 isTooLate ? core::RefusalReason::DeadlineExceeded : core::RefusalReason::Overloaded};
+    if (deadline - now <= m_serviceTimes.lowQuantile(now)) {
+        return AdmissionDecision{.kind = AdmissionDecision::Kind::Refuse,
+                                 .reason = core::RefusalReason::DeadlineExceeded};
+    }
+    return refuseOverloaded(now);
 }
 
 GateResult EndpointGate::leave(std::uint64_t id, core::TimePoint now)
 {
     const std::scoped_lock lock(m_mutex);
+    refreshStartRate(now);
     GateResult result;
     result.decision = resolveWaiting(id, now).value_or(AdmissionDecision{.kind = AdmissionDecision::Kind::Refuse});
     startWaiting(now, result.decided);
@@ -209,6 +294,7 @@
 std::vector<std::uint64_t> EndpointGate::finish(const RunReport &report, core::TimePoint now)
 {
     const std::scoped_lock lock(m_mutex);
+    refreshStartRate(now);
     if (report.isSample) {
         const LimitSample sample{report.latency, m_running, report.isOverloadError};
         m_limit = m_limit.withSample(sample, now);
@@ -230,6 +316,7 @@
 std::vector<std::uint64_t> EndpointGate::setSlots(std::uint32_t slots, core::TimePoint now)
 {
     const std::scoped_lock lock(m_mutex);
+    refreshStartRate(now);
     RequestIds decided;
     m_limit = m_limit.withSlots(slots, now);
     if (slots == 0) {
--- a/src/admission/service_core.cpp
+++ b/src/admission/service_core.cpp
@@ -2,7 +2,6 @@
 
 #include "berylspring/core/request_digest.h"
 
-#include <algorithm>
 #include <optional>
 #include <utility>
 
@@ -80,6 +79,7 @@
     , m_hooks(std::move(hooks))
     , m_gate(settings, m_hooks.now())
     , m_history(std::move(history))
+    , m_startTimer(std::make_shared<detail::StartTimer>(m_executor))
 {
 }
 
@@ -103,7 +103,7 @@
     }
     const auto decision = co_await waitForStart(self, arrived, request, known == QuarantineState::Suspect);
     if (!decision.isStart()) {
-        co_return self->refuse(decision.reason, core::Outcome::NotRun, arrived);
+        co_return self->refuseStart(decision, arrived);
     }
 
     const bool ranAlone = decision.kind == AdmissionDecision::Kind::StartAlone;
@@ -122,6 +122,7 @@
                              / std::chrono::duration<double>(self->m_gate.pressureWait(startedAt)),
                          startedAt);
     ++self->m_history->totals.started;
+    self->m_history->totals.coldStarted += decision.coldWait ? 1 : 0;
     wire::CallRequest forwarded = request.with(&wire::CallRequestFields::remaining, context.deadline - startedAt);
     EndpointResult result = co_await callEndpoint(self, std::move(forwarded));
     guard.ended(result, self->m_hooks.now() - startedAt);
@@ -142,6 +143,7 @@
         self->m_waiting.erase(context.id);
         co_return arrival.decision;
     }
+    self->armStartTimer();
     try {
         co_await event->wait(arrival.decision.maxWait);
     } catch (const boost::system::system_error &) {
@@ -150,6 +152,7 @@
     self->m_waiting.erase(context.id);
     const auto left = self->m_gate.leave(context.id, self->m_hooks.now());
     self->wake(left.decided);
+    self->armStartTimer();
     self->wakeIdleWaiters();
     const auto cancellation = co_await asio::this_coro::cancellation_state;
     auto decision = left.decision;
@@ -292,6 +295,7 @@
 void AdmissionService::Core::release(const RunReport &report)
 {
     wake(m_gate.finish(report, m_hooks.now()));
+    armStartTimer();
     wakeIdleWaiters();
 }
 
@@ -307,6 +311,26 @@
 void AdmissionService::Core::setSlots(std::uint32_t slots)
 {
     wake(m_gate.setSlots(slots, m_hooks.now()));
+    armStartTimer();
+}
+
+void AdmissionService::Core::setCold(const ColdLimit &cold)
+{
+    wake(m_gate.setCold(cold, m_hooks.now()));
+    armStartTimer();
+}
+
+void AdmissionService::Core::armStartTimer()
+{
+    const core::TimePoint now = m_hooks.now();
+    if (const auto next = m_gate.nextStartAt(now)) {
+        m_startTimer->set(*next, now, [weak = weak_from_this()] {
+            if (const std::shared_ptr<Core> core = weak.lock()) {
+                core->wake(core->m_gate.tick(core->m_hooks.now()));
+                core->armStartTimer();
+            }
+        });
+    }
 }
 
 void AdmissionService::Core::startDrain(const std::shared_ptr<Core> &self)
@@ -335,74 +359,4 @@
     return AdmissionState(fields);
 }
 
-void AdmissionService::Core::recordPressure(double sample, core::TimePoint now)
-{
-    const std::scoped_lock lock(m_pressureMutex);
-    m_pressure = m_pressure.withSample(sample, now);
-}
-
-void AdmissionService::Core::count(core::RefusalReason reason)
-{
-    switch (reason) {
-    case core::RefusalReason::Overloaded:
-        recordPressure(Pressure::MaxSample, m_hooks.now());
-        ++m_history->totals.overloaded;
-        break;
-    case core::RefusalReason::DeadlineExceeded:
-        recordPressure(Pressure::MaxSample, m_hooks.now());
-        ++m_history->totals.tooLate;
-        break;
-    case core::RefusalReason::Quarantined:
-        ++m_history->totals.quarantined;
-        break;
-    case core::RefusalReason::KeyInvalid:
-        ++m_history->totals.keyWithdrawn;
-        break;
-    case core::RefusalReason::Cancelled:
-        ++m_history->totals.cancelled;
-        break;
-    default:
-        break;
-    }
-}
-
-core::Duration AdmissionService::Core::jitteredRetryAfter() const
-{
-    // Jitter between one and two times the setting, so that callers refused together do not retry together.
-    const auto base = static_cast<std::uint64_t>(std::max<core::Duration::rep>(m_settings.retryAfter.count(), 1));
-    return core::Duration(static_cast<core::Duration::rep>(base + m_hooks.random() % base));
-}
-
-wire::CallResponse
-AdmissionService::Core::refuse(core::RefusalReason reason, core::Outcome outcome, const RequestContext &context)
-{
-    count(reason);
-    core::Refusal refusal(reason, outcome);
-    if (reason == core::RefusalReason::Overloaded) {
-        refusal = refusal.withRetryAfter(jitteredRetryAfter());
-    } else if (reason == core::RefusalReason::Quarantined) {
-        refusal = refusal.withRetryAfter(m_history->quarantine.remaining(context.digest, context.arrivedAt));
-    }
-    wire::CallResponseFields fields;
-    fields.refusal = std::move(refusal);
-    return withFeedback(wire::CallResponse(std::move(fields)), context);
-}
-
-wire::CallResponse AdmissionService::Core::withFeedback(const wire::CallResponse &response,
-                                                        const RequestContext &context) const
-{
-    const core::TimePoint now = m_hooks.now();
-    const auto state = m_gate.state(now);
-    wire::CallResponseFields fields = *response;
-    fields.admittedLevel = state.admittedLevel;
-    fields.inFlight = state.running;
-    {
-        const std::scoped_lock lock(m_pressureMutex);
-        fields.pressure = std::max(fields.pressure, m_pressure.value(now));
-    }
-    fields.queueTime = context.startedAt.value_or(now) - context.arrivedAt;
-    fields.serviceTime = now - context.startedAt.value_or(now);
-    return wire::CallResponse(std::move(fields));
-}
-
 }
--- a/src/admission/service_core.h
+++ b/src/admission/service_core.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "admission/async_event.h"
+#include "admission/start_timer.h"
 #include "berylspring/admission/admission_service.h"
 #include "berylspring/admission/endpoint_gate.h"
 #include "berylspring/admission/pressure.h"
@@ -16,7 +17,7 @@
 namespace berylspring::admission {
 
 /** @brief Shared state of the service; the coroutines that use it keep it alive. */
-class AdmissionService::Core
+class AdmissionService::Core : public std::enable_shared_from_this<AdmissionService::Core>
 {
 public:
     Core(boost::asio::any_io_executor executor,
@@ -28,6 +29,7 @@
     static boost::asio::awaitable<void> idle(std::shared_ptr<Core> self);
 
     void setSlots(std::uint32_t slots);
+    void setCold(const ColdLimit &cold);
     static void startDrain(const std::shared_ptr<Core> &self);
     void retire();
     [[nodiscard]] AdmissionState state() const;
@@ -60,12 +62,16 @@
     void recordCrash(const core::Digest &digest, const wire::CallRequest &request, bool ranAlone);
     void release(const RunReport &report);
     void wake(const std::vector<std::uint64_t> &ids);
+    /** @brief Sets the timer for the next start at a cold endpoint, if a request waits for it. */
+    void armStartTimer();
     void wakeIdleWaiters();
     [[nodiscard]] core::Duration jitteredRetryAfter() const;
+    [[nodiscard]] core::Duration jitteredColdWait(core::Duration wait) const;
     void recordPressure(double sample, core::TimePoint now);
     void count(core::RefusalReason reason);
     [[nodiscard]] wire::CallResponse
     refuse(core::RefusalReason reason, core::Outcome outcome, const RequestContext &context);
+    [[nodiscard]] wire::CallResponse refuseStart(const AdmissionDecision &decision, const RequestContext &context);
     [[nodiscard]] wire::CallResponse withFeedback(const wire::CallResponse &response,
                                                   const RequestContext &context) const;
 
@@ -80,6 +86,7 @@
     std::mutex m_idleMutex;
     std::vector<std::shared_ptr<detail::AsyncEvent>> m_idleWaiters;
     std::atomic<std::uint64_t> m_nextId{1};
+    std::shared_ptr<detail::StartTimer> m_startTimer;
 };
 
 }
--- a/src/http/endpoint_announcement.cpp
+++ b/src/http/endpoint_announcement.cpp
@@ -15,6 +15,8 @@
 
 constexpr std::uint64_t MaxSlots = 100'000;
 constexpr std::uint64_t MaxReportedCount = 1'000'000;
+/** Limits how long a wrong report can slow an endpoint down; it is the same on the platform. */
+constexpr std::uint64_t MaxColdMs = 86'400'000;
 
 using tl::unexpected;
 
@@ -60,9 +62,9 @@
     return detail::parseAddress(text).has_value();
 }
 
-tl::expected<EndpointAnnouncement, std::string> parseAnnouncement(std::string_view json)
+tl::expected<EndpointHeartbeat, std::string> parseAnnouncement(std::string_view json)
 {
-    constexpr std::array<std::string_view, 3> Members{"service", "address", "slots"};
+    constexpr std::array<std::string_view, 4> Members{"service", "address", "slots", "cold_ms"};
     const auto object = parseObject(json, Members);
     if (!object) {
         return unexpected(object.error());
@@ -79,7 +81,12 @@
     if (!slots) {
         return unexpected<std::string>("slots is not a number from 1 to 100000");
     }
-    return EndpointAnnouncement{core::ServiceId(*service), *address, *slots};
+    const auto coldMs = object->contains("cold_ms") ? countMember(*object, "cold_ms", 0, MaxColdMs) : 0;
+    if (!coldMs) {
+        return unexpected<std::string>("cold_ms is not a number from 0 to 86400000");
+    }
+    return EndpointHeartbeat{.announcement = {core::ServiceId(*service), *address, *slots},
+                             .coldFor = std::chrono::milliseconds(*coldMs)};
 }
 
 tl::expected<LoadReport, std::string> parseLoadReport(std::string_view json)
--- a/src/node/endpoint_api.cpp
+++ b/src/node/endpoint_api.cpp
@@ -20,11 +20,11 @@
     if (request->method != "PUT") {
         return http::problemResponse(405, "method-not-allowed", "PUT or DELETE");
     }
-    const auto announcement = http::parseAnnouncement(request->body);
-    if (!announcement) {
-        return http::problemResponse(400, "invalid", announcement.error());
+    const auto heartbeat = http::parseAnnouncement(request->body);
+    if (!heartbeat) {
+        return http::problemResponse(400, "invalid", heartbeat.error());
     }
-    hooks.heartbeat({.announcement = *announcement});
+    hooks.heartbeat(*heartbeat);
     return accepted();
 }
 
--- a/src/node/local_endpoint.cpp
+++ b/src/node/local_endpoint.cpp
@@ -97,7 +97,8 @@
                              const Protocols &protocols,
                              InFlightTable &inFlight,
                              core::RandomSource random,
-                             telemetry::SpanSink spans)
+                             telemetry::SpanSink spans,
+                             LocalEndpointHooks hooks)
     : m_executor(std::move(executor))
     , m_maxBodyBytes(maxBodyBytes)
     , m_bodyBudget(std::make_shared<http::BodyBudget>(std::max(MinBodyBudgetBytes, 2 * maxBodyBytes)))
@@ -105,12 +106,23 @@
     , m_inFlight(inFlight)
     , m_random(std::move(random))
     , m_spans(std::move(spans))
+    , m_hooks(std::move(hooks))
 {
 }
 
 LocalEndpoint::HeartbeatResult LocalEndpoint::heartbeat(const http::EndpointHeartbeat &heartbeat, core::TimePoint now)
 {
     const std::scoped_lock lock(m_mutex);
+    const HeartbeatResult result = registerHeartbeat(heartbeat, now);
+    if (result != HeartbeatResult::Stale) {
+        m_cold = m_cold.withHeartbeat(heartbeat.coldFor, now);
+    }
+    return result;
+}
+
+LocalEndpoint::HeartbeatResult LocalEndpoint::registerHeartbeat(const http::EndpointHeartbeat &heartbeat,
+                                                                core::TimePoint now)
+{
     const http::EndpointAnnouncement &announcement = heartbeat.announcement;
     const bool isDifferent = !m_registration || m_registration->announcement.id != announcement.id;
     if (isDifferent && hasLeft(announcement)) {
@@ -206,6 +218,49 @@
     }
 }
 
+void LocalEndpoint::takenBack(core::TimePoint now)
+{
+    const admission::ColdRule rule = coldLimit().rule;
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_cold = m_cold.withReturn(rule.coldTime, now);
+    }
+    if (m_hooks.coldChanged) {
+        m_hooks.coldChanged();
+    }
+}
+
+admission::ColdLimit LocalEndpoint::coldLimit() const
+{
+    admission::ColdLimit limit;
+    core::ServiceId service;
+    {
+        const std::scoped_lock lock(m_mutex);
+        limit.state = m_cold;
+        if (m_registration) {
+            service = m_registration->announcement.service;
+        }
+    }
+    if (m_hooks.coldRule && !service.isEmpty()) {
+        limit.rule = m_hooks.coldRule(service);
+    }
+    return limit;
+}
+
+void LocalEndpoint::recordConnectionFailure(const Target &target)
+{
+    {
+        const std::scoped_lock lock(m_mutex);
+        if (!m_registration || m_registration->client != target.client) {
+            return;
+        }
+        m_cold = m_cold.withConnectionFailure();
+    }
+    if (m_hooks.coldChanged) {
+        m_hooks.coldChanged();
+    }
+}
+
 std::uint32_t LocalEndpoint::slots(core::TimePoint now) const
 {
     const std::scoped_lock lock(m_mutex);
@@ -219,9 +274,15 @@
     return m_registration && m_registration->isDraining;
 }
 
+std::string LocalEndpoint::id() const
+{
+    return target().id;
+}
+
 std::optional<wire::EndpointState> LocalEndpoint::state(const admission::AdmissionState &admission,
                                                         core::TimePoint now) const
 {
+    const double coldRate = coldLimit().rate(now);
     const std::scoped_lock lock(m_mutex);
     if (!m_registration || now - m_registration->renewedAt > AnnouncementLifetime) {
         return std::nullopt;
@@ -232,7 +293,8 @@
                                 .slots = m_registration->announcement.slots,
                                 .isDraining = m_registration->isDraining || admission->isDraining,
                                 .load = load + static_cast<std::uint32_t>(admission->queued),
-                                .admittedLevel = admission->admittedLevel});
+                                .admittedLevel = admission->admittedLevel,
+                                .coldRate = coldRate});
 }
 
 LocalEndpoint::Target LocalEndpoint::target() const
@@ -242,13 +304,16 @@
 }
 
 asio::awaitable<admission::EndpointResult>
-LocalEndpoint::failedCall(const wire::CallRequest &request, const http::Error &error, const Target &target) const
+LocalEndpoint::failedCall(const wire::CallRequest &request, const http::Error &error, const Target &target)
 {
     admission::EndpointResult result = resultOf(error);
     if (result.connectionLost) {
         // A single lost connection does not prove a crash; a crashed endpoint also refuses new connections.
         result.connectionLost = co_await target.client->isRefusingConnections(CrashProbeTimeout);
     }
+    if (result.connectionLost || error.code() == http::ErrorCode::Unreachable) {
+        recordConnectionFailure(target);
+    }
     telemetry::logRequestEvent("endpoint gave no answer",
                                {{"request", request->requestId},
                                 {"endpoint", target.id},
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -80,7 +80,9 @@
             {"berylspring_admission_overloaded", static_cast<double>(state->counters.overloaded), {}},
             {"berylspring_admission_too_late", static_cast<double>(state->counters.tooLate), {}},
             {"berylspring_admission_quarantined", static_cast<double>(state->counters.quarantined), {}},
-            {"berylspring_admission_connections_lost", static_cast<double>(state->counters.connectionsLost), {}}};
+            {"berylspring_admission_connections_lost", static_cast<double>(state->counters.connectionsLost), {}},
+            {"berylspring_cold_starts", static_cast<double>(state->counters.coldStarted), {}},
+            {"berylspring_cold_refused", static_cast<double>(state->counters.coldRefused), {}}};
 }
 
 }
@@ -110,7 +112,8 @@
           m_executor,
           {.self = m_settings->host, .dataCentre = m_settings->dataCentre, .declared = m_settings->dataCentres},
           idempotencyHooks())
-    , m_endpoint(m_executor, m_settings->maxBodyBytes, m_protocols, m_inFlight, m_random, spanSink())
+    , m_endpoint(
+          m_executor, m_settings->maxBodyBytes, m_protocols, m_inFlight, m_random, spanSink(), localEndpointHooks())
     , m_admissionHistory(std::make_shared<admission::AdmissionHistory>(admission::AdmissionSettings()))
     , m_quarantineExchange(m_executor,
                            {m_settings->host, m_settings->isFirstStart},
@@ -306,6 +309,7 @@
     const limit::LimitCounters limits = m_limits.counters();
     const wire::PeerPoolCounters peers = m_peers.counters();
     const auto add = [&](const char *name, auto value) { samples.push_back({name, static_cast<double>(value), {}}); };
+    add("berylspring_endpoint_cold", m_endpoint.coldLimit().reason(now()) ? 1 : 0);
     add("berylspring_roots_shed_share", m_entry.shedding(now()));
     add("berylspring_nested_pressure", m_dispatcher.nestedPressure(now()));
     add("berylspring_limit_admitted", limits.admitted);
--- a/src/node/node_handlers.cpp
+++ b/src/node/node_handlers.cpp
@@ -175,6 +175,7 @@
     const http::EndpointAnnouncement &announcement = heartbeat.announcement;
     const HeartbeatResult result = m_endpoint.heartbeat(heartbeat, now());
     if (result == HeartbeatResult::Renewed) {
+        updateCold();
         return;
     }
     telemetry::log(telemetry::Severity::Info,
@@ -198,6 +199,7 @@
 void Node::Implementation::replaceAdmission()
 {
     std::shared_ptr<admission::AdmissionService> retired = makeAdmission();
+    retired->setCold(m_endpoint.coldLimit());
     {
         const std::scoped_lock lock(m_admissionMutex);
         std::swap(retired, m_admission);
@@ -216,8 +218,52 @@
 {
     const core::TimePoint time = now();
     const std::shared_ptr<admission::AdmissionService> service = admission();
+    const admission::ColdLimit cold = m_endpoint.coldLimit();
+    service->setCold(cold);
     service->setSlots(m_endpoint.slots(time));
     m_membership->setEndpoint(m_endpoint.state(service->state(), time));
+    logColdChange(cold, time);
+}
+
+void Node::Implementation::updateCold()
+{
+    const admission::ColdLimit cold = m_endpoint.coldLimit();
+    admission()->setCold(cold);
+    bool hasChanged = false;
+    {
+        const std::scoped_lock lock(m_coldMutex);
+        hasChanged = m_coldSince.has_value() != cold.reason(now()).has_value();
+    }
+    if (hasChanged) {
+        publishEndpoint();
+    }
+}
+
+void Node::Implementation::logColdChange(const admission::ColdLimit &cold, core::TimePoint time)
+{
+    const auto reason = cold.reason(time);
+    std::optional<core::TimePoint> since;
+    {
+        const std::scoped_lock lock(m_coldMutex);
+        if (m_coldSince.has_value() == reason.has_value()) {
+            return;
+        }
+        since = std::exchange(m_coldSince, reason ? std::optional(time) : std::nullopt);
+    }
+    const std::string endpoint = m_endpoint.id();
+    if (!reason) {
+        telemetry::log(telemetry::Severity::Info,
+                       "endpoint is warm",
+                       {{"endpoint", endpoint}, {"ms", detail::milliseconds(time - *since)}});
+        return;
+    }
+    // Unless it is cold until a heartbeat, whose time is not known.
+    const core::Duration remaining = cold.state.warmAt(time).value_or(time) - time;
+    telemetry::log(telemetry::Severity::Info,
+                   "endpoint is cold",
+                   {{"endpoint", endpoint},
+                    {"reason", std::string(admission::toString(*reason))},
+                    {"ms", detail::milliseconds(remaining)}});
 }
 
 void Node::Implementation::logStatus() const
--- a/src/node/node_hooks.cpp
+++ b/src/node/node_hooks.cpp
@@ -2,6 +2,7 @@
 #include "node/node_implementation.h"
 
 #include "berylspring/core/rendezvous.h"
+#include "berylspring/node/cold_rule.h"
 #include "berylspring/telemetry/log.h"
 
 #include <algorithm>
@@ -216,6 +217,17 @@
     return hooks;
 }
 
+LocalEndpointHooks Node::Implementation::localEndpointHooks()
+{
+    LocalEndpointHooks hooks;
+    hooks.coldRule = [this](const core::ServiceId &service) {
+        const std::shared_ptr<const config::Catalogue> catalogue = m_config.catalogue();
+        return coldRule(catalogue->findService(service), m_settings->bounds);
+    };
+    hooks.coldChanged = [this] { updateCold(); };
+    return hooks;
+}
+
 detail::QuarantineExchangeHooks Node::Implementation::quarantineExchangeHooks()
 {
     detail::QuarantineExchangeHooks hooks;
--- a/src/node/node_implementation.h
+++ b/src/node/node_implementation.h
@@ -52,6 +52,7 @@
     idempotency::IdempotencyHooks idempotencyHooks();
     admission::AdmissionHooks admissionHooks();
     detail::QuarantineExchangeHooks quarantineExchangeHooks();
+    LocalEndpointHooks localEndpointHooks();
     DispatcherHooks dispatcherHooks();
     EntryHooks entryHooks();
     http::OperatorHooks operatorHooks();
@@ -75,6 +76,10 @@
     void replaceAdmission();
     void drainEndpoint();
     void publishEndpoint();
+    /** @brief Passes on whether the endpoint is cold, and publishes it if that has changed. */
+    void updateCold();
+    /** @brief Logs that the endpoint has become cold or warm. */
+    void logColdChange(const admission::ColdLimit &cold, core::TimePoint time);
     void logStatus() const;
     boost::asio::awaitable<void> publishLoop();
     boost::asio::awaitable<void> linger(StopSchedule schedule);
@@ -129,6 +134,8 @@
     limit::LimitService m_limits;
     idempotency::IdempotencyService m_idempotency;
     LocalEndpoint m_endpoint;
+    std::mutex m_coldMutex;
+    std::optional<core::TimePoint> m_coldSince; ///< While the endpoint is cold, as last logged.
     /** Outlives the endpoints: a request that has ended one of them ends the next one too. */
     std::shared_ptr<admission::AdmissionHistory> m_admissionHistory;
     detail::QuarantineExchange m_quarantineExchange;
--- a/tests/http/a_caller_sends_a_request.cpp
+++ b/tests/http/a_caller_sends_a_request.cpp
@@ -75,7 +75,14 @@
     section("a complete announcement", [] {
         const auto parsed = http::parseAnnouncement(R"({"service":"visits","address":"127.0.0.1:80","slots":15})");
         CHECK(parsed.has_value());
-        LONGS_EQUAL(15, parsed->slots);
+        LONGS_EQUAL(15, parsed->announcement.slots);
+        CHECK(parsed->coldFor == 0ms);
+    });
+    section("an endpoint that is cold", [] {
+        const auto parsed =
+            http::parseAnnouncement(R"({"service":"visits","address":"127.0.0.1:80","slots":15,"cold_ms":2500})");
+        CHECK(parsed.has_value());
+        CHECK(parsed->coldFor == 2500ms);
     });
     section("members that are unknown, missing or out of range", [] {
         for (const char *text : {R"({"service":"visits","address":"127.0.0.1:80","slots":15,"more":1})",
@@ -83,6 +90,9 @@
                                  R"({"service":"visits","address":"localhost:80","slots":15})",
                                  R"({"service":"Visits","address":"127.0.0.1:80","slots":15})",
                                  R"({"service":"visits","address":"127.0.0.1:80","slots":0})",
+                                 R"({"service":"visits","address":"127.0.0.1:80","slots":15,"cold_ms":-1})",
+                                 R"({"service":"visits","address":"127.0.0.1:80","slots":15,"cold_ms":86400001})",
+                                 R"({"service":"visits","address":"127.0.0.1:80","slots":15,"cold_ms":"3"})",
                                  "[]",
                                  ""}) {
             CHECK_FALSE(http::parseAnnouncement(text).has_value());
