Read evacuations from the operator's topic

An operator of the platform evacuates a data centre with a record evacuate/DC in the topic of the configuration. The stream `config` knew only whole documents, with the version plus one as the offset, so nothing between two documents could be ordered.

Each position that was read yields one Replace record version-V-N at offset (V + 1) x 65,536 + N; N counts all records after the document, also those without effect, so that readers of every record and readers of the newest records agree.

Weighed: emitting a record only when the evacuations change would leave readers that started late at a higher offset than the others, which would take the log for one that lost records.

--- a/tests/platform/a_configuration_that_cannot_be_read.cpp
+++ b/tests/platform/a_configuration_that_cannot_be_read.cpp
@@ -144,7 +144,7 @@
 {
     FollowedStore store;
     store.documents.push_back(document(7));
-    store.until([&] { return store.service->catalogue()->appliedOffset() == 9; });
+    store.until([&] { return store.service->catalogue()->appliedOffset() == 8 * 65'536 + 1; });
     store.documents.emplace_back("not a document");
     section("the node still proves its configuration", [&] { CHECK_TRUE(store.isProvenAgain()); });
     section("also after the store could not be read", [&] {
@@ -157,6 +157,6 @@
     });
     section("the next document that can be read is applied", [&] {
         store.documents.push_back(document(9));
-        store.until([&] { return store.service->catalogue()->appliedOffset() == 11; });
+        store.until([&] { return store.service->catalogue()->appliedOffset() == 10 * 65'536 + 1; });
     });
 }
--- a/tests/platform/a_document_becomes_resources.cpp
+++ b/tests/platform/a_document_becomes_resources.cpp
@@ -29,7 +29,7 @@
 config::Catalogue catalogueOf(const std::string &document)
 {
     const auto decoded = platform::decodeConfigDocument(document, KeyStaleness);
-    const auto result = config::Catalogue().withRecord(5, platform::toLogRecord(decoded.value()));
+    const auto result = config::Catalogue().withRecord(5, platform::toLogRecord(decoded.value(), 0));
     CHECK_TRUE(result.verdict == config::Verdict::Accepted);
     return result.catalogue;
 }
@@ -97,7 +97,7 @@
     const std::string next = replaced(
         replaced(Document, R"(["first-key","second-key"])", R"(["first-key"])"), "\"Version\":7", "\"Version\":9");
     const auto decoded = platform::decodeConfigDocument(next, KeyStaleness);
-    const auto result = catalogueOf(Document).withRecord(9, platform::toLogRecord(decoded.value()));
+    const auto result = catalogueOf(Document).withRecord(9, platform::toLogRecord(decoded.value(), 0));
     CHECK_TRUE(result.catalogue.findKey(core::sha256("first-key")) != nullptr);
     CHECK_TRUE(result.catalogue.findKey(core::sha256("second-key")) == nullptr);
 }
@@ -141,7 +141,7 @@
         }
         const auto decoded = platform::decodeConfigDocument(text, KeyStaleness);
         if (decoded) {
-            const auto result = config::Catalogue().withRecord(5, platform::toLogRecord(*decoded));
+            const auto result = config::Catalogue().withRecord(5, platform::toLogRecord(*decoded, 0));
             RC_ASSERT(result.catalogue.appliedOffset() == 6U);
         }
     });
--- a/tests/platform/odd_records_of_the_store.cpp
+++ b/tests/platform/odd_records_of_the_store.cpp
@@ -67,10 +67,10 @@
 {
     config::Catalogue catalogue;
     if (const auto decoded = platform::decodeConfigDocument(odd, KeyStaleness)) {
-        catalogue = catalogue.withRecord(5, platform::toLogRecord(*decoded)).catalogue;
+        catalogue = catalogue.withRecord(5, platform::toLogRecord(*decoded, 0)).catalogue;
     }
     const auto proper = platform::decodeConfigDocument(document(Tenant, Path, "8"), KeyStaleness);
-    const auto result = catalogue.withRecord(6, platform::toLogRecord(proper.value()));
+    const auto result = catalogue.withRecord(6, platform::toLogRecord(proper.value(), 0));
     CHECK_TRUE(result.verdict == config::Verdict::Accepted);
     CHECK_TRUE(result.catalogue.findRoute("visits.example", "/past/1") != nullptr);
 }
