Send nothing to the endpoints of an evacuated data centre

An evacuation was a resource without effect. It has to hold at both ends: entries choose by their configuration, and the only sender to an endpoint is its own node, which also covers entries that are behind.

- routing: the request names the evacuated data centres, their endpoints are excluded as `evacuated`.
Such an endpoint does not make the dispatcher report that requests are shed.
- admission: EndpointGate::setEvacuated() refuses new and waiting requests as Draining, not run, until it is called with false; running requests complete.
A drain is unaffected by the end of an evacuation.
- node: the change is applied by the hook that reports a new offset, before the offset is reported, and repeated when an endpoint starts and with each publication.
The endpoint is published as draining meanwhile.
Implementation::ownDataCentreWasTakenBack() is the place for the cold state after a return.
- operator port: `nodes` shows `evacuated`; an evacuation of a data centre that is not declared is refused with 400.
- metrics berylspring_evacuated_data_centres and berylspring_evacuated_refused, and a log line for each change.

Weighed: startDrain() and a new AdmissionService after a return would lose the learned limit of the endpoint, and a drain lets waiting requests start. The evacuated data centres come from a small table rather than from the catalogue, since listing resources for each decision costs an allocation; without an evacuation a decision copies an empty list.

--- a/include/berylspring/admission/admission_history.h
+++ b/include/berylspring/admission/admission_history.h
@@ -20,6 +20,7 @@
     std::atomic<std::uint64_t> keyWithdrawn{0};
     std::atomic<std::uint64_t> cancelled{0};
     std::atomic<std::uint64_t> connectionsLost{0};
+    std::atomic<std::uint64_t> evacuated{0};
 
     [[nodiscard]] AdmissionCounters counters() const noexcept
     {
@@ -30,7 +31,8 @@
                 .quarantined = quarantined,
                 .keyWithdrawn = keyWithdrawn,
                 .cancelled = cancelled,
-                .connectionsLost = connectionsLost};
+                .connectionsLost = connectionsLost,
+                .evacuated = evacuated};
     }
 };
 
--- a/include/berylspring/admission/admission_service.h
+++ b/include/berylspring/admission/admission_service.h
@@ -73,6 +73,8 @@
      * The hook endpointCall reaches the new endpoint, so a waiting request would start there beyond its limit.
      */
     void retire();
+    /** @brief Refuses new and waiting requests as Draining, until it is called with false; running ones complete. */
+    void setEvacuated(bool isEvacuated);
     /** @brief Completes when no request runs or waits. */
     [[nodiscard]] boost::asio::awaitable<void> idle();
     [[nodiscard]] AdmissionState state() const;
--- a/include/berylspring/admission/admission_state.h
+++ b/include/berylspring/admission/admission_state.h
@@ -19,6 +19,7 @@
     std::uint64_t keyWithdrawn = 0; ///< Key withdrawn while waiting.
     std::uint64_t cancelled = 0; ///< Cancelled before the start.
     std::uint64_t connectionsLost = 0;
+    std::uint64_t evacuated = 0; ///< Refused because the data centre of the endpoint is evacuated.
     [[nodiscard]] bool operator==(const AdmissionCounters &) const = default;
 };
 
@@ -31,6 +32,7 @@
     std::uint32_t slots = 0;
     core::PriorityLevel admittedLevel = 0;
     bool isDraining = false;
+    bool isEvacuated = false; ///< The data centre of the endpoint is evacuated.
     AdmissionCounters counters;
     [[nodiscard]] bool operator==(const AdmissionStateFields &) const = default;
 };
--- a/include/berylspring/admission/endpoint_gate.h
+++ b/include/berylspring/admission/endpoint_gate.h
@@ -79,6 +79,13 @@
     /** @brief Refuses new and waiting requests: the endpoint was replaced, or its drain leaves no time to start them.
      */
     [[nodiscard]] std::vector<std::uint64_t> retire();
+    /**
+     * @brief Refuses new and waiting requests as Draining while the data centre of the endpoint is evacuated.
+     *
+     * Unlike a drain, it can end. Requests that run are completed.
+     */
+    [[nodiscard]] std::vector<std::uint64_t> setEvacuated(bool isEvacuated, core::TimePoint now);
+    [[nodiscard]] bool isEvacuated() const;
     [[nodiscard]] bool isIdle() const;
     [[nodiscard]] AdmissionStateFields state(core::TimePoint now) const;
     /** @return Queue time that counts as a pressure of 1. */
@@ -116,6 +123,7 @@
     std::optional<core::TimePoint> m_drainingForSuspectSince;
     core::TimePoint m_nextSuspectAt;
     std::optional<core::TimePoint> m_drainingSince;
+    bool m_isEvacuated = false;
 };
 
 }
--- a/include/berylspring/http/operator_api.h
+++ b/include/berylspring/http/operator_api.h
@@ -29,6 +29,7 @@
     core::Offset appliedOffset = 0; ///< Offset after the last one that the node has applied.
     std::string service; ///< Service of its endpoint; empty if it has none.
     bool isDraining = false;
+    bool isEvacuated = false; ///< Nothing is sent to the endpoints of its data centre.
     [[nodiscard]] bool operator==(const NodeStatus &) const = default;
 };
 
@@ -63,6 +64,7 @@
         remove;
     std::function<boost::asio::awaitable<ChangePage>(core::Offset from)> changes;
     std::function<std::vector<NodeStatus>()> nodes;
+    std::function<bool(const core::DataCentreId &)> isDeclared; ///< Whether the data centre is one of the fleet.
     /** Queries the members that are not known to have applied the change; does not wait for them. */
     std::function<void(core::Offset change)> queryAppliedOffsets;
     std::function<std::string()> metrics;
--- a/include/berylspring/node/dispatcher.h
+++ b/include/berylspring/node/dispatcher.h
@@ -15,6 +15,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <vector>
 
 #include <boost/asio/awaitable.hpp>
 
@@ -27,6 +28,8 @@
     /** Runs a call on the endpoint of this host. */
     std::function<boost::asio::awaitable<wire::CallResponse>(wire::CallRequest)> runLocally;
     std::function<std::shared_ptr<const EndpointViews>(const core::ServiceId &)> endpoints;
+    /** Data centres whose endpoints take no requests, never null; empty hook: none. */
+    std::function<std::shared_ptr<const std::vector<core::DataCentreId>>()> evacuatedDataCentres;
     std::function<core::TimePoint()> now;
     core::RandomSource random;
     std::function<void()> retried; ///< Called for each retry, to count it.
@@ -47,6 +50,11 @@
 
     /** @return Highest pressure among the services that the endpoint of this host calls. */
     [[nodiscard]] double nestedPressure(core::TimePoint now) const;
+    /** @return Number of requests for which no endpoint was left because of an evacuation. */
+    [[nodiscard]] std::uint64_t evacuatedRefusals() const noexcept
+    {
+        return m_evacuatedRefusals;
+    }
 
 private:
     struct Attempts;
@@ -72,6 +80,7 @@
     retry::RetryBudgets m_budgets;
     retry::BackoffPolicy m_backoff;
     admission::EntryShedding m_shedding;
+    std::atomic<std::uint64_t> m_evacuatedRefusals{0};
     core::ShardedMap<core::ServiceId, admission::Pressure> m_nestedPressure; ///< By target of nested calls.
 };
 
--- a/include/berylspring/routing/routing_request.h
+++ b/include/berylspring/routing/routing_request.h
@@ -22,6 +22,7 @@
      * full. Without it, equally overloaded data centres would exchange requests for no benefit.
      */
     double remoteCost = 3;
+    std::vector<core::DataCentreId> evacuatedDataCentres; ///< Nothing is sent to their endpoints.
     std::vector<core::HostId> excludedHosts; ///< For example the hosts that earlier attempts were sent to.
     [[nodiscard]] bool operator==(const RoutingRequest &) const = default;
 };
@@ -35,6 +36,7 @@
     NoSlots,
     LevelNotAdmitted, ///< The request's priority is below the endpoint's admitted level.
     Ejected,
+    Evacuated, ///< In one of RoutingRequest::evacuatedDataCentres.
 };
 
 /** @return Name in lower case with hyphens, for example "not-alive". */
--- a/src/admission/admission_service.cpp
+++ b/src/admission/admission_service.cpp
@@ -39,6 +39,11 @@
     m_core->retire();
 }
 
+void AdmissionService::setEvacuated(bool isEvacuated)
+{
+    m_core->setEvacuated(isEvacuated);
+}
+
 boost::asio::awaitable<void> AdmissionService::idle()
 {
     return Core::idle(m_core);
--- a/src/admission/endpoint_gate.cpp
+++ b/src/admission/endpoint_gate.cpp
@@ -51,7 +51,7 @@
 
 std::optional<core::RefusalReason> EndpointGate::refusalReason(const QueueEntry &entry, core::TimePoint now) const
 {
-    if (m_drainingSince) {
+    if (m_drainingSince || m_isEvacuated) {
         return core::RefusalReason::Draining;
     }
     if (m_limit.slots() == 0) {
@@ -268,6 +268,24 @@
     return begins;
 }
 
+std::vector<std::uint64_t> EndpointGate::setEvacuated(bool isEvacuated, core::TimePoint now)
+{
+    const std::scoped_lock lock(m_mutex);
+    RequestIds decided;
+    m_isEvacuated = isEvacuated;
+    if (isEvacuated) {
+        refuseWaiting(core::RefusalReason::Draining, decided);
+    }
+    startWaiting(now, decided);
+    return decided;
+}
+
+bool EndpointGate::isEvacuated() const
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_isEvacuated;
+}
+
 bool EndpointGate::isIdle() const
 {
     const std::scoped_lock lock(m_mutex);
@@ -290,6 +308,7 @@
                                 .slots = m_limit.slots(),
                                 .admittedLevel = m_level.level(now),
                                 .isDraining = m_drainingSince.has_value(),
+                                .isEvacuated = m_isEvacuated,
                                 .counters = {}};
 }
 
--- a/src/admission/service_core.cpp
+++ b/src/admission/service_core.cpp
@@ -328,6 +328,11 @@
     wake(m_gate.retire());
 }
 
+void AdmissionService::Core::setEvacuated(bool isEvacuated)
+{
+    wake(m_gate.setEvacuated(isEvacuated, m_hooks.now()));
+}
+
 AdmissionState AdmissionService::Core::state() const
 {
     AdmissionStateFields fields = m_gate.state(m_hooks.now());
@@ -361,6 +366,9 @@
     case core::RefusalReason::Cancelled:
         ++m_history->totals.cancelled;
         break;
+    case core::RefusalReason::Draining:
+        m_history->totals.evacuated += m_gate.isEvacuated() ? 1 : 0;
+        break;
     default:
         break;
     }
--- a/src/admission/service_core.h
+++ b/src/admission/service_core.h
@@ -30,6 +30,7 @@
     void setSlots(std::uint32_t slots);
     static void startDrain(const std::shared_ptr<Core> &self);
     void retire();
+    void setEvacuated(bool isEvacuated);
     [[nodiscard]] AdmissionState state() const;
     /** @brief Destroys the waiting coroutines, whose frames keep this object alive. */
     void abandonWaiting();
--- a/src/http/operator_api.cpp
+++ b/src/http/operator_api.cpp
@@ -190,6 +190,11 @@
     if (!precondition.isValid) {
         co_return problemResponse(400, "invalid", "If-Match is not a version in quotes");
     }
+    // Otherwise a mistyped name would be accepted and have no effect. It can still be deleted.
+    if (type == config::ResourceType::Evacuation && request->method == "PUT"
+        && !(core::isValidName(name) && m_hooks.isDeclared(core::DataCentreId(name)))) {
+        co_return problemResponse(400, "invalid", "the data centre " + name + " is not declared");
+    }
     if (request->method == "PUT") {
         const auto outcome = co_await m_hooks.put(type, name, request->body, precondition.expectedVersion);
         co_return outcome ? outcomeReply(*outcome) : errorReply(outcome.error());
@@ -239,7 +244,8 @@
                                             {"state", node.state},
                                             {"applied_offset", node.appliedOffset},
                                             {"service", node.service},
-                                            {"draining", node.isDraining}});
+                                            {"draining", node.isDraining},
+                                            {"evacuated", node.isEvacuated}});
     }
     return jsonResponse(200, boost::json::serialize(boost::json::object{{"items", std::move(items)}}));
 }
--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -52,6 +52,13 @@
     return Refusal(RefusalReason::NoEndpoint, Outcome::NotRun, detail).withRetryAfter(OverloadRetryAfter);
 }
 
+bool isAnyEvacuated(const routing::RoutingDecision &decision)
+{
+    return std::any_of(decision.exclusions.begin(), decision.exclusions.end(), [](const routing::Exclusion &exclusion) {
+        return exclusion.reason == routing::ExclusionReason::Evacuated;
+    });
+}
+
 routing::RoutingResult resultOf(const wire::CallResponse &response)
 {
     if (!response->refusal) {
@@ -115,6 +122,7 @@
         Refusal refusal(RefusalReason::DeadlineExceeded, Outcome::NotRun, "no time is left for the request");
         if (remaining > core::Duration::zero() && !decision.host) {
             refusal = refusalOf(decision, attempts.wasShed);
+            m_evacuatedRefusals += isAnyEvacuated(decision) ? 1 : 0;
         } else if (remaining > core::Duration::zero()) {
             attempts.hosts.push_back(*decision.host);
             const wire::CallRequest sent =
@@ -160,13 +168,21 @@
                                     .dataCentre = m_dataCentre,
                                     .priority = call->priority,
                                     .excludedHosts = attempts.hosts};
+    if (m_hooks.evacuatedDataCentres) {
+        request.evacuatedDataCentres = *m_hooks.evacuatedDataCentres();
+    }
+    const auto isEvacuated = [&](const routing::EndpointView &endpoint) {
+        const auto &evacuated = request.evacuatedDataCentres;
+        return std::find(evacuated.begin(), evacuated.end(), endpoint->dataCentre) != evacuated.end();
+    };
     if (call->isNested) {
         request.remoteCost = NestedRemoteCost;
     }
     // Admission levels shed new work only; a nested call continues work that was already admitted.
     if (m_areControlsOn && !call->isNested) {
         for (const routing::EndpointView &endpoint : *endpoints) {
-            if (!m_shedding.admits({endpoint->host, call->service}, call->priority, now)) {
+            // An endpoint that takes no requests at all is no reason to report that requests are shed.
+            if (!isEvacuated(endpoint) && !m_shedding.admits({endpoint->host, call->service}, call->priority, now)) {
                 request.excludedHosts.push_back(endpoint->host);
                 attempts.wasShed = true;
             }
--- a/src/node/local_endpoint.cpp
+++ b/src/node/local_endpoint.cpp
@@ -228,11 +228,12 @@
     }
     // The endpoint's own report may be delayed or stuck; the requests that this node has running are a lower bound.
     const std::uint32_t load = std::max(m_registration->reportedRunning, admission->running);
-    return wire::EndpointState({.service = m_registration->announcement.service,
-                                .slots = m_registration->announcement.slots,
-                                .isDraining = m_registration->isDraining || admission->isDraining,
-                                .load = load + static_cast<std::uint32_t>(admission->queued),
-                                .admittedLevel = admission->admittedLevel});
+    return wire::EndpointState(
+        {.service = m_registration->announcement.service,
+         .slots = m_registration->announcement.slots,
+         .isDraining = m_registration->isDraining || admission->isDraining || admission->isEvacuated,
+         .load = load + static_cast<std::uint32_t>(admission->queued),
+         .admittedLevel = admission->admittedLevel});
 }
 
 LocalEndpoint::Target LocalEndpoint::target() const
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -320,6 +320,9 @@
     add("berylspring_config_applied_offset", m_config.catalogue()->appliedOffset());
     add("berylspring_config_log_behind", m_config.isLogBehind() ? 1 : 0);
     add("berylspring_config_log_generation", m_config.logGeneration());
+    add("berylspring_evacuated_data_centres", m_evacuations.dataCentres()->size());
+    add("berylspring_evacuated_refused",
+        m_admissionHistory->totals.evacuated.load() + m_dispatcher.evacuatedRefusals());
     add("berylspring_requests_in_flight", m_inFlight.size());
     add("berylspring_spans_dropped", m_spans->dropped());
     for (std::size_t i = 0; i < wire::TrafficClassCount; ++i) {
--- a/src/node/node_handlers.cpp
+++ b/src/node/node_handlers.cpp
@@ -5,6 +5,8 @@
 #include "berylspring/config/log_record.h"
 #include "berylspring/telemetry/log.h"
 
+#include <algorithm>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -198,6 +200,7 @@
 void Node::Implementation::replaceAdmission()
 {
     std::shared_ptr<admission::AdmissionService> retired = makeAdmission();
+    enforceEvacuation(*retired); // Still the new service.
     {
         const std::scoped_lock lock(m_admissionMutex);
         std::swap(retired, m_admission);
@@ -216,6 +219,8 @@
 {
     const core::TimePoint time = now();
     const std::shared_ptr<admission::AdmissionService> service = admission();
+    // Repeated, since an endpoint may start while an evacuation begins or ends.
+    enforceEvacuation(*service);
     service->setSlots(m_endpoint.slots(time));
     m_membership->setEndpoint(m_endpoint.state(service->state(), time));
 }
@@ -286,14 +291,18 @@
 std::vector<http::NodeStatus> Node::Implementation::nodeStatus() const
 {
     std::vector<http::NodeStatus> nodes;
+    const auto evacuated = m_evacuations.dataCentres();
     for (const membership::Member &member : m_membership->members()) {
+        const bool isEvacuated =
+            std::find(evacuated->begin(), evacuated->end(), member.dataCentre()) != evacuated->end();
         const std::optional<wire::EndpointState> &endpoint = member.endpoint();
         nodes.push_back({.host = member.host(),
                          .dataCentre = member.dataCentre(),
                          .state = std::string(nameOf(member.state())),
                          .appliedOffset = member.appliedOffset(),
                          .service = endpoint ? (*endpoint)->service.value() : std::string(),
-                         .isDraining = endpoint && (*endpoint)->isDraining});
+                         .isDraining = endpoint && (*endpoint)->isDraining,
+                         .isEvacuated = isEvacuated});
     }
     return nodes;
 }
--- a/src/node/node_hooks.cpp
+++ b/src/node/node_hooks.cpp
@@ -150,7 +150,11 @@
         }
         return hosts;
     };
-    hooks.applied = [this](core::Offset offset) { m_membership->setAppliedOffset(offset); };
+    hooks.applied = [this](core::Offset offset) {
+        // Before the offset is reported, so that a change is in force on the nodes that report it.
+        applyEvacuations();
+        m_membership->setAppliedOffset(offset);
+    };
     hooks.notify = [this] { m_membership->sendOffsetNotice(); };
     hooks.report = [](const std::string &text) { telemetry::log(telemetry::Severity::Warning, text); };
     return hooks;
@@ -248,6 +252,7 @@
     hooks.endpoints = [this](const core::ServiceId &service) {
         return m_endpointViews.views(service, m_membership->snapshot());
     };
+    hooks.evacuatedDataCentres = [this] { return m_evacuations.dataCentres(); };
     hooks.now = now;
     hooks.random = m_random;
     hooks.retried = [this] { m_metrics.countRetry(); };
@@ -287,6 +292,10 @@
     };
     hooks.changes = [this](core::Offset from) { return changes(from); };
     hooks.nodes = [this] { return nodeStatus(); };
+    hooks.isDeclared = [this](const core::DataCentreId &dataCentre) {
+        const std::vector<core::DataCentreId> &declared = m_settings->dataCentres;
+        return std::find(declared.begin(), declared.end(), dataCentre) != declared.end();
+    };
     hooks.queryAppliedOffsets = [this](core::Offset change) { refreshMembers(change); };
     hooks.metrics = [this] { return m_metrics.text(); };
     hooks.isReady = [this] { return isReady(); };
--- a/src/node/node_implementation.h
+++ b/src/node/node_implementation.h
@@ -22,6 +22,7 @@
 #include "berylspring/wire/datagram_codec.h"
 #include "berylspring/wire/peer_pool.h"
 #include "berylspring/wire/peer_server.h"
+#include "node/evacuations.h"
 #include "node/quarantine_exchange.h"
 
 #include <atomic>
@@ -74,6 +75,14 @@
     /** @brief Starts afresh with an endpoint that has just announced itself. */
     void replaceAdmission();
     void drainEndpoint();
+
+    // Evacuations, in node_evacuation.cpp.
+    /** @brief Puts the evacuations of the configuration in force, without delay. */
+    void applyEvacuations();
+    /** @brief Called once when the evacuation of the own data centre ends, before the endpoint's state is published. */
+    void ownDataCentreWasTakenBack();
+    void enforceEvacuation(admission::AdmissionService &service) const;
+
     void publishEndpoint();
     void logStatus() const;
     boost::asio::awaitable<void> publishLoop();
@@ -124,6 +133,7 @@
     wire::PeerPool m_peers;
     std::unique_ptr<wire::PeerServer> m_peerServer; ///< Created by start() once a port is bound.
     std::unique_ptr<membership::MembershipService> m_membership; ///< Created by start() once its port is known.
+    detail::Evacuations m_evacuations;
     eventlog::LogHooks m_log;
     config::ConfigService m_config;
     limit::LimitService m_limits;
--- a/src/routing/eligibility.cpp
+++ b/src/routing/eligibility.cpp
@@ -22,6 +22,10 @@
     if (std::find(excluded.begin(), excluded.end(), view->host) != excluded.end()) {
         return ExclusionReason::Excluded;
     }
+    const auto &evacuated = request.evacuatedDataCentres;
+    if (std::find(evacuated.begin(), evacuated.end(), view->dataCentre) != evacuated.end()) {
+        return ExclusionReason::Evacuated;
+    }
     if (!view->isAlive) {
         return ExclusionReason::NotAlive;
     }
--- a/src/routing/routing_request.cpp
+++ b/src/routing/routing_request.cpp
@@ -19,6 +19,8 @@
         return "level-not-admitted";
     case ExclusionReason::Ejected:
         return "ejected";
+    case ExclusionReason::Evacuated:
+        return "evacuated";
     }
     return "unknown";
 }
--- a/tests/routing/a_request_finds_its_endpoint.cpp
+++ b/tests/routing/a_request_finds_its_endpoint.cpp
@@ -80,8 +80,10 @@
     fail(router, "ejected", 5, startTime);
     auto asked = request(2);
     asked.excludedHosts.emplace_back("tried");
+    asked.evacuatedDataCentres.emplace_back("south");
     const std::vector<EndpointView> views{
         endpoint("tried"),
+        endpoint("evacuated", south).with(&routing::EndpointViewFields::isDraining, true),
         endpoint("dead").with(&routing::EndpointViewFields::isAlive, false),
         endpoint("leaving").with(&routing::EndpointViewFields::isDraining, true),
         endpoint("empty").with(&routing::EndpointViewFields::slots, 0U),
@@ -92,6 +94,7 @@
     const auto decision = router.choose(asked, views, startTime);
     CHECK(decision.host == core::HostId("good"));
     const std::vector<routing::Exclusion> expected{{core::HostId("tried"), ExclusionReason::Excluded},
+                                                   {core::HostId("evacuated"), ExclusionReason::Evacuated},
                                                    {core::HostId("dead"), ExclusionReason::NotAlive},
                                                    {core::HostId("leaving"), ExclusionReason::Draining},
                                                    {core::HostId("empty"), ExclusionReason::NoSlots},
