Add the commands evacuate and return to berylspringctl

An operator had to write a JSON file to evacuate a data centre. `berylspringctl evacuate DC` and `return DC` write and delete the resource; a missing name is a usage error, and a return without an evacuation says so.

The exclusion reason `evacuated` moves to the place at which it is checked, as docs/modules/routing.md states the order.

--- a/include/berylspring/routing/routing_request.h
+++ b/include/berylspring/routing/routing_request.h
@@ -31,12 +31,12 @@
 enum class ExclusionReason {
     OtherService,
     Excluded, ///< Named in RoutingRequest::excludedHosts.
+    Evacuated, ///< In one of RoutingRequest::evacuatedDataCentres.
     NotAlive,
     Draining,
     NoSlots,
     LevelNotAdmitted, ///< The request's priority is below the endpoint's admitted level.
     Ejected,
-    Evacuated, ///< In one of RoutingRequest::evacuatedDataCentres.
 };
 
 /** @return Name in lower case with hyphens, for example "not-alive". */
--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -47,6 +47,23 @@
         return write("DELETE", resourcePath(1, 2), {});
     }
 
+    ExitCode evacuate()
+    {
+        return argument(1).empty() ? missingDataCentre() : write("PUT", "/v1/evacuations/" + argument(1), "{}");
+    }
+
+    ExitCode takeBack()
+    {
+        if (argument(1).empty()) {
+            return missingDataCentre();
+        }
+        const ExitCode code = write("DELETE", "/v1/evacuations/" + argument(1), {});
+        if (code == ExitCode::NotFound) {
+            m_err << "berylspringctl: the data centre " << argument(1) << " is not evacuated\n";
+        }
+        return code;
+    }
+
     ExitCode apply()
     {
         std::ifstream file(m_options.file);
@@ -118,6 +135,12 @@
         return "/v1/" + argument(type) + "/" + argument(name);
     }
 
+    ExitCode missingDataCentre()
+    {
+        m_err << "berylspringctl: " << argument(0) << " needs the name of a data centre\n";
+        return ExitCode::Usage;
+    }
+
     void print(const std::string &json)
     {
         m_out << (m_options.output == OutputFormat::Json ? json + "\n" : toTable(json));
@@ -259,6 +282,8 @@
         {"list", &CommandRunner::list},
         {"delete", &CommandRunner::remove},
         {"apply", &CommandRunner::apply},
+        {"evacuate", &CommandRunner::evacuate},
+        {"return", &CommandRunner::takeBack},
         {"key", &CommandRunner::key},
         {"watch", &CommandRunner::watch},
         {"status", &CommandRunner::status},
--- a/src/ctl/options.cpp
+++ b/src/ctl/options.cpp
@@ -18,12 +18,15 @@
     "  list TYPE                           show all resources of a type\n"
     "  apply -f FILE                       create or replace the resources in a JSON file\n"
     "  delete TYPE NAME                    delete a resource\n"
+    "  evacuate DC                         send nothing more to the endpoints of a data centre\n"
+    "  return DC                           end the evacuation of a data centre\n"
     "  key create NAME --workspace W       make a key, show it once, store its digest\n"
     "  key withdraw NAME                   withdraw a key for good\n"
     "  watch [--from N]                    print changes until they are in force\n"
     "  status [CHANGE]                     show the nodes, or where a change is in force\n"
     "  completion                          print a completion script for bash\n"
-    "TYPE is workspaces, keys, limits, priorities, routes or request-limits.\n"
+    "TYPE is workspaces, keys, limits, priorities, routes, request-limits, services or\n"
+    "evacuations.\n"
     "Exit codes: 0 done, 1 refused, 2 usage, 3 not found, 4 conflict, 5 unavailable,\n"
     "6 not authorized, 7 not in force in time.\n";
 
@@ -109,8 +112,9 @@
 std::string completionScript()
 {
     return "_berylspringctl() {\n"
-           "    local words='get list apply delete key watch status completion create withdraw\n"
-           "        workspaces keys limits priorities routes request-limits --address --token-file --output --file\n"
+           "    local words='get list apply delete evacuate return key watch status completion create withdraw\n"
+           "        workspaces keys limits priorities routes request-limits services evacuations --address "
+           "--token-file --output --file\n"
            "        --workspace --if-match --from --wait --help --version'\n"
            "    COMPREPLY=($(compgen -W \"$words\" -- \"${COMP_WORDS[COMP_CWORD]}\"))\n"
            "}\n"
--- a/src/routing/routing_request.cpp
+++ b/src/routing/routing_request.cpp
@@ -9,6 +9,8 @@
         return "other-service";
     case ExclusionReason::Excluded:
         return "excluded";
+    case ExclusionReason::Evacuated:
+        return "evacuated";
     case ExclusionReason::NotAlive:
         return "not-alive";
     case ExclusionReason::Draining:
@@ -19,8 +21,6 @@
         return "level-not-admitted";
     case ExclusionReason::Ejected:
         return "ejected";
-    case ExclusionReason::Evacuated:
-        return "evacuated";
     }
     return "unknown";
 }
--- a/tests/ctl/an_operator_types_a_command.cpp
+++ b/tests/ctl/an_operator_types_a_command.cpp
@@ -31,8 +31,9 @@
     section("an unknown output format", [] {
         STRCMP_CONTAINS("must be table or json", ctl::parseOptions({"list", "-o", "xml"}).error().c_str());
     });
-    section("an unknown command and a key without workspace end in a usage error", [] {
-        for (const std::vector<std::string> &words : {std::vector<std::string>{"lst"}, {"key", "create", "k1"}}) {
+    section("an unknown command, a key without workspace and no data centre end in a usage error", [] {
+        for (const std::vector<std::string> &words :
+             {std::vector<std::string>{"lst"}, {"key", "create", "k1"}, {"evacuate"}, {"return"}}) {
             std::ostringstream out;
             std::ostringstream err;
             CHECK(ctl::runCommand(ctl::parseOptions(words).value(), out, err) == ctl::ExitCode::Usage);
