Keep evacuations in effect after a document that nodes refuse

A document that can be decoded but has, for example, two routes with one prefix was passed on and refused by each node as a whole. The records after it contain the same document, so an evacuation written then would have been acknowledged by the store and never be in force.

Weighed: folding in the catalogue the evacuations of a refused document alone would need a second kind of replacement.

--- a/tests/platform/an_operator_evacuates.cpp
+++ b/tests/platform/an_operator_evacuates.cpp
@@ -120,10 +120,20 @@
         CHECK_EQUAL(9 * PerVersion + 2, *state.streamOffset());
         CHECK_TRUE(folded(catalogue, state).isEvacuated(North));
     });
+    section("so does one that nodes would not accept as a whole", [&] {
+        const std::string route = R"("PathPrefix":"/a/","TimeoutMs":800,"Service":"s"})";
+        const std::string routes = R"({"Name":"r1",)" + route + R"(,{"Name":"r2",)" + route;
+        topic.put("config", R"({"Version":9,"VirtualHosts":[{"Host":"a.example","Paths":[)" + routes + "]}]}");
+        const OperatorReading reading = state.withLater(topic.pageFrom(state.position()), {});
+        LONGS_EQUAL(1, reading.invalidDocuments.size());
+        state = reading.state;
+        CHECK_EQUAL(9 * PerVersion + 3, *state.streamOffset());
+        CHECK_TRUE(folded(catalogue, state).isEvacuated(North));
+    });
     section("the same version written again stays above the offsets that were applied", [&] {
         topic.put("config", document(8));
         state = followed(state, topic);
-        CHECK_EQUAL(9 * PerVersion + 3, *state.streamOffset());
+        CHECK_EQUAL(9 * PerVersion + 4, *state.streamOffset());
     });
     section("names that no data centre can have are reported and ignored", [&] {
         topic.put("evacuate/No Name", "{}");
