Put evacuations in force before a starting node serves

A node becomes ready, and requests see its catalogue, shortly before the change is reported to the hook that applies the evacuations. A node that has just started could send a request to an evacuated data centre in between.

The dispatcher's hook now applies the evacuations itself if they are behind the catalogue. Weighed: reporting the change before the node is ready would let peers ask it for records that it still refuses.

--- a/src/node/evacuations.cpp
+++ b/src/node/evacuations.cpp
@@ -38,6 +38,12 @@
     return change;
 }
 
+bool Evacuations::isBehind(core::Offset appliedOffset) const
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_appliedOffset < appliedOffset;
+}
+
 std::shared_ptr<const std::vector<core::DataCentreId>> Evacuations::dataCentres() const
 {
     const std::scoped_lock lock(m_mutex);
--- a/src/node/evacuations.h
+++ b/src/node/evacuations.h
@@ -28,6 +28,8 @@
      * @return What differs from before.
      */
     [[nodiscard]] EvacuationChange apply(const config::Catalogue &catalogue);
+    /** @return Whether apply() has not been called yet for a catalogue with this applied offset or a later one. */
+    [[nodiscard]] bool isBehind(core::Offset appliedOffset) const;
     /** @return The evacuated data centres, sorted by name; never null. */
     [[nodiscard]] std::shared_ptr<const std::vector<core::DataCentreId>> dataCentres() const;
     [[nodiscard]] bool isEvacuated(const core::DataCentreId &dataCentre) const;
--- a/src/node/node_hooks.cpp
+++ b/src/node/node_hooks.cpp
@@ -252,7 +252,14 @@
     hooks.endpoints = [this](const core::ServiceId &service) {
         return m_endpointViews.views(service, m_membership->snapshot());
     };
-    hooks.evacuatedDataCentres = [this] { return m_evacuations.dataCentres(); };
+    hooks.evacuatedDataCentres = [this] {
+        // Requests see a new catalogue shortly before its offset is reported, above all on a node that has just
+        // started.
+        if (m_evacuations.isBehind(m_config.catalogue()->appliedOffset())) {
+            applyEvacuations();
+        }
+        return m_evacuations.dataCentres();
+    };
     hooks.now = now;
     hooks.random = m_random;
     hooks.retried = [this] { m_metrics.countRetry(); };
--- a/tests/node/an_evacuated_data_centre.cpp
+++ b/tests/node/an_evacuated_data_centre.cpp
@@ -102,7 +102,9 @@
         CHECK_TRUE(sentTo == (std::vector<core::HostId>{near.front(), far.front()}));
     });
     const config::Catalogue north = evacuating({}, {North});
+    CHECK_TRUE(evacuations.isBehind(north.appliedOffset()));
     CHECK_TRUE(evacuations.apply(north).evacuated == std::vector<core::DataCentreId>{North});
+    CHECK_FALSE(evacuations.isBehind(north.appliedOffset()));
     section("entries of the data centre send root and nested requests to the other one", [&] {
         CHECK_FALSE(dispatch()->refusal.has_value());
         CHECK_TRUE(sentTo == far);
