--- a/include/berylspring/admission/admission_history.h
+++ b/include/berylspring/admission/admission_history.h
@@ -22,6 +22,7 @@
     std::atomic<std::uint64_t> connectionsLost{0};
     std::atomic<std::uint64_t> coldStarted{0};
     std::atomic<std::uint64_t> coldRefused{0};
+    std::atomic<std::uint64_t> evacuated{0};
 
     [[nodiscard]] AdmissionCounters counters() const noexcept
     {
@@ -34,7 +35,8 @@
                 .cancelled = cancelled,
                 .connectionsLost = connectionsLost,
                 .coldStarted = coldStarted,
-                .coldRefused = coldRefused};
+                .coldRefused = coldRefused,
+                .evacuated = evacuated};
     }
 };
 
--- a/include/berylspring/admission/admission_state.h
+++ b/include/berylspring/admission/admission_state.h
@@ -21,6 +21,7 @@
     std::uint64_t connectionsLost = 0;
     std::uint64_t coldStarted = 0; ///< Started while the endpoint was cold.
     std::uint64_t coldRefused = 0; ///< Refused because a cold endpoint could not start them in time.
+    std::uint64_t evacuated = 0; ///< Refused because the data centre of the endpoint is evacuated.
     [[nodiscard]] bool operator==(const AdmissionCounters &) const = default;
 };
 
@@ -33,6 +34,7 @@
     std::uint32_t slots = 0;
     core::PriorityLevel admittedLevel = 0;
     bool isDraining = false;
+    bool isEvacuated = false; ///< The data centre of the endpoint is evacuated.
     AdmissionCounters counters;
     [[nodiscard]] bool operator==(const AdmissionStateFields &) const = default;
 };
--- a/include/berylspring/admission/endpoint_gate.h
+++ b/include/berylspring/admission/endpoint_gate.h
@@ -93,6 +93,13 @@
     /** @brief Refuses new and waiting requests: the endpoint was replaced, or its drain leaves no time to start them.
      */
     [[nodiscard]] std::vector<std::uint64_t> retire();
+    /**
+     * @brief Refuses new and waiting requests as Draining while the data centre of the endpoint is evacuated.
+     *
+     * Unlike a drain, it can end. Requests that run are completed.
+     */
+    [[nodiscard]] std::vector<std::uint64_t> setEvacuated(bool isEvacuated, core::TimePoint now);
+    [[nodiscard]] bool isEvacuated() const;
     [[nodiscard]] bool isIdle() const;
     [[nodiscard]] AdmissionStateFields state(core::TimePoint now) const;
     /** @return Queue time that counts as a pressure of 1. */
@@ -140,6 +147,7 @@
     ColdLimit m_cold;
     std::optional<StartRate> m_startRate; ///< While the endpoint is cold.
     core::TimePoint m_lastReturn; ///< Time named to the caller that was refused last while the endpoint was cold.
+    bool m_isEvacuated = false;
 };
 
 }
--- a/include/berylspring/routing/routing_request.h
+++ b/include/berylspring/routing/routing_request.h
@@ -22,6 +22,7 @@
      * full. Without it, equally overloaded data centres would exchange requests for no benefit.
      */
     double remoteCost = 3;
+    std::vector<core::DataCentreId> evacuatedDataCentres; ///< Nothing is sent to their endpoints.
     std::vector<core::HostId> excludedHosts; ///< For example the hosts that earlier attempts were sent to.
     [[nodiscard]] bool operator==(const RoutingRequest &) const = default;
 };
@@ -30,6 +31,7 @@
 enum class ExclusionReason {
     OtherService,
     Excluded, ///< Named in RoutingRequest::excludedHosts.
+    Evacuated, ///< In one of RoutingRequest::evacuatedDataCentres.
     NotAlive,
     Draining,
     NoSlots,
--- a/src/admission/service_core.cpp
+++ b/src/admission/service_core.cpp
@@ -352,6 +352,11 @@
     wake(m_gate.retire());
 }
 
+void AdmissionService::Core::setEvacuated(bool isEvacuated)
+{
+    wake(m_gate.setEvacuated(isEvacuated, m_hooks.now()));
+}
+
 AdmissionState AdmissionService::Core::state() const
 {
     AdmissionStateFields fields = m_gate.state(m_hooks.now());
--- a/src/admission/service_responses.cpp
+++ b/src/admission/service_responses.cpp
@@ -31,6 +31,9 @@
     case core::RefusalReason::Cancelled:
         ++m_history->totals.cancelled;
         break;
+    case core::RefusalReason::Draining:
+        m_history->totals.evacuated += m_gate.isEvacuated() ? 1 : 0;
+        break;
     default:
         break;
     }
--- a/src/node/node_hooks.cpp
+++ b/src/node/node_hooks.cpp
@@ -151,7 +151,11 @@
         }
         return hosts;
     };
-    hooks.applied = [this](core::Offset offset) { m_membership->setAppliedOffset(offset); };
+    hooks.applied = [this](core::Offset offset) {
+        // Before the offset is reported, so that a change is in force on the nodes that report it.
+        applyEvacuations();
+        m_membership->setAppliedOffset(offset);
+    };
     hooks.notify = [this] { m_membership->sendOffsetNotice(); };
     hooks.report = [](const std::string &text) { telemetry::log(telemetry::Severity::Warning, text); };
     return hooks;
@@ -260,6 +264,14 @@
     hooks.endpoints = [this](const core::ServiceId &service) {
         return m_endpointViews.views(service, m_membership->snapshot());
     };
+    hooks.evacuatedDataCentres = [this] {
+        // Requests see a new catalogue shortly before its offset is reported, above all on a node that has just
+        // started.
+        if (m_evacuations.isBehind(m_config.catalogue()->appliedOffset())) {
+            applyEvacuations();
+        }
+        return m_evacuations.dataCentres();
+    };
     hooks.now = now;
     hooks.random = m_random;
     hooks.retried = [this] { m_metrics.countRetry(); };
@@ -299,6 +311,10 @@
     };
     hooks.changes = [this](core::Offset from) { return changes(from); };
     hooks.nodes = [this] { return nodeStatus(); };
+    hooks.isDeclared = [this](const core::DataCentreId &dataCentre) {
+        const std::vector<core::DataCentreId> &declared = m_settings->dataCentres;
+        return std::find(declared.begin(), declared.end(), dataCentre) != declared.end();
+    };
     hooks.queryAppliedOffsets = [this](core::Offset change) { refreshMembers(change); };
     hooks.metrics = [this] { return m_metrics.text(); };
     hooks.isReady = [this] { return isReady(); };
--- a/src/routing/routing_request.cpp
+++ b/src/routing/routing_request.cpp
@@ -9,6 +9,8 @@
         return "other-service";
     case ExclusionReason::Excluded:
         return "excluded";
+    case ExclusionReason::Evacuated:
+        return "evacuated";
     case ExclusionReason::NotAlive:
         return "not-alive";
     case ExclusionReason::Draining:
