Give refused root requests a time to return at which there is room

The Retry-After of a refused root request is a constant with jitter, so most callers who come back are refused again.

RootAdmission sends a request with a due promise unless more important requests are shed, and sheds the newcomers of its rank the more, so that both together keep the admitted share. Without promises its decisions and its use of random numbers are unchanged.

Promises for a rank that is fully shed would take room from more important ones, so callers ask shedsMoreImportant() first.

--- a/include/berylspring/admission/root_admission.h
+++ b/include/berylspring/admission/root_admission.h
@@ -49,8 +49,19 @@
 public:
     explicit RootAdmission(core::RandomSource random);
 
-    /** @return Whether to send the request. */
-    [[nodiscard]] bool admits(const RootClass &root, core::TimePoint now);
+    /** Higher is more important. */
+    using Rank = std::uint32_t;
+    [[nodiscard]] static Rank rankOf(const RootClass &root) noexcept;
+
+    /**
+     * @param root The request.
+     * @param hasPromise The request returns at a time that it was promised (see ReturnSchedule). It is sent unless
+     * more important requests are shed, and newcomers of its rank are shed the more for it.
+     * @return Whether to send the request.
+     */
+    [[nodiscard]] bool admits(const RootClass &root, core::TimePoint now, bool hasPromise = false);
+    /** @return Whether requests of the same first service that are more important than this one are shed. */
+    [[nodiscard]] bool shedsMoreImportant(const RootClass &root, core::TimePoint now);
     void recordResult(const RootClass &root, const RootResult &result, core::TimePoint now);
     /** @return Share of the demand for a first service that is shed, 0 to 1. */
     [[nodiscard]] double shedding(const core::ServiceId &service, core::TimePoint now) const;
@@ -58,14 +69,18 @@
     [[nodiscard]] double highestShedding(core::TimePoint now) const;
 
 private:
-    using Rank = std::uint32_t; ///< Higher is more important.
-
     /** @brief Share of one rank in the demand that reaches a bottleneck. */
     struct RankDemand
     {
         Rank rank = 0;
         double below = 0; ///< Share of all lower ranks together, 0 to 1.
         double own = 0; ///< Share of this rank, 0 to 1.
+        double promised = 0; ///< Share of the requests of this rank that have a promise, 0 to 1.
+        /** @return Whether requests of a higher rank are shed too when this share of the demand is shed. */
+        [[nodiscard]] bool isExceededBy(double shedding) const noexcept
+        {
+            return shedding > below + own;
+        }
     };
 
     struct Service
@@ -78,6 +93,7 @@
     struct Demand
     {
         double requests = 0;
+        double promised = 0; ///< Those among them that have a promise.
         core::TimePoint at;
     };
     struct Route
@@ -89,12 +105,14 @@
         core::TimePoint updatedAt;
     };
 
-    [[nodiscard]] static Rank rankOf(const RootClass &root) noexcept;
     [[nodiscard]] static Route withResult(Route route, const RootResult &result, core::TimePoint now) noexcept;
-    [[nodiscard]] static double decayedRequests(const Demand &demand, core::TimePoint now) noexcept;
+    [[nodiscard]] static Demand decayed(const Demand &demand, core::TimePoint now) noexcept;
     [[nodiscard]] static Service withPressure(Service service, double sample, core::TimePoint now) noexcept;
     [[nodiscard]] static double shareToShed(const Service &service, core::TimePoint now) noexcept;
     [[nodiscard]] std::shared_ptr<const std::vector<RankDemand>> shares(core::TimePoint now);
+    [[nodiscard]] std::optional<RankDemand> demandOf(Rank rank, core::TimePoint now);
+    /** @return Share of the newcomers to shed so that they and the promised requests together keep the share. */
+    [[nodiscard]] static double shareOfNewcomers(double share, double promised) noexcept;
 
     core::RandomSource m_random;
     core::ShardedMap<core::ServiceId, Service> m_services;
--- a/src/admission/root_admission.cpp
+++ b/src/admission/root_admission.cpp
@@ -72,20 +72,23 @@
             return m_shares;
         }
     }
-    std::map<Rank, double> demands;
+    std::map<Rank, Demand> demands;
     double sum = 0;
     m_demands.forEach([&](Rank rank, const Demand &demand) {
-        const double requests = decayedRequests(demand, now);
-        if (requests >= MinDemand) {
-            demands.emplace(rank, requests);
-            sum += requests;
+        const Demand current = decayed(demand, now);
+        if (current.requests >= MinDemand) {
+            demands.emplace(rank, current);
+            sum += current.requests;
         }
     });
     std::vector<RankDemand> shares;
     double below = 0;
-    for (const auto &[rank, requests] : demands) {
-        shares.push_back({.rank = rank, .below = below, .own = requests / sum});
-        below += requests / sum;
+    for (const auto &[rank, demand] : demands) {
+        shares.push_back({.rank = rank,
+                          .below = below,
+                          .own = demand.requests / sum,
+                          .promised = demand.promised / demand.requests});
+        below += demand.requests / sum;
     }
     const std::scoped_lock lock(m_sharesMutex);
     m_shares = std::make_shared<const std::vector<RankDemand>>(std::move(shares));
@@ -93,9 +96,27 @@
     return m_shares;
 }
 
-double RootAdmission::decayedRequests(const Demand &demand, core::TimePoint now) noexcept
+RootAdmission::Demand RootAdmission::decayed(const Demand &demand, core::TimePoint now) noexcept
 {
-    return demand.requests * std::exp(-secondsBetween(demand.at, now) / DemandTimeConstantSeconds);
+    const double factor = std::exp(-secondsBetween(demand.at, now) / DemandTimeConstantSeconds);
+    return {.requests = demand.requests * factor, .promised = demand.promised * factor, .at = now};
+}
+
+std::optional<RootAdmission::RankDemand> RootAdmission::demandOf(Rank rank, core::TimePoint now)
+{
+    const auto shares = this->shares(now);
+    const auto place = std::lower_bound(
+        shares->begin(), shares->end(), rank, [](const RankDemand &entry, Rank wanted) { return entry.rank < wanted; });
+    return place == shares->end() || place->rank != rank ? std::nullopt : std::optional(*place);
+}
+
+double RootAdmission::shareOfNewcomers(double share, double promised) noexcept
+{
+    if (promised <= 0) {
+        return share;
+    }
+    const double admitted = std::max(0.0, 1 - share - promised) / std::max(1 - MaxShedShare, 1 - promised);
+    return std::clamp(1 - admitted, share, std::max(share, MaxShedShare));
 }
 
 RootAdmission::Service RootAdmission::withPressure(Service service, double sample, core::TimePoint now) noexcept
@@ -121,7 +142,7 @@
     return std::min(MaxShedShare, 1 - admitted / (1 + ProportionalGain * excess));
 }
 
-bool RootAdmission::admits(const RootClass &root, core::TimePoint now)
+bool RootAdmission::admits(const RootClass &root, core::TimePoint now, bool hasPromise)
 {
     const Rank rank = rankOf(root);
     const double sensitivity = m_routes.update(root.route, [&](std::optional<Route> &route) {
@@ -132,8 +153,10 @@
     });
     m_demands.update(rank, [&](std::optional<Demand> &demand) {
         // Shedding requests that do not reach the bottleneck would not relieve it, so they do not count as demand.
-        const double requests = sensitivity + (demand ? decayedRequests(*demand, now) : 0);
-        demand = Demand{.requests = requests, .at = now};
+        const Demand before = demand ? decayed(*demand, now) : Demand();
+        demand = Demand{.requests = sensitivity + before.requests,
+                        .promised = (hasPromise ? sensitivity : 0) + before.promised,
+                        .at = now};
     });
     const double shedding = m_services.update(root.service, [&](std::optional<Service> &service) {
         if (!service) {
@@ -144,16 +167,25 @@
     if (shedding <= 0 || sensitivity <= 0) {
         return true;
     }
-    const auto shares = this->shares(now);
-    const auto place = std::lower_bound(
-        shares->begin(), shares->end(), rank, [](const RankDemand &entry, Rank wanted) { return entry.rank < wanted; });
-    if (place == shares->end() || place->rank != rank) {
+    const std::optional<RankDemand> demand = demandOf(rank, now);
+    if (!demand || (hasPromise && !demand->isExceededBy(shedding))) {
         return true;
     }
-    const double share = sensitivity * std::clamp((shedding - place->below) / place->own, 0.0, MaxShedShare);
+    const double shareOfRank = std::clamp((shedding - demand->below) / demand->own, 0.0, MaxShedShare);
+    const double share = sensitivity * shareOfNewcomers(shareOfRank, demand->promised);
     return m_random() % RandomSteps >= static_cast<std::uint64_t>(share * static_cast<double>(RandomSteps));
 }
 
+bool RootAdmission::shedsMoreImportant(const RootClass &root, core::TimePoint now)
+{
+    const double shedding = this->shedding(root.service, now);
+    if (shedding <= 0) {
+        return false;
+    }
+    const std::optional<RankDemand> demand = demandOf(rankOf(root), now);
+    return demand && demand->isExceededBy(shedding);
+}
+
 RootAdmission::Route RootAdmission::withResult(Route route, const RootResult &result, core::TimePoint now) noexcept
 {
     const double elapsed = secondsBetween(route.updatedAt, now);
--- a/tests/admission/roots_are_shed_for_a_deep_service.cpp
+++ b/tests/admission/roots_are_shed_for_a_deep_service.cpp
@@ -1,19 +1,13 @@
-#include "berylspring/admission/root_admission.h"
+#include "admission/deep_service.h"
 #include "support/section.h"
 
-#include <algorithm>
-#include <map>
-#include <memory>
 #include <string>
-#include <tuple>
-#include <utility>
-#include <vector>
 
 #include <CppUTest/TestHarness.h>
 
 using namespace berylspring;
-using admission::RootAdmission;
 using admission::RootClass;
+using test::DeepService;
 using test::section;
 
 namespace {
@@ -27,147 +21,6 @@
 const RootClass Arrival{
     .route = core::RouteId("arrival"), .service = core::ServiceId("dispatch"), .level = 6, .routeLevel = 6};
 
-/**
- * @brief Model of a deep service with limited capacity, and of the entry nodes in front of the services that call it.
- *
- * Time advances in steps. Calls beyond the capacity are queued, and responses report the queue time as pressure.
- */
-class DeepService
-{
-public:
-    explicit DeepService(double capacityPerSecond, int entries = 1)
-        : m_capacity(capacityPerSecond)
-    {
-        for (int i = 0; i < entries; ++i) {
-            m_entries.push_back(std::make_unique<RootAdmission>([this] { return random(); }));
-        }
-    }
-
-    void setCapacity(double perSecond)
-    {
-        m_capacity = perSecond;
-    }
-    /** @return Share of the root requests sent since the last call of this function whose calls did not time out. */
-    double succeeded()
-    {
-        const double sent = std::exchange(m_sent, 0);
-        return 1 - std::exchange(m_failed, 0) / sent;
-    }
-
-    /** @brief Sets the rate at which requests of one class arrive, and how often each one calls the deep service. */
-    void offer(const RootClass &root, double perSecond, double calls)
-    {
-        m_offered[root.route.value()] = {root, perSecond, calls, 0};
-    }
-
-    /** @return Share of the requests of each route that were sent, by route. */
-    std::map<std::string, double> run(core::Duration time)
-    {
-        std::map<std::string, double> asked;
-        std::map<std::string, double> sent;
-        for (core::Duration passed{}; passed < time; passed += Step) {
-            m_now += Step;
-            learnEnded();
-            m_backlog = std::max(0.0, m_backlog - m_capacity * seconds(Step));
-            for (auto &[name, offer] : m_offered) {
-                offer.due += offer.perSecond * seconds(Step);
-                for (; offer.due >= 1; offer.due -= 1) {
-                    asked[name] += 1;
-                    sent[name] += send(offer) ? 1 : 0;
-                }
-            }
-        }
-        for (auto &[name, count] : sent) {
-            count /= asked[name];
-        }
-        return sent;
-    }
-
-    /** @brief From now on an entry learns of a queue time only when the root request that observed it has ended. */
-    void delayFeedback()
-    {
-        m_isFeedbackLate = true;
-    }
-    /** @return The longest queue time since the last call of this function. */
-    double longestWaitSeconds()
-    {
-        return std::exchange(m_longestWait, 0);
-    }
-    [[nodiscard]] double waitSeconds() const
-    {
-        return m_backlog / m_capacity;
-    }
-
-private:
-    struct Offer
-    {
-        RootClass root;
-        double perSecond = 0;
-        double calls = 0;
-        double due = 0;
-    };
-    static constexpr core::Duration Step = 5ms;
-    static constexpr double PressureWaitSeconds = 0.040;
-    /** Timeout of a call at the endpoint that makes it. */
-    static constexpr double PatienceSeconds = 0.7;
-
-    static double seconds(core::Duration duration)
-    {
-        return std::chrono::duration<double>(duration).count();
-    }
-
-    std::uint64_t random()
-    {
-        return m_state = m_state * 6364136223846793005ULL + 1442695040888963407ULL;
-    }
-
-    bool send(const Offer &offer)
-    {
-        RootAdmission &entry = *m_entries[(random() >> 32U) % m_entries.size()];
-        if (!entry.admits(offer.root, m_now)) {
-            return false;
-        }
-        // Calls that would wait for longer than their timeout leave the queue.
-        m_backlog = std::min(m_backlog + offer.calls, std::max(m_backlog, 1.02 * m_capacity * PatienceSeconds));
-        const double wait = waitSeconds();
-        const double latency = 0.200 + (offer.calls > 0 ? wait : 0);
-        m_longestWait = std::max(m_longestWait, wait);
-        m_sent += 1;
-        m_failed += wait > PatienceSeconds ? 1 : 0;
-        const auto duration = std::chrono::duration_cast<core::Duration>(std::chrono::duration<double>(latency));
-        m_running.emplace(m_now + (m_isFeedbackLate ? duration : core::Duration::zero()),
-                          std::tuple(&entry,
-                                     offer.root,
-                                     admission::RootResult{.pressure = wait / PressureWaitSeconds,
-                                                           .latency = duration,
-                                                           .isFailed = wait > PatienceSeconds}));
-        return true;
-    }
-
-    /** Passes the results of root requests that have ended to their entry nodes. */
-    void learnEnded()
-    {
-        while (!m_running.empty() && m_running.begin()->first <= m_now) {
-            const auto &[entry, root, result] = m_running.begin()->second;
-            entry->recordResult(root, result, m_now);
-            m_running.erase(m_running.begin());
-        }
-    }
-
-    double m_capacity;
-    double m_backlog = 0; ///< Calls queued at the deep service.
-    std::map<std::string, Offer> m_offered;
-    std::multimap<core::TimePoint, std::tuple<RootAdmission *, RootClass, admission::RootResult>>
-        m_running; ///< By the time at which they end.
-    bool m_isFeedbackLate = false;
-    double m_longestWait = 0;
-    double m_sent = 0;
-    double m_failed = 0;
-    std::uint64_t m_state = 1;
-    std::vector<std::unique_ptr<RootAdmission>> m_entries;
-    core::TimePoint m_now{1h};
-};
-
 /** Offers nine classes of requests through three first services; a factor of 1 makes 1125 calls per second. */
 void offerNineKinds(DeepService &deep, double factor)
 {
