Use the times to return at the entry, with the setting admission.return_times

It gives times to requests that RootAdmission sheds and to those that are refused as Overloaded further on. With `auto`, the default, they are in use for 10 s after each response with a reported pace; otherwise, and with `off`, the constant times apply and no state is kept. New metrics: berylspring_returns_promised, _admitted, _late; new fields of `request refused`: retry_after_ms, is_promised.

The hold of 10 s bridges the time in which nearly all requests are shed and only one in fifty gets a response. The digest of a request is computed only when it is refused or while its first service has promises.

--- a/include/berylspring/node/entry.h
+++ b/include/berylspring/node/entry.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "berylspring/admission/root_admission.h"
 #include "berylspring/config/catalogue.h"
 #include "berylspring/core/sharded_map.h"
 #include "berylspring/core/time.h"
@@ -8,6 +7,7 @@
 #include "berylspring/node/call_plan.h"
 #include "berylspring/node/call_time.h"
 #include "berylspring/node/in_flight_table.h"
+#include "berylspring/node/root_control.h"
 #include "berylspring/node/stop_schedule.h"
 #include "berylspring/routing/weighted_splitter.h"
 #include "berylspring/telemetry/metrics.h"
@@ -43,7 +43,7 @@
 struct EntrySettings
 {
     double sampleRatio = 0; ///< Fraction of new traces that is sampled, 0 to 1.
-    bool areControlsOn = true; ///< False: the entry sheds no request.
+    RootControlSettings roots;
     core::Duration denialStaleness{}; ///< See PlanContext.
 };
 
@@ -55,29 +55,35 @@
 
     /** @return The endpoint's response, or a refusal. */
     [[nodiscard]] boost::asio::awaitable<wire::CallResponse> call(http::CallerRequest request);
-    /** @return Fraction of the demand that this node sheds, 0 to 1; the highest over all services. */
-    [[nodiscard]] double shedding(core::TimePoint now) const
+    [[nodiscard]] const RootControl &rootControl() const noexcept
     {
-        return m_rootAdmission.highestShedding(now);
+        return m_rootControl;
     }
 
 private:
+    /** @brief What the log line and the metrics of a request name besides its response. */
+    struct Summary
+    {
+        core::PriorityLevel priority = 0;
+        bool isPromised = false; ///< The refusal names a time at which room is reserved.
+    };
+
     [[nodiscard]] boost::asio::awaitable<wire::CallResponse>
-    run(http::CallerRequest request, telemetry::TraceContext trace, core::PriorityLevel &priority);
-    [[nodiscard]] boost::asio::awaitable<tl::expected<void, core::Refusal>> admit(CallPlan plan);
+    run(http::CallerRequest request, telemetry::TraceContext trace, Summary &summary);
+    [[nodiscard]] boost::asio::awaitable<tl::expected<void, core::Refusal>>
+    admit(const http::CallerRequest &request, const CallPlan &plan, Summary &summary);
     /** @return The plan within the time that a graceful stop leaves, or a refusal. */
     [[nodiscard]] tl::expected<CallPlan, core::Refusal> planWithinStop(const CallPlan &plan, core::TimePoint now) const;
     /** @return Time that few calls of the route exceed; the timeout if none has ended yet. */
     [[nodiscard]] core::Duration expectedNestedTime(const CallPlan &plan) const;
     void recordNestedTime(const CallPlan &plan, const wire::CallResponse &response, core::Duration time);
-    void recordRootResult(const CallPlan &plan, const wire::CallResponse &response, core::Duration latency);
     [[nodiscard]] boost::asio::awaitable<wire::CallResponse>
     forward(wire::CallRequest call, http::CallerRequest request, CallPlan plan);
     [[nodiscard]] tl::expected<CallPlan, core::Refusal> plan(const http::CallerRequest &request, core::TimePoint now);
     [[nodiscard]] telemetry::TraceContext traceOf(const http::CallerRequest &request) const;
     void finish(const http::CallerRequest &request,
                 const wire::CallResponse &response,
-                core::PriorityLevel priority,
+                const Summary &summary,
                 core::Duration time);
 
     InFlightTable &m_inFlight;
@@ -85,7 +91,7 @@
     EntrySettings m_settings;
     EntryHooks m_hooks;
     routing::WeightedSplitter m_splitter;
-    admission::RootAdmission m_rootAdmission;
+    RootControl m_rootControl;
     core::ShardedMap<core::RouteId, CallTime> m_nestedTimes;
 };
 
--- /dev/null
+++ b/include/berylspring/node/root_control.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "berylspring/admission/return_schedule.h"
+#include "berylspring/admission/root_admission.h"
+#include "berylspring/core/refusal.h"
+#include "berylspring/core/time.h"
+#include "berylspring/core/types.h"
+#include "berylspring/http/caller_request.h"
+#include "berylspring/node/call_plan.h"
+#include "berylspring/node/return_times.h"
+#include "berylspring/wire/messages.h"
+
+#include <atomic>
+#include <compare>
+#include <cstdint>
+#include <optional>
+
+namespace berylspring::node {
+
+struct RootControlSettings
+{
+    bool areControlsOn = true; ///< False: no request is shed.
+    ReturnTimes returnTimes = ReturnTimes::Auto;
+    [[nodiscard]] bool operator==(const RootControlSettings &) const = default;
+};
+
+/** @brief A refusal and whether the caller has a promise for the time to return that it names. */
+struct RootRefusal
+{
+    core::Refusal refusal;
+    bool isPromised = false;
+    [[nodiscard]] bool operator==(const RootRefusal &) const = default;
+};
+
+/** @brief Numbers of promised returns since the start of the process. */
+struct RootReturns
+{
+    std::uint64_t promised = 0;
+    std::uint64_t admitted = 0; ///< Admitted at the promised time.
+    std::uint64_t late = 0; ///< See admission::ReturnTotals.
+    [[nodiscard]] bool operator==(const RootReturns &) const = default;
+};
+
+/**
+ * @brief Sheds root requests at the entry and gives refused ones a time to return. Thread-safe; does no I/O.
+ *
+ * With return times off, refusals name constant times, and no state of returns is kept.
+ */
+class RootControl
+{
+public:
+    RootControl(RootControlSettings settings, core::RandomSource random);
+
+    /** @return Nothing if the request may be sent, else its refusal. */
+    [[nodiscard]] std::optional<RootRefusal>
+    admit(const http::CallerRequest &request, const CallPlan &plan, core::TimePoint now);
+    /**
+     * @param refusal The refusal that the request got after it was admitted here.
+     * @param remaining Time that the caller has left.
+     * @return The refusal, with a time to return from the schedule if it is an overload.
+     */
+    [[nodiscard]] RootRefusal withReturnTime(const core::Refusal &refusal,
+                                             const http::CallerRequest &request,
+                                             const CallPlan &plan,
+                                             core::Duration remaining,
+                                             core::TimePoint now);
+    void
+    recordResult(const CallPlan &plan, const wire::CallResponse &response, core::Duration latency, core::TimePoint now);
+    /** @brief Notes whether the response, of any call of this node, shows that endpoints report their pace. */
+    void recordPace(const wire::CallResponse &response, core::TimePoint now);
+
+    /** @return Share of the demand that this node sheds, 0 to 1; the highest over all services. */
+    [[nodiscard]] double shedding(core::TimePoint now) const
+    {
+        return m_rootAdmission.highestShedding(now);
+    }
+    [[nodiscard]] RootReturns returns() const;
+
+private:
+    [[nodiscard]] bool hasReturnTimes(core::TimePoint now) const;
+
+    RootControlSettings m_settings;
+    core::RandomSource m_random;
+    admission::RootAdmission m_rootAdmission;
+    admission::ReturnSchedule m_schedule;
+    std::atomic<core::TimePoint> m_paceHoldsUntil{core::TimePoint::min()};
+    std::atomic<std::uint64_t> m_returnsAdmitted{0};
+};
+
+}
--- a/include/berylspring/node/settings.h
+++ b/include/berylspring/node/settings.h
@@ -6,6 +6,7 @@
 #include "berylspring/core/time.h"
 #include "berylspring/node/deployment_bounds.h"
 #include "berylspring/node/error.h"
+#include "berylspring/node/return_times.h"
 #include "berylspring/telemetry/log.h"
 
 #include <cstdint>
@@ -64,6 +65,7 @@
 
     telemetry::Severity logLevel = telemetry::Severity::Info;
     bool isFirstStart = false; ///< Initial start of the whole fleet.
+    ReturnTimes returnTimes = ReturnTimes::Auto;
     bool areControlsOn = true; ///< False: no limits, queues, shedding or retry budgets, for comparison runs.
     [[nodiscard]] bool operator==(const SettingsFields &) const = default;
 };
--- a/src/node/entry.cpp
+++ b/src/node/entry.cpp
@@ -43,25 +43,12 @@
     return cannotHaveEarlierSend ? refusal : refusal.withOutcome(Outcome::Unknown);
 }
 
-admission::RootClass rootClassOf(const CallPlan &plan)
-{
-    return {.route = plan->route, .service = plan->service, .level = plan->priority, .routeLevel = plan->routeLevel};
-}
-
-bool isServerError(std::uint16_t status) noexcept
-{
-    constexpr std::uint16_t FirstServerError = 500;
-    return status >= FirstServerError;
-}
-
 /** Adds jitter of up to the base, so that callers refused at the same time do not retry at the same time. */
 core::Duration withJitter(core::Duration base, std::uint64_t random)
 {
     return base + core::Duration(static_cast<core::Duration::rep>(random % static_cast<std::uint64_t>(base.count())));
 }
 
-/** Time after which the entry may admit a request again that it has shed. */
-constexpr core::Duration ShedRetryAfter = std::chrono::milliseconds(700);
 /** Time in which a caller finds another node after this one refused a request because it stops. */
 constexpr core::Duration StoppingRetryAfter = std::chrono::milliseconds(50);
 
@@ -113,7 +100,7 @@
     , m_metrics(metrics)
     , m_settings(settings)
     , m_hooks(std::move(hooks))
-    , m_rootAdmission(m_hooks.random)
+    , m_rootControl(m_settings.roots, m_hooks.random)
 {
 }
 
@@ -122,9 +109,9 @@
     const core::TimePoint startedAt = m_hooks.now();
     const core::WallTime start = std::chrono::system_clock::now();
     const telemetry::TraceContext trace = traceOf(request);
-    core::PriorityLevel priority = 0;
-    const wire::CallResponse response = co_await run(request, trace, priority);
-    finish(request, response, priority, m_hooks.now() - startedAt);
+    Summary summary;
+    const wire::CallResponse response = co_await run(request, trace, summary);
+    finish(request, response, summary, m_hooks.now() - startedAt);
     if (trace.isSampled()) {
         const auto parent = telemetry::TraceContext::fromTraceParent(request->traceParent);
         m_hooks.spans(telemetry::Span({.context = trace,
@@ -139,7 +126,7 @@
 }
 
 asio::awaitable<wire::CallResponse>
-Entry::run(http::CallerRequest request, telemetry::TraceContext trace, core::PriorityLevel &priority)
+Entry::run(http::CallerRequest request, telemetry::TraceContext trace, Summary &summary)
 {
     const core::TimePoint startedAt = m_hooks.now();
     const auto unlimited = this->plan(request, startedAt);
@@ -147,13 +134,13 @@
         const bool isKeyWithdrawn = request->key && m_hooks.isKeyWithdrawn(core::sha256(*request->key));
         co_return refused(refusalWithoutPlan(unlimited.error(), request, isKeyWithdrawn));
     }
-    priority = (*unlimited)->priority;
+    summary.priority = (*unlimited)->priority;
     const auto plan = planWithinStop(*unlimited, startedAt);
     if (!plan) {
         co_return refused(refusalBeforeHome(plan.error(), request, *unlimited));
     }
     if (!(*plan)->isNested) {
-        const auto admitted = co_await admit(*plan);
+        const auto admitted = co_await admit(request, *plan, summary);
         if (!admitted) {
             co_return refused(refusalBeforeHome(admitted.error(), request, *plan));
         }
@@ -178,14 +165,21 @@
                                   .answerGrace = (*plan)->answerGrace});
     const core::TimePoint sentAt = m_hooks.now();
     const wire::CallResponse response = co_await forward(call, request, *plan);
-    const core::Duration time = m_hooks.now() - sentAt;
+    const core::TimePoint endedAt = m_hooks.now();
+    allowance.setSpent(response->retriesSpent);
+    m_rootControl.recordPace(response, endedAt);
     if ((*plan)->isNested) {
-        recordNestedTime(*plan, response, time);
-    } else {
-        recordRootResult(*plan, response, time);
+        recordNestedTime(*plan, response, endedAt - sentAt);
+        co_return response;
     }
-    allowance.setSpent(response->retriesSpent);
-    co_return response;
+    m_rootControl.recordResult(*plan, response, endedAt - sentAt, endedAt);
+    if (!response->refusal) {
+        co_return response;
+    }
+    const core::Duration left = (*plan)->timeout - (endedAt - startedAt);
+    const RootRefusal refusal = m_rootControl.withReturnTime(*response->refusal, request, *plan, left, endedAt);
+    summary.isPromised = refusal.isPromised;
+    co_return response.with(&wire::CallResponseFields::refusal, refusal.refusal);
 }
 
 tl::expected<CallPlan, Refusal> Entry::planWithinStop(const CallPlan &plan, core::TimePoint now) const
@@ -223,12 +217,14 @@
     }
 }
 
-asio::awaitable<tl::expected<void, Refusal>> Entry::admit(CallPlan plan)
+asio::awaitable<tl::expected<void, Refusal>>
+Entry::admit(const http::CallerRequest &request, const CallPlan &plan, Summary &summary)
 {
     // Checked before the rate limit, so that a shed request uses no token of its workspace.
-    if (m_settings.areControlsOn && !m_rootAdmission.admits(rootClassOf(plan), m_hooks.now())) {
-        const Refusal refusal(RefusalReason::Overloaded, Outcome::NotRun, "a service behind the route is overloaded");
-        co_return tl::unexpected(refusal.withRetryAfter(withJitter(ShedRetryAfter, m_hooks.random())));
+    const std::optional<RootRefusal> shed = m_rootControl.admit(request, plan, m_hooks.now());
+    if (shed) {
+        summary.isPromised = shed->isPromised;
+        co_return tl::unexpected(shed->refusal);
     }
     if (plan->workspace.isEmpty()) {
         co_return tl::expected<void, Refusal>();
@@ -236,16 +232,6 @@
     co_return co_await m_hooks.admit(plan->workspace);
 }
 
-void Entry::recordRootResult(const CallPlan &plan, const wire::CallResponse &response, core::Duration latency)
-{
-    admission::RootResult result{.latency = latency,
-                                 .isFailed = response->refusal.has_value() || isServerError(response->status)};
-    if (!response->refusal || response->pressure > 0) {
-        result.pressure = response->pressure;
-    }
-    m_rootAdmission.recordResult(rootClassOf(plan), result, m_hooks.now());
-}
-
 asio::awaitable<wire::CallResponse> Entry::forward(wire::CallRequest call, http::CallerRequest request, CallPlan plan)
 {
     // Without an idempotency key there is no other send to deduplicate against, so the request is dispatched directly.
@@ -285,29 +271,32 @@
 
 void Entry::finish(const http::CallerRequest &request,
                    const wire::CallResponse &response,
-                   core::PriorityLevel priority,
+                   const Summary &summary,
                    core::Duration time)
 {
     m_metrics.observe(telemetry::Hop::Entry, time);
     if (response->refusal) {
         const Refusal &refusal = *response->refusal;
-        m_metrics.countRequest(refusal.outcome(), refusal.reason(), priority);
+        m_metrics.countRequest(refusal.outcome(), refusal.reason(), summary.priority);
         const std::shared_ptr<const config::Catalogue> catalogue = m_hooks.catalogue();
         const auto offset = catalogue ? static_cast<std::int64_t>(catalogue->appliedOffset()) : std::int64_t{0};
-        telemetry::logRequestEvent("request refused",
-                                   {{"request", request->requestId},
-                                    {"target", request->target},
-                                    {"outcome", std::string(core::toString(refusal.outcome()))},
-                                    {"reason", std::string(core::toString(refusal.reason()))},
-                                    {"detail", refusal.detail()},
-                                    {"priority", std::int64_t{priority}},
-                                    {"configuration_offset", offset},
-                                    {"configuration_age_ms", milliseconds(m_hooks.configurationAge())},
-                                    {"retries", std::int64_t{response->retriesSpent}},
-                                    {"ms", milliseconds(time)}},
-                                   m_hooks.now());
+        telemetry::logRequestEvent(
+            "request refused",
+            {{"request", request->requestId},
+             {"target", request->target},
+             {"outcome", std::string(core::toString(refusal.outcome()))},
+             {"reason", std::string(core::toString(refusal.reason()))},
+             {"detail", refusal.detail()},
+             {"priority", std::int64_t{summary.priority}},
+             {"retry_after_ms", milliseconds(refusal.retryAfter().value_or(core::Duration::zero()))},
+             {"is_promised", summary.isPromised},
+             {"configuration_offset", offset},
+             {"configuration_age_ms", milliseconds(m_hooks.configurationAge())},
+             {"retries", std::int64_t{response->retriesSpent}},
+             {"ms", milliseconds(time)}},
+            m_hooks.now());
     } else {
-        m_metrics.countRequest(Outcome::Answered, std::nullopt, priority);
+        m_metrics.countRequest(Outcome::Answered, std::nullopt, summary.priority);
     }
 }
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -121,7 +121,7 @@
     , m_entry(m_inFlight,
               m_metrics,
               {.sampleRatio = m_settings->sampleRatio,
-               .areControlsOn = m_settings->areControlsOn,
+               .roots = {.areControlsOn = m_settings->areControlsOn, .returnTimes = m_settings->returnTimes},
                .denialStaleness = m_settings->denialStaleness},
               entryHooks())
     , m_operatorApi(operatorHooks())
@@ -306,7 +306,11 @@
     const limit::LimitCounters limits = m_limits.counters();
     const wire::PeerPoolCounters peers = m_peers.counters();
     const auto add = [&](const char *name, auto value) { samples.push_back({name, static_cast<double>(value), {}}); };
-    add("berylspring_roots_shed_share", m_entry.shedding(now()));
+    const RootReturns returns = m_entry.rootControl().returns();
+    add("berylspring_roots_shed_share", m_entry.rootControl().shedding(now()));
+    add("berylspring_returns_promised", returns.promised);
+    add("berylspring_returns_admitted", returns.admitted);
+    add("berylspring_returns_late", returns.late);
     add("berylspring_nested_pressure", m_dispatcher.nestedPressure(now()));
     add("berylspring_limit_admitted", limits.admitted);
     add("berylspring_limit_held", limits.held);
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -362,6 +362,19 @@
     }
 }
 
+ReturnTimes readReturnTimes(SettingsReader &reader)
+{
+    const std::string name = "admission.return_times";
+    const std::string value = reader.text(name, "auto");
+    if (value != "auto" && value != "on" && value != "off") {
+        reject(name, value, "auto, on or off");
+    }
+    if (value == "auto") {
+        return ReturnTimes::Auto;
+    }
+    return value == "on" ? ReturnTimes::On : ReturnTimes::Off;
+}
+
 /** @brief Reports a time that is not below the bound that it has to keep. */
 void checkBelow(const std::string &name,
                 core::Duration time,
@@ -422,6 +435,7 @@
         readFleet(reader, fields);
         readPlatform(reader, fields);
         readLimits(reader, fields);
+        fields.returnTimes = readReturnTimes(reader);
         readTelemetry(reader, fields);
         reader.rejectUnknown();
         checkBounds(fields);
--- a/tests/node/settings_that_are_checked.cpp
+++ b/tests/node/settings_that_are_checked.cpp
@@ -43,6 +43,8 @@
             [] { checkRefused(Minimal + "[ports]\ncaller=70000\n", "ports.caller = \"70000\""); });
     section("a value that is not a number",
             [] { checkRefused(Minimal + "[limits]\nmax_hold_ms=soon\n", "limits.max_hold_ms"); });
+    section("a mode that does not exist",
+            [] { checkRefused(Minimal + "[admission]\nreturn_times=yes\n", "admission.return_times = \"yes\""); });
     section("an unknown name", [] { checkRefused(Minimal + "[ports]\ncallers=1\n", "unknown setting ports.callers"); });
     section("an unknown section", [] { checkRefused(Minimal + "[port]\ncaller=1\n", "unknown setting port.caller"); });
     section("a missing host", [] { checkRefused("[fleet]\ndata_centres=a\n", "node.host"); });
