Bound the first retry budgets over the fleet

Each node starts with 10 retries for each service, so that a restart of n nodes renews 10 n at once, 3000 at 300 nodes.

With the new setting bounds.retry_excess_requests, half of the tolerated excess is divided among the live nodes: it is the first budget of a service and the most that a budget holds, but at least one token, since a smaller budget could never be used and ten successes must still earn a retry. A node that does not know the other hosts of its data centre yet has no first budget. Without the setting, the budgets are as before. deploy/node.ini.template is unchanged.

Left open: after the restart, n nodes may hold up to one earned token each and spend them in one window. A bound on that too would need fractions of a retry to be drawn at random, or an owner of the budget for each service.

--- a/include/berylspring/node/deployment_bounds.h
+++ b/include/berylspring/node/deployment_bounds.h
@@ -21,6 +21,8 @@
     std::optional<double> coldExcess;
     std::optional<std::uint32_t> coldSlack;
     std::optional<core::Duration> evacuation; ///< From the request to evacuate until nothing more is sent.
+    /** Retries to a service beyond a tenth of its successes that the deployment tolerates when nodes restart. */
+    std::optional<std::uint32_t> retryExcess;
     [[nodiscard]] bool operator==(const DeploymentBoundsFields &) const = default;
 };
 using DeploymentBounds = core::Immutable<DeploymentBoundsFields>;
--- a/include/berylspring/node/dispatcher.h
+++ b/include/berylspring/node/dispatcher.h
@@ -30,6 +30,7 @@
     std::function<core::TimePoint()> now;
     core::RandomSource random;
     std::function<void()> retried; ///< Called for each retry, to count it.
+    std::function<retry::BudgetBounds()> retryBounds; ///< Null: the default bounds of retry budgets.
     telemetry::SpanSink spans; ///< Receives one span for each attempt of a sampled trace.
 };
 
--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -100,6 +100,7 @@
     , m_areControlsOn(areControlsOn)
     , m_hooks(std::move(hooks))
     , m_router({.random = m_hooks.random})
+    , m_budgets(m_hooks.retryBounds)
     , m_backoff(InitialBackoff, MaxBackoff)
     , m_shedding(m_hooks.random)
 {
--- a/src/node/node_hooks.cpp
+++ b/src/node/node_hooks.cpp
@@ -251,6 +251,12 @@
     hooks.now = now;
     hooks.random = m_random;
     hooks.retried = [this] { m_metrics.countRetry(); };
+    if (const auto excess = m_settings->bounds->retryExcess) {
+        hooks.retryBounds = [this, excess] {
+            const bool knowsFleet = knowsDataCentre(joinProgress(), now());
+            return retry::budgetBounds(excess, knowsFleet ? m_membership->snapshot()->liveMembers().size() : 0);
+        };
+    }
     hooks.spans = spanSink();
     return hooks;
 }
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -261,7 +261,8 @@
                              .limitExcess = reader.optionalNumber("bounds.limit_excess_requests", 0, MaxLimitExcess),
                              .coldExcess = reader.optionalFactor("bounds.cold_excess", 1, MaxColdExcess),
                              .coldSlack = reader.optionalNumber("bounds.cold_slack_requests", 0, MaxLimitExcess),
-                             .evacuation = reader.bound("bounds.evacuate_ms", 100, MaxBoundMs)});
+                             .evacuation = reader.bound("bounds.evacuate_ms", 100, MaxBoundMs),
+                             .retryExcess = reader.optionalNumber("bounds.retry_excess_requests", 0, MaxLimitExcess)});
 }
 
 void readNode(SettingsReader &reader, SettingsFields &fields)
