--- a/include/berylspring/node/deployment_bounds.h
+++ b/include/berylspring/node/deployment_bounds.h
@@ -20,6 +20,8 @@
     /** Factor of the rate of a cold endpoint that the deployment tolerates in any second, plus coldSlack requests. */
     std::optional<double> coldExcess;
     std::optional<std::uint32_t> coldSlack;
+    /** Retries to a service beyond a tenth of its successes that the deployment tolerates when nodes restart. */
+    std::optional<std::uint32_t> retryExcess;
     [[nodiscard]] bool operator==(const DeploymentBoundsFields &) const = default;
 };
 using DeploymentBounds = core::Immutable<DeploymentBoundsFields>;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -124,7 +124,7 @@
     , m_entry(m_inFlight,
               m_metrics,
               {.sampleRatio = m_settings->sampleRatio,
-               .areControlsOn = m_settings->areControlsOn,
+               .roots = {.areControlsOn = m_settings->areControlsOn, .returnTimes = m_settings->returnTimes},
                .denialStaleness = m_settings->denialStaleness},
               entryHooks())
     , m_operatorApi(operatorHooks())
@@ -310,7 +310,11 @@
     const wire::PeerPoolCounters peers = m_peers.counters();
     const auto add = [&](const char *name, auto value) { samples.push_back({name, static_cast<double>(value), {}}); };
     add("berylspring_endpoint_cold", m_endpoint.coldLimit().reason(now()) ? 1 : 0);
-    add("berylspring_roots_shed_share", m_entry.shedding(now()));
+    const RootReturns returns = m_entry.rootControl().returns();
+    add("berylspring_roots_shed_share", m_entry.rootControl().shedding(now()));
+    add("berylspring_returns_promised", returns.promised);
+    add("berylspring_returns_admitted", returns.admitted);
+    add("berylspring_returns_late", returns.late);
     add("berylspring_nested_pressure", m_dispatcher.nestedPressure(now()));
     add("berylspring_limit_admitted", limits.admitted);
     add("berylspring_limit_held", limits.held);
