Rank endpoints by expected time where costs are known

Requests that look alike need different amounts of work, and endpoints of one service differ in speed by a factor of 2.5.

The router learns costs by route and method, the slowness of each endpoint and its outstanding work, and under the policy Cost (or Auto while a pace is reported) takes the least expected time among a few endpoints drawn at random. score(), rank() and the draws of the load policy are unchanged.

Slowness is averaged as a logarithm with clipped samples, because an average of plain ratios moves too far with one request of five times the mean. A reported pace is weighted by the slope of observed times over it, so that a stuck or false report loses its effect.

--- a/include/berylspring/routing/endpoint_traffic.h
+++ b/include/berylspring/routing/endpoint_traffic.h
@@ -2,6 +2,7 @@
 
 #include "berylspring/core/time.h"
 #include "berylspring/routing/ejection.h"
+#include "berylspring/routing/endpoint_work.h"
 
 #include <compare>
 #include <cstdint>
@@ -28,6 +29,7 @@
                                                core::Duration latency,
                                                std::uint32_t reportedLoad,
                                                core::TimePoint now) const noexcept;
+    [[nodiscard]] EndpointTraffic withWork(const EndpointWork &work) const noexcept;
 
     /** @return Requests in flight from this node to the endpoint. */
     [[nodiscard]] std::uint32_t inFlight() const noexcept
@@ -53,6 +55,12 @@
         return m_ejection;
     }
 
+    /** @return Slowness and outstanding work. */
+    [[nodiscard]] const EndpointWork &work() const noexcept
+    {
+        return m_work;
+    }
+
     [[nodiscard]] bool operator==(const EndpointTraffic &) const = default;
 
 private:
@@ -61,6 +69,7 @@
     core::TimePoint m_reportedAt;
     core::Duration m_latency{};
     Ejection m_ejection;
+    EndpointWork m_work;
 };
 
 }
--- a/include/berylspring/routing/ranking.h
+++ b/include/berylspring/routing/ranking.h
@@ -4,6 +4,7 @@
 #include "berylspring/core/time.h"
 #include "berylspring/routing/candidate.h"
 #include "berylspring/routing/routing_request.h"
+#include "berylspring/routing/service_work.h"
 
 #include <chrono>
 #include <compare>
@@ -19,6 +20,11 @@
     core::Duration reportHalfLife = std::chrono::milliseconds(250);
     /** Time over which a new or returning endpoint reaches its full weight. */
     core::Duration slowStart = std::chrono::seconds(5);
+    RoutingPolicy policy = RoutingPolicy::Auto;
+    /** Endpoints of a data centre that are drawn at random and compared when requests are routed by cost. */
+    std::uint32_t comparedByCost = 4;
+    /** Largest random addition to an expected time, as a share of it; 0: none. For comparisons in models. */
+    double jitter = 0;
     [[nodiscard]] bool operator==(const RouterSettings &) const = default;
 };
 
@@ -38,18 +44,23 @@
  */
 [[nodiscard]] double score(const Candidate &candidate, const RouterSettings &settings, core::TimePoint now);
 
+/** @return Weight of an endpoint that is new or returns from an ejection, above 0 and up to 1. */
+[[nodiscard]] double slowStartWeight(const Candidate &candidate, const RouterSettings &settings, core::TimePoint now);
+
 /**
  * @brief Second step of routing: the better of two randomly chosen eligible endpoints (power of two choices).
  *
  * Endpoints in the data centre of this node are preferred. Remote ones are considered if no local one is eligible, or
  * if all local ones are full; then a remote one must be better by RoutingRequest::remoteCost.
  * @param eligible Result of checkEligibility(); may be empty.
+ * @param work Costs of the service if requests are routed by cost, see leastExpectedTime(); otherwise null.
  * @return The chosen candidate, or null if there is none.
  */
 [[nodiscard]] const Candidate *rank(std::span<const Candidate> eligible,
                                     const RoutingRequest &request,
                                     const RandomPair &random,
                                     const RouterSettings &settings,
-                                    core::TimePoint now);
+                                    core::TimePoint now,
+                                    const ServiceWork *work = nullptr);
 
 }
--- a/include/berylspring/routing/router.h
+++ b/include/berylspring/routing/router.h
@@ -15,6 +15,7 @@
 #include <mutex>
 #include <span>
 #include <unordered_map>
+#include <vector>
 
 namespace berylspring::routing {
 
@@ -22,6 +23,20 @@
 struct RouterHooks
 {
     core::RandomSource random;
+    /** Reports that requests of a service are routed by cost from now on, or no longer. Optional. */
+    std::function<void(const core::ServiceId &, bool isByCost)> policyChanged;
+};
+
+/** @brief Learned figures of one endpoint, for metrics. */
+struct EndpointWorkState
+{
+    core::ServiceId service;
+    core::HostId host;
+    double cost = 0; ///< Mean cost of the requests of the service in seconds.
+    double slowness = 1;
+    double outstanding = 0; ///< Seconds at slowness 1.
+    std::uint64_t chosen = 0; ///< Requests that this node has sent to the endpoint.
+    [[nodiscard]] bool operator==(const EndpointWorkState &) const = default;
 };
 
 /**
@@ -40,21 +55,31 @@
      */
     [[nodiscard]] RoutingDecision
     choose(const RoutingRequest &request, std::span<const EndpointView> endpoints, core::TimePoint now);
-    /** @brief Records that a request was sent to the endpoint. */
-    void started(const core::ServiceId &service, const core::HostId &host, core::TimePoint now);
+    /**
+     * @brief Records that a request was sent to the endpoint.
+     * @return Its expected cost in seconds, for WorkReport::expectedCost.
+     */
+    double started(const core::ServiceId &service,
+                   const core::HostId &host,
+                   core::TimePoint now,
+                   CostClass costClass = CostClass::None);
     /**
      * @brief Records that the request has ended.
      * @param latency Time since started().
      * @param inFlight Requests running on the endpoint, as reported by its response.
+     * @param report What the response tells about the endpoint's work.
      */
     void finished(const core::ServiceId &service,
                   const core::HostId &host,
                   RoutingResult result,
                   core::Duration latency,
                   std::uint32_t inFlight,
-                  core::TimePoint now);
+                  core::TimePoint now,
+                  const WorkReport &report = {});
     /** @return Traffic statistics of the endpoint; empty if it is not known. */
     [[nodiscard]] EndpointTraffic traffic(const core::ServiceId &service, const core::HostId &host) const;
+    /** @return The endpoints of the services whose requests are routed by cost. */
+    [[nodiscard]] std::vector<EndpointWorkState> workStates(core::TimePoint now) const;
     /** @brief Removes the statistics of an endpoint that has left permanently, unless requests are in flight. */
     void forget(const core::ServiceId &service, const core::HostId &host);
 
@@ -62,10 +87,16 @@
     static constexpr std::size_t ShardCount = 16;
     using TrafficByHost = std::unordered_map<core::HostId, EndpointTraffic>;
 
+    struct ServiceState
+    {
+        ServiceWork work;
+        bool wasByCost = false; ///< At the last decision.
+    };
     struct Shard
     {
         mutable std::mutex mutex;
         std::unordered_map<core::ServiceId, TrafficByHost> services;
+        std::unordered_map<core::ServiceId, ServiceState> works;
     };
 
     [[nodiscard]] Shard &shardOf(const core::ServiceId &service) noexcept;
--- a/include/berylspring/routing/routing_request.h
+++ b/include/berylspring/routing/routing_request.h
@@ -2,6 +2,7 @@
 
 #include "berylspring/core/name.h"
 #include "berylspring/core/types.h"
+#include "berylspring/routing/cost_table.h"
 
 #include <compare>
 #include <cstdint>
@@ -23,6 +24,7 @@
      */
     double remoteCost = 3;
     std::vector<core::HostId> excludedHosts; ///< For example the hosts that earlier attempts were sent to.
+    CostClass costClass = CostClass::None;
     [[nodiscard]] bool operator==(const RoutingRequest &) const = default;
 };
 
--- a/src/routing/endpoint_traffic.cpp
+++ b/src/routing/endpoint_traffic.cpp
@@ -37,4 +37,11 @@
     return next;
 }
 
+EndpointTraffic EndpointTraffic::withWork(const EndpointWork &work) const noexcept
+{
+    EndpointTraffic next = *this;
+    next.m_work = work;
+    return next;
+}
+
 }
--- /dev/null
+++ b/src/routing/expected_time.cpp
@@ -0,0 +1,85 @@
+#include "berylspring/routing/expected_time.h"
+
+#include <algorithm>
+#include <limits>
+#include <random>
+#include <utility>
+#include <vector>
+
+namespace berylspring::routing {
+
+namespace {
+
+struct TimedCandidate
+{
+    const Candidate *candidate = nullptr;
+    double seconds = std::numeric_limits<double>::infinity();
+};
+
+/** Draws candidates without replacement and returns the one with the least time. Reorders the pool. */
+TimedCandidate bestOfDrawn(std::vector<const Candidate *> &pool,
+                           std::uint64_t seed,
+                           double cost,
+                           const ServiceWork &work,
+                           const RouterSettings &settings,
+                           core::TimePoint now)
+{
+    std::minstd_rand random(static_cast<std::minstd_rand::result_type>(seed % std::minstd_rand::modulus));
+    std::uniform_real_distribution<double> jitter(1, 1 + settings.jitter);
+    TimedCandidate best;
+    const std::size_t count = std::min<std::size_t>(settings.comparedByCost, pool.size());
+    for (std::size_t i = 0; i < count; ++i) {
+        std::swap(pool[i], pool[std::uniform_int_distribution<std::size_t>(i, pool.size() - 1)(random)]);
+        double seconds = expectedTime(*pool[i], cost, work, settings, now);
+        if (settings.jitter > 0) {
+            seconds *= jitter(random);
+        }
+        if (best.candidate == nullptr || seconds < best.seconds) {
+            best = {pool[i], seconds};
+        }
+    }
+    return best;
+}
+
+}
+
+double expectedTime(const Candidate &candidate,
+                    double cost,
+                    const ServiceWork &work,
+                    const RouterSettings &settings,
+                    core::TimePoint now)
+{
+    const EndpointView &view = *candidate.view;
+    const EndpointWork endpoint = candidate.traffic != nullptr ? candidate.traffic->work() : EndpointWork();
+    const double slowness = work.slowness(endpoint, now, settings.reportHalfLife);
+    // The membership's view is the only report on an endpoint that this node has not used for some time.
+    const double viewed = std::max(0.0, view->reportedLoad)
+                          * reportDecay(view->reportedAt, now, settings.reportHalfLife) * work.costs().overall().mean();
+    const double outstanding = endpoint.outstanding(slowness, viewed, now, settings.reportHalfLife);
+    const double waiting = outstanding / std::max(1U, view->slots);
+    return slowness * (cost + waiting) / slowStartWeight(candidate, settings, now);
+}
+
+const Candidate *leastExpectedTime(std::span<const Candidate> eligible,
+                                   const RoutingRequest &request,
+                                   const RandomPair &random,
+                                   const ServiceWork &work,
+                                   const RouterSettings &settings,
+                                   core::TimePoint now)
+{
+    std::vector<const Candidate *> localPool;
+    std::vector<const Candidate *> remotePool;
+    for (const Candidate &candidate : eligible) {
+        auto &pool = (*candidate.view)->dataCentre == request.dataCentre ? localPool : remotePool;
+        pool.push_back(&candidate);
+    }
+    const double cost = work.costs().estimate(request.costClass).mean();
+    const TimedCandidate local = bestOfDrawn(localPool, random.first, cost, work, settings, now);
+    const TimedCandidate remote = bestOfDrawn(remotePool, random.second, cost, work, settings, now);
+    if (local.candidate == nullptr || remote.candidate == nullptr) {
+        return local.candidate == nullptr ? remote.candidate : local.candidate;
+    }
+    return remote.seconds * request.remoteCost < local.seconds ? remote.candidate : local.candidate;
+}
+
+}
--- a/src/routing/ranking.cpp
+++ b/src/routing/ranking.cpp
@@ -1,5 +1,7 @@
 #include "berylspring/routing/ranking.h"
 
+#include "berylspring/routing/expected_time.h"
+
 #include <algorithm>
 #include <cmath>
 #include <vector>
@@ -41,23 +43,6 @@
     return own + decayedReportedLoad(candidate, settings, now);
 }
 
-double slowStartWeight(const Candidate &candidate, const RouterSettings &settings, core::TimePoint now)
-{
-    core::TimePoint since = (*candidate.view)->firstSeen;
-    if (candidate.traffic != nullptr) {
-        since = std::max(since, candidate.traffic->ejection().until());
-    }
-    if (now - since >= settings.slowStart) {
-        return 1;
-    }
-    const auto age = static_cast<double>((now - since).count());
-    return std::max(MinSlowStartWeight, age / static_cast<double>(settings.slowStart.count()));
-}
-
-}
-
-namespace {
-
 /** @return The better of two randomly chosen candidates, or null if there is none. */
 const Candidate *betterOfTwo(std::span<const Candidate *const> pool,
                              const RandomPair &random,
@@ -77,6 +62,19 @@
 
 }
 
+double slowStartWeight(const Candidate &candidate, const RouterSettings &settings, core::TimePoint now)
+{
+    core::TimePoint since = (*candidate.view)->firstSeen;
+    if (candidate.traffic != nullptr) {
+        since = std::max(since, candidate.traffic->ejection().until());
+    }
+    if (now - since >= settings.slowStart) {
+        return 1;
+    }
+    const auto age = static_cast<double>((now - since).count());
+    return std::max(MinSlowStartWeight, age / static_cast<double>(settings.slowStart.count()));
+}
+
 double loadShare(const Candidate &candidate, const RouterSettings &settings, core::TimePoint now)
 {
     return inFlightOf(candidate, settings, now) / std::max(1U, (*candidate.view)->slots);
@@ -92,8 +90,12 @@
                       const RoutingRequest &request,
                       const RandomPair &random,
                       const RouterSettings &settings,
-                      core::TimePoint now)
+                      core::TimePoint now,
+                      const ServiceWork *work)
 {
+    if (work != nullptr) {
+        return leastExpectedTime(eligible, request, random, *work, settings, now);
+    }
     std::vector<const Candidate *> localPool;
     std::vector<const Candidate *> remotePool;
     bool areAllLocalFull = true;
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -29,32 +29,50 @@
     const RandomPair random{m_hooks.random(), m_hooks.random()};
     std::vector<Candidate> candidates;
     candidates.reserve(endpoints.size());
-    const Shard &shard = shardOf(request.service);
-    const std::scoped_lock lock(shard.mutex);
-    const auto service = shard.services.find(request.service);
-    for (const EndpointView &view : endpoints) {
-        const EndpointTraffic *traffic = nullptr;
-        if (service != shard.services.end()) {
-            const auto found = service->second.find(view->host);
-            traffic = found == service->second.end() ? nullptr : &found->second;
+    RoutingDecision decision;
+    EligibilityResult result;
+    bool isByCost = false;
+    bool hasPolicyChanged = false;
+    {
+        Shard &shard = shardOf(request.service);
+        const std::scoped_lock lock(shard.mutex);
+        const auto service = shard.services.find(request.service);
+        for (const EndpointView &view : endpoints) {
+            const EndpointTraffic *traffic = nullptr;
+            if (service != shard.services.end()) {
+                const auto found = service->second.find(view->host);
+                traffic = found == service->second.end() ? nullptr : &found->second;
+            }
+            candidates.push_back(Candidate{&view, traffic});
+        }
+        result = checkEligibility(request, candidates, now);
+        const ServiceWork *work = nullptr;
+        if (m_settings.policy != RoutingPolicy::Load) {
+            ServiceState &state = shard.works[request.service];
+            isByCost = state.work.isByCost(m_settings.policy, now);
+            hasPolicyChanged = isByCost != state.wasByCost;
+            state.wasByCost = isByCost;
+            work = isByCost ? &state.work : nullptr;
+        }
+        if (const Candidate *best = rank(result.eligible, request, random, m_settings, now, work)) {
+            decision.host = (*best->view)->host;
         }
-        candidates.push_back(Candidate{&view, traffic});
     }
-    EligibilityResult result = checkEligibility(request, candidates, now);
-    RoutingDecision decision;
-    if (const Candidate *best = rank(result.eligible, request, random, m_settings, now)) {
-        decision.host = (*best->view)->host;
+    if (hasPolicyChanged && m_hooks.policyChanged) {
+        m_hooks.policyChanged(request.service, isByCost);
     }
     decision.exclusions = std::move(result.exclusions);
     return decision;
 }
 
-void Router::started(const core::ServiceId &service, const core::HostId &host, core::TimePoint)
+double Router::started(const core::ServiceId &service, const core::HostId &host, core::TimePoint, CostClass costClass)
 {
     Shard &shard = shardOf(service);
     const std::scoped_lock lock(shard.mutex);
+    const double cost = shard.works[service].work.costs().estimate(costClass).mean();
     EndpointTraffic &traffic = shard.services[service][host];
-    traffic = traffic.withStarted();
+    traffic = traffic.withStarted().withWork(traffic.work().withStarted(cost));
+    return cost;
 }
 
 void Router::finished(const core::ServiceId &service,
@@ -62,12 +80,40 @@
                       RoutingResult result,
                       core::Duration latency,
                       std::uint32_t inFlight,
-                      core::TimePoint now)
+                      core::TimePoint now,
+                      const WorkReport &report)
 {
     Shard &shard = shardOf(service);
     const std::scoped_lock lock(shard.mutex);
     EndpointTraffic &traffic = shard.services[service][host];
-    traffic = traffic.withFinished(result, latency, inFlight, now);
+    const EndpointWork work = shard.works[service].work.record(traffic.work(), report, result, now);
+    traffic = traffic.withFinished(result, latency, inFlight, now).withWork(work);
+}
+
+std::vector<EndpointWorkState> Router::workStates(core::TimePoint now) const
+{
+    std::vector<EndpointWorkState> states;
+    for (const Shard &shard : m_shards) {
+        const std::scoped_lock lock(shard.mutex);
+        for (const auto &[service, endpoints] : shard.services) {
+            const auto known = shard.works.find(service);
+            if (known == shard.works.end() || !known->second.work.isByCost(m_settings.policy, now)) {
+                continue;
+            }
+            const ServiceWork &work = known->second.work;
+            for (const auto &[host, traffic] : endpoints) {
+                const double slowness = work.slowness(traffic.work(), now, m_settings.reportHalfLife);
+                states.push_back(
+                    {.service = service,
+                     .host = host,
+                     .cost = work.costs().overall().mean(),
+                     .slowness = slowness,
+                     .outstanding = traffic.work().outstanding(slowness, 0, now, m_settings.reportHalfLife),
+                     .chosen = traffic.work().chosen()});
+            }
+        }
+    }
+    return states;
 }
 
 EndpointTraffic Router::traffic(const core::ServiceId &service, const core::HostId &host) const
@@ -92,10 +138,12 @@
     }
     const auto found = known->second.find(host);
     if (found != known->second.end() && found->second.inFlight() == 0) {
+        shard.works[service].work.forget(found->second.work());
         known->second.erase(found);
     }
     if (known->second.empty()) {
         shard.services.erase(known);
+        shard.works.erase(service);
     }
 }
 
