--- a/src/admission/service_core.cpp
+++ b/src/admission/service_core.cpp
@@ -41,6 +41,14 @@
     return !result.connectionLost && (response->status < FirstServerError || isOverloadStatus(response->status));
 }
 
+/** Errors and the time until a deadline say nothing about the work that a request needs. */
+bool isCostSample(const EndpointResult &result) noexcept
+{
+    const wire::CallResponse &response = result.response;
+    return !response->refusal && !result.connectionLost && response->status < FirstServerError
+           && response->status != TooManyRequests;
+}
+
 }
 
 /** @brief Releases the slot on the endpoint, also when the coroutine is destroyed while the request runs. */
@@ -101,8 +109,10 @@
     if (known == QuarantineState::Quarantined) {
         co_return self->refuse(core::RefusalReason::Quarantined, core::Outcome::NotRun, arrived);
     }
+    OutstandingWork::Share work(self->m_work, routing::costClassOf(request->route, request->method));
     const auto decision = co_await waitForStart(self, arrived, request, known == QuarantineState::Suspect);
     if (!decision.isStart()) {
+        work.release();
         co_return self->refuse(decision.reason, core::Outcome::NotRun, arrived);
     }
 
@@ -124,7 +134,12 @@
     ++self->m_history->totals.started;
     wire::CallRequest forwarded = request.with(&wire::CallRequestFields::remaining, context.deadline - startedAt);
     EndpointResult result = co_await callEndpoint(self, std::move(forwarded));
-    guard.ended(result, self->m_hooks.now() - startedAt);
+    const core::TimePoint endedAt = self->m_hooks.now();
+    guard.ended(result, endedAt - startedAt);
+    work.release();
+    if (isCostSample(result)) {
+        work.learn(endedAt - startedAt, endedAt);
+    }
     co_return self->processResult(context, request, ranAlone, result);
 }
 
@@ -396,6 +411,7 @@
     wire::CallResponseFields fields = *response;
     fields.admittedLevel = state.admittedLevel;
     fields.inFlight = state.running;
+    fields.outstandingWork = m_work.seconds();
     {
         const std::scoped_lock lock(m_pressureMutex);
         fields.pressure = std::max(fields.pressure, m_pressure.value(now));
--- a/src/admission/service_core.h
+++ b/src/admission/service_core.h
@@ -3,6 +3,7 @@
 #include "admission/async_event.h"
 #include "berylspring/admission/admission_service.h"
 #include "berylspring/admission/endpoint_gate.h"
+#include "berylspring/admission/outstanding_work.h"
 #include "berylspring/admission/pressure.h"
 #include "berylspring/admission/quarantine.h"
 #include "berylspring/core/sharded_map.h"
@@ -74,6 +75,7 @@
     AdmissionHooks m_hooks;
     EndpointGate m_gate;
     std::shared_ptr<AdmissionHistory> m_history;
+    OutstandingWork m_work;
     core::ShardedMap<std::uint64_t, std::shared_ptr<detail::AsyncEvent>> m_waiting;
     mutable std::mutex m_pressureMutex;
     Pressure m_pressure;
