Choose the routing policy by a setting

`[routing] policy` is auto (by cost for a service while its endpoints report their pace), load (never) or cost (always). The dispatcher passes the class of a request and what its response tells about the endpoint's work; errors and responses 429 and 5xx give no time. Metrics of endpoints exist only for services that are routed by cost. A change of the policy of a service is logged.

--- a/include/berylspring/node/dispatcher.h
+++ b/include/berylspring/node/dispatcher.h
@@ -15,6 +15,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <vector>
 
 #include <boost/asio/awaitable.hpp>
 
@@ -30,6 +31,8 @@
     std::function<core::TimePoint()> now;
     core::RandomSource random;
     std::function<void()> retried; ///< Called for each retry, to count it.
+    /** Reports that requests of a service are routed by cost from now on, or no longer. */
+    std::function<void(const core::ServiceId &, bool isByCost)> policyChanged;
     telemetry::SpanSink spans; ///< Receives one span for each attempt of a sampled trace.
 };
 
@@ -37,7 +40,11 @@
 class Dispatcher
 {
 public:
-    Dispatcher(core::HostId self, core::DataCentreId dataCentre, bool areControlsOn, DispatcherHooks hooks);
+    Dispatcher(core::HostId self,
+               core::DataCentreId dataCentre,
+               bool areControlsOn,
+               DispatcherHooks hooks,
+               const routing::RouterSettings &routing = {});
 
     /**
      * @brief Routes and sends a request, and retries it within its retry allowance and the retry budget of the service.
@@ -47,6 +54,11 @@
 
     /** @return Highest pressure among the services that the endpoint of this host calls. */
     [[nodiscard]] double nestedPressure(core::TimePoint now) const;
+    /** @return The endpoints of the services whose requests are routed by cost. */
+    [[nodiscard]] std::vector<routing::EndpointWorkState> workStates(core::TimePoint now) const
+    {
+        return m_router.workStates(now);
+    }
 
 private:
     struct Attempts;
--- a/include/berylspring/node/settings.h
+++ b/include/berylspring/node/settings.h
@@ -6,6 +6,7 @@
 #include "berylspring/core/time.h"
 #include "berylspring/node/deployment_bounds.h"
 #include "berylspring/node/error.h"
+#include "berylspring/routing/service_work.h"
 #include "berylspring/telemetry/log.h"
 
 #include <cstdint>
@@ -58,6 +59,8 @@
     core::Duration drainStartWindow{}; ///< Part of a drain in which requests that wait for the endpoint still start.
     core::Duration stopLinger{}; ///< Initial phase of a graceful stop in which new requests are still accepted.
 
+    routing::RoutingPolicy routingPolicy = routing::RoutingPolicy::Auto;
+
     std::string otlpAddress; ///< OTLP collector, "IP:PORT"; empty: none.
     std::string spanFile; ///< File that spans are appended to as JSON lines; empty: none.
     double sampleRatio = 0; ///< Fraction of new traces that is sampled, 0 to 1.
--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -72,6 +72,20 @@
     }
 }
 
+/** @brief Adds what the response tells about the work of its endpoint. */
+void recordWork(const wire::CallResponse &response, routing::WorkReport &report)
+{
+    // A refusal made by this node, for example after a lost connection, has none of these figures.
+    report.hasAnswer = !response->refusal || response->outstandingWork > 0 || response->pace > 0;
+    // Errors of the endpoint, also 502 to 504 and 429, are often fast and don't show what the request costs.
+    constexpr std::uint16_t TooManyRequests = 429;
+    constexpr std::uint16_t FirstServerError = 500;
+    const bool isError = response->status == TooManyRequests || response->status >= FirstServerError;
+    report.serviceTime = isError ? core::Duration::zero() : response->serviceTime;
+    report.outstandingWork = response->outstandingWork;
+    report.pace = response->pace;
+}
+
 Refusal refusalOf(const wire::Error &error)
 {
     const Outcome outcome = error.maybeSent() ? Outcome::Unknown : Outcome::NotRun;
@@ -94,12 +108,16 @@
     bool wasShed = false; ///< An endpoint was excluded because it admits only higher priorities.
 };
 
-Dispatcher::Dispatcher(core::HostId self, core::DataCentreId dataCentre, bool areControlsOn, DispatcherHooks hooks)
+Dispatcher::Dispatcher(core::HostId self,
+                       core::DataCentreId dataCentre,
+                       bool areControlsOn,
+                       DispatcherHooks hooks,
+                       const routing::RouterSettings &routing)
     : m_self(std::move(self))
     , m_dataCentre(std::move(dataCentre))
     , m_areControlsOn(areControlsOn)
     , m_hooks(std::move(hooks))
-    , m_router({.random = m_hooks.random})
+    , m_router({.random = m_hooks.random, .policyChanged = m_hooks.policyChanged}, routing)
     , m_backoff(InitialBackoff, MaxBackoff)
     , m_shedding(m_hooks.random)
 {
@@ -159,7 +177,8 @@
     routing::RoutingRequest request{.service = call->service,
                                     .dataCentre = m_dataCentre,
                                     .priority = call->priority,
-                                    .excludedHosts = attempts.hosts};
+                                    .excludedHosts = attempts.hosts,
+                                    .costClass = routing::costClassOf(call->route, call->method)};
     if (call->isNested) {
         request.remoteCost = NestedRemoteCost;
     }
@@ -187,12 +206,13 @@
         routing::RoutingResult result = routing::RoutingResult::Refused;
         std::uint32_t inFlight = 0;
         std::optional<double> pressure; ///< Reported by the response.
+        routing::WorkReport report;
 
         ~AttemptScope()
         {
             const core::TimePoint now = dispatcher.m_hooks.now();
             const core::Duration time = now - startedAt;
-            dispatcher.m_router.finished(call->service, host, result, time, inFlight, now);
+            dispatcher.m_router.finished(call->service, host, result, time, inFlight, now, report);
             if (call->isNested) {
                 dispatcher.recordNestedPressure(
                     call->service, pressure, time >= call->remaining * TimeoutFraction, now);
@@ -200,8 +220,9 @@
         }
     };
     const core::TimePoint startedAt = m_hooks.now();
-    m_router.started(call->service, host, startedAt);
     AttemptScope scope{*this, call, host, startedAt};
+    scope.report.costClass = routing::costClassOf(call->route, call->method);
+    scope.report.expectedCost = m_router.started(call->service, host, startedAt, scope.report.costClass);
     const auto parent = telemetry::TraceContext::fromTraceParent(call->traceParent);
     const telemetry::TraceContext trace = parent ? parent->child(m_hooks.random) : telemetry::TraceContext();
     const core::WallTime start = std::chrono::system_clock::now();
@@ -219,6 +240,7 @@
     }
     scope.result = resultOf(response);
     scope.inFlight = response->inFlight;
+    recordWork(response, scope.report);
     // A refusal made by this node, for example after a lost connection, carries no information about the service.
     if (!response->refusal || response->pressure > 0) {
         scope.pressure = response->pressure;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -7,6 +7,7 @@
 #include "node/span_export.h"
 
 #include <algorithm>
+#include <map>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
@@ -117,7 +118,11 @@
                            std::shared_ptr<admission::Quarantine>(m_admissionHistory, &m_admissionHistory->quarantine),
                            quarantineExchangeHooks())
     , m_admission(makeAdmission())
-    , m_dispatcher(m_settings->host, m_settings->dataCentre, m_settings->areControlsOn, dispatcherHooks())
+    , m_dispatcher(m_settings->host,
+                   m_settings->dataCentre,
+                   m_settings->areControlsOn,
+                   dispatcherHooks(),
+                   {.policy = m_settings->routingPolicy})
     , m_entry(m_inFlight,
               m_metrics,
               {.sampleRatio = m_settings->sampleRatio,
@@ -300,6 +305,26 @@
     return std::make_shared<admission::AdmissionService>(m_executor, settings, admissionHooks(), m_admissionHistory);
 }
 
+namespace {
+
+void addWorkSamples(std::vector<telemetry::Sample> &samples, const std::vector<routing::EndpointWorkState> &states)
+{
+    std::map<std::string, double> costs;
+    for (const routing::EndpointWorkState &state : states) {
+        const std::map<std::string, std::string> labels{{"service", state.service.value()},
+                                                        {"endpoint", state.host.value()}};
+        costs.insert_or_assign(state.service.value(), state.cost);
+        samples.push_back({"berylspring_endpoint_slowness", state.slowness, labels});
+        samples.push_back({"berylspring_endpoint_outstanding_seconds", state.outstanding, labels});
+        samples.push_back({"berylspring_endpoint_chosen", static_cast<double>(state.chosen), labels});
+    }
+    for (const auto &[service, cost] : costs) {
+        samples.push_back({"berylspring_route_cost_seconds", cost, {{"service", service}}});
+    }
+}
+
+}
+
 std::vector<telemetry::Sample> Node::Implementation::samples() const
 {
     std::vector<telemetry::Sample> samples = admissionSamples(admission()->state());
@@ -322,6 +347,7 @@
     add("berylspring_config_log_generation", m_config.logGeneration());
     add("berylspring_requests_in_flight", m_inFlight.size());
     add("berylspring_spans_dropped", m_spans->dropped());
+    addWorkSamples(samples, m_dispatcher.workStates(now()));
     for (std::size_t i = 0; i < wire::TrafficClassCount; ++i) {
         const auto trafficClass = static_cast<wire::TrafficClass>(i);
         const wire::TrafficCount count = m_traffic->count(trafficClass);
--- a/src/node/node_hooks.cpp
+++ b/src/node/node_hooks.cpp
@@ -251,6 +251,11 @@
     hooks.now = now;
     hooks.random = m_random;
     hooks.retried = [this] { m_metrics.countRetry(); };
+    hooks.policyChanged = [](const core::ServiceId &service, bool isByCost) {
+        telemetry::log(telemetry::Severity::Info,
+                       isByCost ? "routing by cost" : "routing by load",
+                       {{"service", service.value()}});
+    };
     hooks.spans = spanSink();
     return hooks;
 }
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -393,6 +393,17 @@
     }
 }
 
+void readRouting(SettingsReader &reader, SettingsFields &fields)
+{
+    const std::string policy = reader.text("routing.policy", "auto");
+    if (policy != "auto" && policy != "load" && policy != "cost") {
+        reject("routing.policy", policy, "auto, load or cost");
+    }
+    fields.routingPolicy = policy == "auto"   ? routing::RoutingPolicy::Auto
+                           : policy == "load" ? routing::RoutingPolicy::Load
+                                              : routing::RoutingPolicy::Cost;
+}
+
 void readTelemetry(SettingsReader &reader, SettingsFields &fields)
 {
     fields.otlpAddress = reader.text("traces.otlp", {});
@@ -422,6 +433,7 @@
         readFleet(reader, fields);
         readPlatform(reader, fields);
         readLimits(reader, fields);
+        readRouting(reader, fields);
         readTelemetry(reader, fields);
         reader.rejectUnknown();
         checkBounds(fields);
