Compare routing policies in the cluster model

The model gets endpoints of unequal speeds, two routes of different cost, rare long requests, a pace that swings, false reports, and the work reports of responses, so that the number of compared endpoints is chosen by figures.

--- a/tests/routing/cluster_model.h
+++ b/tests/routing/cluster_model.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <deque>
 #include <memory>
+#include <numeric>
 #include <queue>
 #include <random>
 #include <string>
@@ -26,6 +27,13 @@
     double reportInterval = 0.2;
     bool isFirstSlow = false; ///< The first endpoint runs at a tenth of the speed.
     bool isFirstStuckAtIdle = false; ///< The first endpoint reports no load; its responses report the correct one.
+    std::vector<double> speeds{1}; ///< Relative speeds of the endpoints, repeated in this order.
+    double heavyShare = 0; ///< Share of the requests on a second route that needs five times the time.
+    double rareShare = 0; ///< Share of the requests of each route that take five times their mean by chance.
+    double paceInterval = 0; ///< Time after which each endpoint draws its pace from 0.6 to 2 anew; 0: constant.
+    bool isPaceReported = false;
+    bool isPaceFalse = false; ///< The reported pace is unrelated to the real one.
+    bool isFirstIdleInAll = false; ///< The first endpoint and its node report no load, no work and a pace of 1.
     double length = 20;
     std::uint64_t seed = 1;
 };
@@ -60,10 +68,20 @@
     {
         double nextArrival = 0;
         double nextReport = 0;
-        const double rate = m_settings.load * m_settings.endpoints * m_settings.slots / m_settings.serviceTime;
+        double speed = 0;
+        for (std::size_t i = 0; i < m_servers.size(); ++i) {
+            speed += speedOf(i);
+        }
+        const double meanFactor =
+            (1 + m_settings.heavyShare * (LongFactor - 1)) * (1 + m_settings.rareShare * (LongFactor - 1));
+        const double rate = m_settings.load * speed * m_settings.slots / m_settings.serviceTime / meanFactor;
         while (m_now < m_settings.length) {
             const double nextEnd = m_ends.empty() ? m_settings.length : m_ends.top().at;
             m_now = std::min({nextArrival, nextReport, nextEnd});
+            if (m_settings.paceInterval > 0 && m_now >= m_nextPace) {
+                changePaces();
+                m_nextPace = m_now + m_settings.paceInterval;
+            }
             if (m_now == nextReport) {
                 report();
                 nextReport += m_settings.reportInterval;
@@ -76,6 +94,26 @@
         }
         std::sort(m_latencies.begin(), m_latencies.end());
     }
+    [[nodiscard]] double meanLatency() const
+    {
+        return std::accumulate(m_latencies.begin(), m_latencies.end(), 0.0) / static_cast<double>(m_latencies.size());
+    }
+    /** @return Highest mean of the requests at one endpoint, relative to the mean of all. */
+    [[nodiscard]] double busiestToMean() const
+    {
+        double sum = 0;
+        double highest = 0;
+        for (const Server &server : m_servers) {
+            sum += server.load;
+            highest = std::max(highest, server.load);
+        }
+        return highest * static_cast<double>(m_servers.size()) / sum;
+    }
+    /** @return Requests that were sent to the endpoint. */
+    [[nodiscard]] std::uint64_t sentTo(std::size_t server) const
+    {
+        return m_servers[server].sent;
+    }
     /** @return Latency in seconds that this share of the finished requests did not exceed, 0 to 1. */
     [[nodiscard]] double latencyQuantile(double share) const
     {
@@ -92,11 +130,18 @@
     {
         std::size_t entry = 0;
         double sentAt = 0;
+        bool isHeavy = false;
+        double expectedCost = 0; ///< To the entry.
+        double startedAt = 0;
     };
     struct Server
     {
         std::uint32_t running = 0;
         std::deque<Job> waiting;
+        double pace = 1;
+        double work = 0; ///< Mean time of all requests at the server, in its own time.
+        double load = 0; ///< Sum of the requests at the server, as seen by each arrival.
+        std::uint64_t sent = 0;
     };
     struct End
     {
@@ -109,6 +154,42 @@
         }
     };
 
+    static constexpr double LongFactor = 5;
+
+    [[nodiscard]] double speedOf(std::size_t server) const
+    {
+        constexpr double SlowFactor = 10;
+        const bool isSlow = server == 0 && m_settings.isFirstSlow;
+        return m_settings.speeds[server % m_settings.speeds.size()] / (isSlow ? SlowFactor : 1);
+    }
+    [[nodiscard]] double meanTime(std::size_t server, const Job &job) const
+    {
+        return m_settings.serviceTime * (job.isHeavy ? LongFactor : 1) / speedOf(server);
+    }
+    static routing::CostClass classOf(const Job &job)
+    {
+        return routing::costClassOf(core::RouteId(job.isHeavy ? "heavy" : "light"), "GET");
+    }
+    double uniform(double low, double high)
+    {
+        return std::uniform_real_distribution<double>(low, high)(m_random);
+    }
+    void changePaces()
+    {
+        for (Server &server : m_servers) {
+            server.pace = std::exp2(uniform(-0.74, 1));
+        }
+    }
+    double reportedPace(std::size_t server)
+    {
+        if (!m_settings.isPaceReported) {
+            return 0;
+        }
+        if (server == 0 && m_settings.isFirstIdleInAll) {
+            return 1;
+        }
+        return m_settings.isPaceFalse ? std::exp2(uniform(-0.74, 1)) : m_servers[server].pace;
+    }
     static core::TimePoint at(double seconds)
     {
         return core::TimePoint{std::chrono::hours(2)}
@@ -125,7 +206,7 @@
     void report()
     {
         for (std::size_t i = 0; i < m_servers.size(); ++i) {
-            const bool isStuck = i == 0 && m_settings.isFirstStuckAtIdle;
+            const bool isStuck = i == 0 && (m_settings.isFirstStuckAtIdle || m_settings.isFirstIdleInAll);
             m_views[i] = m_views[i]
                              .with(&routing::EndpointViewFields::reportedLoad, isStuck ? 0.0 : double(loadOf(i)))
                              .with(&routing::EndpointViewFields::reportedAt, at(m_now));
@@ -134,13 +215,19 @@
     void arrive()
     {
         const std::size_t entry = m_random() % m_routers.size();
-        const routing::RoutingRequest request{m_service, {}, 0, {}};
+        Job job{entry, m_now, m_settings.heavyShare > 0 && uniform(0, 1) < m_settings.heavyShare};
+        routing::RoutingRequest request{m_service, {}, 0, {}};
+        request.costClass = classOf(job);
         const auto decision = m_routers[entry]->choose(request, m_views, at(m_now));
         const std::size_t server = std::stoul(decision.host->value().substr(1));
-        m_routers[entry]->started(m_service, *decision.host, at(m_now));
+        job.expectedCost = m_routers[entry]->started(m_service, *decision.host, at(m_now), request.costClass);
+        for (std::size_t i = 0; i < m_servers.size(); ++i) {
+            m_servers[i].load += loadOf(i);
+        }
+        ++m_servers[server].sent;
+        m_servers[server].work += meanTime(server, job);
         ++m_sent;
         m_sentToFirst += server == 0 ? 1 : 0;
-        const Job job{entry, m_now};
         if (m_servers[server].running < m_settings.slots) {
             start(server, job);
         } else {
@@ -149,10 +236,12 @@
     }
     void start(std::size_t server, const Job &job)
     {
-        constexpr double SlowFactor = 10;
-        const double factor = server == 0 && m_settings.isFirstSlow ? SlowFactor : 1;
+        const bool isRare = m_settings.rareShare > 0 && uniform(0, 1) < m_settings.rareShare;
+        const double factor = m_servers[server].pace * (isRare ? LongFactor : 1);
         ++m_servers[server].running;
-        m_ends.push(End{m_now + factor * m_settings.serviceTime * (0.3 + 0.7 * exponential()), server, job});
+        End end{m_now + factor * meanTime(server, job) * (0.3 + 0.7 * exponential()), server, job};
+        end.job.startedAt = m_now;
+        m_ends.push(end);
     }
     void end()
     {
@@ -162,12 +251,21 @@
         --server.running;
         const double latency = m_now - ended.job.sentAt;
         m_latencies.push_back(latency);
+        server.work = std::max(0.0, server.work - meanTime(ended.server, ended.job));
+        const bool isIdle = ended.server == 0 && m_settings.isFirstIdleInAll;
+        const routing::WorkReport report{.costClass = classOf(ended.job),
+                                         .expectedCost = ended.job.expectedCost,
+                                         .serviceTime = at(m_now - ended.job.startedAt) - at(0),
+                                         .hasAnswer = true,
+                                         .outstandingWork = isIdle ? 0 : server.work,
+                                         .pace = reportedPace(ended.server)};
         m_routers[ended.job.entry]->finished(m_service,
                                              m_views[ended.server]->host,
                                              routing::RoutingResult::Ok,
                                              at(latency) - at(0),
-                                             loadOf(ended.server),
-                                             at(m_now));
+                                             isIdle ? 0 : loadOf(ended.server),
+                                             at(m_now),
+                                             report);
         if (!server.waiting.empty()) {
             const Job next = server.waiting.front();
             server.waiting.pop_front();
@@ -184,6 +282,7 @@
     std::priority_queue<End> m_ends;
     std::vector<double> m_latencies;
     double m_now = 0;
+    double m_nextPace = 0;
     std::uint64_t m_sent = 0;
     std::uint64_t m_sentToFirst = 0;
 };
