Let observed waits and own reports outweigh stale views

Cause: an endpoint whose reports are stuck at idle drew the traffic of 96 entries, since each has only a few requests in flight; and entries that see the same view chose the same endpoint after each change of it.

Change: the time that a request spent outside of its endpoint, measured by the entry itself, is a lower bound of the expected wait. The membership's view counts only without a response within two half-lives.

--- a/include/berylspring/routing/endpoint_work.h
+++ b/include/berylspring/routing/endpoint_work.h
@@ -14,6 +14,7 @@
     CostClass costClass = CostClass::None;
     double expectedCost = 0; ///< As returned by Router::started().
     core::Duration serviceTime{}; ///< Time of the request on its endpoint; zero: not known.
+    core::Duration waitTime{}; ///< Time of the request outside of its endpoint, as observed by this node.
     bool hasAnswer = false; ///< The response comes from the endpoint's node, so that the next two figures are valid.
     double outstandingWork = 0; ///< Seconds, in the endpoint's own time.
     double pace = 0; ///< 1: as usual, 2: twice as long; 0: not reported.
@@ -33,8 +34,8 @@
     [[nodiscard]] EndpointWork withStarted(double cost) const noexcept;
     /** @brief Records that a request has ended. @param cost As in withStarted(). */
     [[nodiscard]] EndpointWork withEnded(double cost) const noexcept;
-    /** @brief Takes over the outstanding work and the pace of a response. */
-    [[nodiscard]] EndpointWork withReport(double outstandingWork, double pace, core::TimePoint now) const noexcept;
+    /** @brief Takes over the outstanding work, the pace and the wait of a response. */
+    [[nodiscard]] EndpointWork withReport(const WorkReport &report, core::TimePoint now) const noexcept;
     [[nodiscard]] EndpointWork withLogSlowness(double logSlowness) const noexcept;
     /**
      * @brief Updates the slowness by one service time.
@@ -61,11 +62,21 @@
      */
     [[nodiscard]] double
     outstanding(double slowness, double otherReport, core::TimePoint now, core::Duration halfLife) const noexcept;
+    /** @return Whether the last response is younger than two half-lives. */
+    [[nodiscard]] bool hasRecentReport(core::TimePoint now, core::Duration halfLife) const noexcept
+    {
+        return m_reportedAt != core::TimePoint() && now - m_reportedAt < 2 * halfLife;
+    }
     /** @return Whether a service time has been observed. */
     [[nodiscard]] bool hasTime() const noexcept
     {
         return m_samples > 0;
     }
+    /**
+     * @return Wait of the last request outside of its endpoint in seconds, decayed. A report that is stuck at idle
+     * can't hide it.
+     */
+    [[nodiscard]] double observedWait(core::TimePoint now, core::Duration halfLife) const noexcept;
     /** @return Requests sent to the endpoint so far. */
     [[nodiscard]] std::uint64_t chosen() const noexcept
     {
@@ -80,6 +91,7 @@
     double m_inFlightCost = 0;
     double m_sentSinceReport = 0;
     double m_reportedWork = 0;
+    double m_wait = 0;
     core::TimePoint m_reportedAt;
     double m_logSlowness = 0;
     std::uint32_t m_samples = 0; ///< Up to the number at which the weight of a sample is constant.
--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -212,6 +212,7 @@
         {
             const core::TimePoint now = dispatcher.m_hooks.now();
             const core::Duration time = now - startedAt;
+            report.waitTime = time - report.serviceTime;
             dispatcher.m_router.finished(call->service, host, result, time, inFlight, now, report);
             if (call->isNested) {
                 dispatcher.recordNestedPressure(
--- a/src/routing/endpoint_work.cpp
+++ b/src/routing/endpoint_work.cpp
@@ -1,6 +1,7 @@
 #include "berylspring/routing/endpoint_work.h"
 
 #include <algorithm>
+#include <chrono>
 #include <cmath>
 #include <numbers>
 
@@ -12,6 +13,8 @@
 constexpr double MinGain = 1.0 / 16;
 /** Requests that the initial slowness of 1 counts for. */
 constexpr std::uint32_t PriorSamples = 4;
+/** Limits how far dispersed times slow the learning: an endpoint that becomes slow also disperses the times. */
+constexpr double MaxRelativeSpread = 1.5;
 /** A sample counts as at most twice or half the expected time, so that one long request can't reorder endpoints. */
 constexpr double MaxLogSample = std::numbers::ln2;
 /** Weight of a sample in the comparison of reported pace and observed slowness. */
@@ -48,10 +51,12 @@
     return next;
 }
 
-EndpointWork EndpointWork::withReport(double outstandingWork, double pace, core::TimePoint now) const noexcept
+EndpointWork EndpointWork::withReport(const WorkReport &report, core::TimePoint now) const noexcept
 {
+    const double pace = report.pace;
     EndpointWork next = *this;
-    next.m_reportedWork = std::isfinite(outstandingWork) ? std::max(0.0, outstandingWork) : 0;
+    next.m_reportedWork = std::isfinite(report.outstandingWork) ? std::max(0.0, report.outstandingWork) : 0;
+    next.m_wait = std::max(0.0, std::chrono::duration<double>(report.waitTime).count());
     next.m_reportedAt = now;
     next.m_sentSinceReport = 0;
     if (pace > 0 && std::isfinite(pace)) {
@@ -71,7 +76,8 @@
 EndpointWork EndpointWork::withTime(double ratio, double relativeSpread, double pace) const noexcept
 {
     EndpointWork next = *this;
-    const double precision = 1 / (1 + relativeSpread * relativeSpread);
+    const double spread = std::min(relativeSpread, MaxRelativeSpread);
+    const double precision = 1 / (1 + spread * spread);
     const double gain = std::max(MinGain, 1.0 / (m_samples + PriorSamples + 1)) * precision;
     const double change = std::log(ratio) - m_logSlowness;
     double explained = 0;
@@ -103,6 +109,11 @@
     return m_logSlowness + paceTrust() * change * reportDecay(m_paceAt, now, halfLife);
 }
 
+double EndpointWork::observedWait(core::TimePoint now, core::Duration halfLife) const noexcept
+{
+    return m_wait * reportDecay(m_reportedAt, now, halfLife);
+}
+
 double EndpointWork::outstanding(double slowness,
                                  double otherReport,
                                  core::TimePoint now,
--- a/src/routing/expected_time.cpp
+++ b/src/routing/expected_time.cpp
@@ -52,11 +52,16 @@
     const EndpointView &view = *candidate.view;
     const EndpointWork endpoint = candidate.traffic != nullptr ? candidate.traffic->work() : EndpointWork();
     const double slowness = work.slowness(endpoint, now, settings.reportHalfLife);
-    // The membership's view is the only report on an endpoint that this node has not used for some time.
-    const double viewed = std::max(0.0, view->reportedLoad)
-                          * reportDecay(view->reportedAt, now, settings.reportHalfLife) * work.costs().overall().mean();
+    // All entries see the same view, so that a node with a recent report of its own does not follow it: otherwise many
+    // entries send to the same endpoint after the view has changed.
+    const bool isViewNeeded = view->reportedLoad > 0 && !endpoint.hasRecentReport(now, settings.reportHalfLife);
+    const double viewed = isViewNeeded
+                              ? view->reportedLoad * reportDecay(view->reportedAt, now, settings.reportHalfLife)
+                                    * work.costs().overall().mean()
+                              : 0;
     const double outstanding = endpoint.outstanding(slowness, viewed, now, settings.reportHalfLife);
-    const double waiting = outstanding / std::max(1U, view->slots);
+    const double waiting = std::max(outstanding / std::max(1U, view->slots),
+                                    endpoint.observedWait(now, settings.reportHalfLife) / slowness);
     return slowness * (cost + waiting) / slowStartWeight(candidate, settings, now);
 }
 
--- a/src/routing/service_work.cpp
+++ b/src/routing/service_work.cpp
@@ -9,7 +9,7 @@
 {
     EndpointWork next = work.withEnded(report.expectedCost);
     if (report.hasAnswer) {
-        next = next.withReport(report.outstandingWork, report.pace, now);
+        next = next.withReport(report, now);
         m_paceAt = report.pace > 0 ? now : m_paceAt;
     }
     const double seconds = std::chrono::duration<double>(report.serviceTime).count();
--- a/tests/admission/a_call_through_the_service.cpp
+++ b/tests/admission/a_call_through_the_service.cpp
@@ -235,3 +235,31 @@
     }
     CHECK((harness.running() == Names{"a", "b", "c"}));
 }
+
+// Guards against entries that send more work to an endpoint with a queue, and against requests that count after their
+// end.
+TEST(ACallThroughTheService, tellsTheWorkThatIsLeft)
+{
+    Harness harness;
+    harness.service().setSlots(1);
+    const auto learned = harness.send(callNamed("learned"));
+    harness.advance(40ms);
+    harness.finish("learned");
+    DOUBLES_EQUAL(0, (*learned->response)->outstandingWork, 1e-9);
+    const auto first = harness.send(callNamed("first"));
+    const auto second = harness.send(callNamed("second"));
+    const auto third = harness.send(callNamed("third"));
+    section("a cancelled request tells that of the other two", [&] {
+        harness.cancel(third);
+        CHECK((*third->response)->outstandingWork > 0.04);
+    });
+    const double two = (*third->response)->outstandingWork;
+    section("the first tells that of the second", [&] {
+        harness.finish("first");
+        DOUBLES_EQUAL(two / 2, (*first->response)->outstandingWork, 1e-9);
+    });
+    section("the last tells that nothing is left", [&] {
+        harness.finish("second");
+        DOUBLES_EQUAL(0, (*second->response)->outstandingWork, 0);
+    });
+}
--- a/tests/platform/a_request_through_the_adapter.cpp
+++ b/tests/platform/a_request_through_the_adapter.cpp
@@ -181,3 +181,30 @@
     CHECK_FALSE(allowsReuse(421, own));
     CHECK_FALSE(allowsReuse(503, {own[0], own[1], {"Berylspring-Not-Executed", "1"}}));
 }
+
+// Guards against a load header that is cut or wrong and changes the routing, and against one that is not passed on.
+TEST(ARequestThroughTheAdapter, tellsThePaceOfItsEndpoint)
+{
+    const std::string odd[] = {"",
+                               "12,0,15",
+                               "12,0,15,",
+                               "12,0,15,0",
+                               "12,0,15,-100",
+                               "12,0,15,100,1",
+                               "12,0,15, 100",
+                               "12,0,15,100 ",
+                               "12,0,15,1e2",
+                               "12,0,15,10001",
+                               "12,,15,100",
+                               "12,0,15,99999999999999999999"};
+    for (const std::string &load : odd) {
+        DOUBLES_EQUAL_TEXT(0, platform::decodePace(load), 0, load.c_str());
+    }
+    const auto response =
+        platform::decodeEndpointResponse(http::Response({.status = 200,
+                                                         .headers = {{"Berylspring-Request-Id", "r"},
+                                                                     {"Berylspring-Response-Stamp", "s"},
+                                                                     {"Berylspring-Server-Load", "12,0,15,250"}}}));
+    DOUBLES_EQUAL(2.5, (*response)->pace, 1e-9);
+    STRCMP_EQUAL("12,0,15,250", field((*response)->headers, "Berylspring-Server-Load").c_str());
+}
--- a/tests/routing/cluster_model.h
+++ b/tests/routing/cluster_model.h
@@ -256,6 +256,7 @@
         const routing::WorkReport report{.costClass = classOf(ended.job),
                                          .expectedCost = ended.job.expectedCost,
                                          .serviceTime = at(m_now - ended.job.startedAt) - at(0),
+                                         .waitTime = at(ended.job.startedAt) - at(ended.job.sentAt),
                                          .hasAnswer = true,
                                          .outstandingWork = isIdle ? 0 : server.work,
                                          .pace = reportedPace(ended.server)};
--- a/tests/tools/berylspring-routing-model.cpp
+++ b/tests/tools/berylspring-routing-model.cpp
@@ -57,9 +57,10 @@
 void comparePolicies(const std::string &title, const test::ClusterSettings &base)
 {
     constexpr std::uint32_t All = 1000;
-    const std::array<PolicyVariant, 5> variants{
+    const std::array<PolicyVariant, 6> variants{
         PolicyVariant{"load"},
         PolicyVariant{"best of two", routing::RoutingPolicy::Cost, 2},
+        PolicyVariant{"best of three", routing::RoutingPolicy::Cost, 3},
         PolicyVariant{"best of four", routing::RoutingPolicy::Cost, 4},
         PolicyVariant{"best of all", routing::RoutingPolicy::Cost, All},
         PolicyVariant{"all, jitter 0.2", routing::RoutingPolicy::Cost, All, 0.2}};
