--- a/include/berylspring/node/dispatcher.h
+++ b/include/berylspring/node/dispatcher.h
@@ -34,6 +34,8 @@
     core::RandomSource random;
     std::function<void()> retried; ///< Called for each retry, to count it.
     std::function<retry::BudgetBounds()> retryBounds; ///< Null: the default bounds of retry budgets.
+    /** Reports that requests of a service are routed by cost from now on, or no longer. */
+    std::function<void(const core::ServiceId &, bool isByCost)> policyChanged;
     telemetry::SpanSink spans; ///< Receives one span for each attempt of a sampled trace.
 };
 
@@ -41,7 +43,11 @@
 class Dispatcher
 {
 public:
-    Dispatcher(core::HostId self, core::DataCentreId dataCentre, bool areControlsOn, DispatcherHooks hooks);
+    Dispatcher(core::HostId self,
+               core::DataCentreId dataCentre,
+               bool areControlsOn,
+               DispatcherHooks hooks,
+               const routing::RouterSettings &routing = {});
 
     /**
      * @brief Routes and sends a request, and retries it within its retry allowance and the retry budget of the service.
@@ -56,6 +62,11 @@
     {
         return m_evacuatedRefusals;
     }
+    /** @return The endpoints of the services whose requests are routed by cost. */
+    [[nodiscard]] std::vector<routing::EndpointWorkState> workStates(core::TimePoint now) const
+    {
+        return m_router.workStates(now);
+    }
 
 private:
     struct Attempts;
--- a/src/admission/service_responses.cpp
+++ b/src/admission/service_responses.cpp
@@ -88,6 +88,7 @@
     wire::CallResponseFields fields = *response;
     fields.admittedLevel = state.admittedLevel;
     fields.inFlight = state.running;
+    fields.outstandingWork = m_work.seconds();
     {
         const std::scoped_lock lock(m_pressureMutex);
         fields.pressure = std::max(fields.pressure, m_pressure.value(now));
--- a/src/node/node_hooks.cpp
+++ b/src/node/node_hooks.cpp
@@ -281,6 +281,11 @@
             return retry::budgetBounds(excess, knowsFleet ? m_membership->snapshot()->liveMembers().size() : 0);
         };
     }
+    hooks.policyChanged = [](const core::ServiceId &service, bool isByCost) {
+        telemetry::log(telemetry::Severity::Info,
+                       isByCost ? "routing by cost" : "routing by load",
+                       {{"service", service.value()}});
+    };
     hooks.spans = spanSink();
     return hooks;
 }
