--- a/src/wire/schema_reader.h
+++ b/src/wire/schema_reader.h
@@ -93,7 +93,6 @@
         return value;
     }
 
-    /** @brief Accepts one level above MaxPriority, which a node reports while it admits nothing. */
     /** @return The value; values that are negative or no number make the message malformed. */
     [[nodiscard]] double nonNegative(float value)
     {
@@ -103,6 +102,8 @@
         }
         return static_cast<double>(value);
     }
+
+    /** @brief Accepts one level above MaxPriority, which a node reports while it admits nothing. */
     [[nodiscard]] core::PriorityLevel admittedLevel(std::uint8_t value)
     {
         if (value > core::MaxPriority + 1) {
