Compare three endpoints when routing by cost

Best of four herds more than best of two where many entries share an old view, and best of two uses little of what is known where there are few entries.

The time of an error on its endpoint no longer counts as a wait.

--- a/include/berylspring/routing/ranking.h
+++ b/include/berylspring/routing/ranking.h
@@ -22,7 +22,7 @@
     core::Duration slowStart = std::chrono::seconds(5);
     RoutingPolicy policy = RoutingPolicy::Auto;
     /** Endpoints of a data centre that are drawn at random and compared when requests are routed by cost. */
-    std::uint32_t comparedByCost = 4;
+    std::uint32_t comparedByCost = 3;
     /** Largest random addition to an expected time, as a share of it; 0: none. For comparisons in models. */
     double jitter = 0;
     [[nodiscard]] bool operator==(const RouterSettings &) const = default;
--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -207,12 +207,13 @@
         std::uint32_t inFlight = 0;
         std::optional<double> pressure; ///< Reported by the response.
         routing::WorkReport report;
+        core::Duration runTime{}; ///< On the endpoint, also if the response is an error.
 
         ~AttemptScope()
         {
             const core::TimePoint now = dispatcher.m_hooks.now();
             const core::Duration time = now - startedAt;
-            report.waitTime = time - report.serviceTime;
+            report.waitTime = time - runTime;
             dispatcher.m_router.finished(call->service, host, result, time, inFlight, now, report);
             if (call->isNested) {
                 dispatcher.recordNestedPressure(
@@ -241,6 +242,7 @@
     }
     scope.result = resultOf(response);
     scope.inFlight = response->inFlight;
+    scope.runTime = response->serviceTime;
     recordWork(response, scope.report);
     // A refusal made by this node, for example after a lost connection, carries no information about the service.
     if (!response->refusal || response->pressure > 0) {
--- a/tests/node/settings_that_are_checked.cpp
+++ b/tests/node/settings_that_are_checked.cpp
@@ -148,3 +148,12 @@
         STRCMP_EQUAL("...", find("fleet.secret").value.c_str());
     });
 }
+
+// Guards against a routing policy that is misspelt and silently replaced by the default.
+TEST(SettingsThatAreChecked, nameTheRoutingPolicy)
+{
+    CHECK((*node::parseSettings(Minimal))->routingPolicy == routing::RoutingPolicy::Auto);
+    CHECK((*node::parseSettings(Minimal + "[routing]\npolicy=load\n"))->routingPolicy == routing::RoutingPolicy::Load);
+    CHECK((*node::parseSettings(Minimal + "[routing]\npolicy=cost\n"))->routingPolicy == routing::RoutingPolicy::Cost);
+    checkRefused(Minimal + "[routing]\npolicy=Cost\n", "routing.policy");
+}
