Let each entry send a cold endpoint its share only

The node of a cold endpoint refuses what is beyond its rate, but each refused attempt costs a hop and a retry, and the gate can't tell the entries apart.

Each entry now has a bucket of one request for each cold endpoint, which fills in (live nodes / rate) seconds and is full first at a random moment. A filter between eligibility and ranking takes out the endpoints beyond the share, in whatever data centre, unless that leaves none. The ranking itself is unchanged, and no random number is drawn while all endpoints are warm, so decisions without cold endpoints are the same as before.

The change of the cold rate is pushed to all members like a drain. Without this, entries would learn of it by gossip, up to half a second late. The published rate is rounded to the precision of the message: a member that finds its own record different from the received one of the same version sends it again, so an unrounded rate would be repeated forever.

--- a/include/berylspring/node/dispatcher.h
+++ b/include/berylspring/node/dispatcher.h
@@ -27,6 +27,7 @@
     /** Runs a call on the endpoint of this host. */
     std::function<boost::asio::awaitable<wire::CallResponse>(wire::CallRequest)> runLocally;
     std::function<std::shared_ptr<const EndpointViews>(const core::ServiceId &)> endpoints;
+    std::function<std::size_t()> liveNodes; ///< Nodes that may send to the same endpoints, with this one.
     std::function<core::TimePoint()> now;
     core::RandomSource random;
     std::function<void()> retried; ///< Called for each retry, to count it.
--- a/include/berylspring/routing/router.h
+++ b/include/berylspring/routing/router.h
@@ -3,6 +3,7 @@
 #include "berylspring/core/name.h"
 #include "berylspring/core/time.h"
 #include "berylspring/core/types.h"
+#include "berylspring/routing/cold_share.h"
 #include "berylspring/routing/endpoint_traffic.h"
 #include "berylspring/routing/endpoint_view.h"
 #include "berylspring/routing/ranking.h"
@@ -66,6 +67,7 @@
     {
         mutable std::mutex mutex;
         std::unordered_map<core::ServiceId, TrafficByHost> services;
+        std::unordered_map<core::ServiceId, ColdShares> coldShares; ///< Of services with an endpoint that was cold.
     };
 
     [[nodiscard]] Shard &shardOf(const core::ServiceId &service) noexcept;
--- a/include/berylspring/routing/routing_request.h
+++ b/include/berylspring/routing/routing_request.h
@@ -4,6 +4,7 @@
 #include "berylspring/core/types.h"
 
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string_view>
@@ -23,6 +24,7 @@
      */
     double remoteCost = 3;
     std::vector<core::HostId> excludedHosts; ///< For example the hosts that earlier attempts were sent to.
+    std::size_t liveNodes = 1; ///< Nodes that share the rate of a cold endpoint.
     [[nodiscard]] bool operator==(const RoutingRequest &) const = default;
 };
 
--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -26,7 +26,8 @@
     const auto &leftEndpoint = *left->endpoint;
     const auto &rightEndpoint = *right->endpoint;
     return leftEndpoint->service != rightEndpoint->service || leftEndpoint->slots != rightEndpoint->slots
-           || leftEndpoint->isDraining != rightEndpoint->isDraining;
+           || leftEndpoint->isDraining != rightEndpoint->isDraining
+           || leftEndpoint->coldRate != rightEndpoint->coldRate;
 }
 
 wire::MemberState stateAfter(const wire::MemberUpdate &known, const wire::MemberUpdate &received, RecordSource source)
--- a/src/membership/self_record.cpp
+++ b/src/membership/self_record.cpp
@@ -26,7 +26,7 @@
         return before.has_value() != after.has_value();
     }
     return (*before)->service != (*after)->service || (*before)->slots != (*after)->slots
-           || (*before)->isDraining != (*after)->isDraining;
+           || (*before)->isDraining != (*after)->isDraining || (*before)->coldRate != (*after)->coldRate;
 }
 
 }
--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -159,7 +159,8 @@
     routing::RoutingRequest request{.service = call->service,
                                     .dataCentre = m_dataCentre,
                                     .priority = call->priority,
-                                    .excludedHosts = attempts.hosts};
+                                    .excludedHosts = attempts.hosts,
+                                    .liveNodes = m_hooks.liveNodes ? m_hooks.liveNodes() : 1};
     if (call->isNested) {
         request.remoteCost = NestedRemoteCost;
     }
--- a/src/node/local_endpoint.cpp
+++ b/src/node/local_endpoint.cpp
@@ -282,7 +282,8 @@
 std::optional<wire::EndpointState> LocalEndpoint::state(const admission::AdmissionState &admission,
                                                         core::TimePoint now) const
 {
-    const double coldRate = coldLimit().rate(now);
+    // Rounded as in messages, because members compare the record that they receive with their own.
+    const auto coldRate = static_cast<float>(coldLimit().rate(now));
     const std::scoped_lock lock(m_mutex);
     if (!m_registration || now - m_registration->renewedAt > AnnouncementLifetime) {
         return std::nullopt;
--- a/src/node/node_hooks.cpp
+++ b/src/node/node_hooks.cpp
@@ -260,6 +260,7 @@
     hooks.endpoints = [this](const core::ServiceId &service) {
         return m_endpointViews.views(service, m_membership->snapshot());
     };
+    hooks.liveNodes = [this] { return m_membership->snapshot()->liveMembers().size(); };
     hooks.now = now;
     hooks.random = m_random;
     hooks.retried = [this] { m_metrics.countRetry(); };
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -2,6 +2,7 @@
 
 #include "berylspring/routing/eligibility.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -27,9 +28,12 @@
 Router::choose(const RoutingRequest &request, std::span<const EndpointView> endpoints, core::TimePoint now)
 {
     const RandomPair random{m_hooks.random(), m_hooks.random()};
+    const bool hasCold =
+        std::any_of(endpoints.begin(), endpoints.end(), [](const EndpointView &view) { return view->coldRate > 0; });
+    const std::uint64_t shareRandom = hasCold ? m_hooks.random() : 0;
     std::vector<Candidate> candidates;
     candidates.reserve(endpoints.size());
-    const Shard &shard = shardOf(request.service);
+    Shard &shard = shardOf(request.service);
     const std::scoped_lock lock(shard.mutex);
     const auto service = shard.services.find(request.service);
     for (const EndpointView &view : endpoints) {
@@ -41,9 +45,18 @@
         candidates.push_back(Candidate{&view, traffic});
     }
     EligibilityResult result = checkEligibility(request, candidates, now);
+    if (hasCold) {
+        ColdShares &shares = shard.coldShares[request.service];
+        result.eligible = shares.withinShare(result.eligible, request.liveNodes, shareRandom, now);
+    } else if (!shard.coldShares.empty()) {
+        shard.coldShares.erase(request.service);
+    }
     RoutingDecision decision;
     if (const Candidate *best = rank(result.eligible, request, random, m_settings, now)) {
         decision.host = (*best->view)->host;
+        if (hasCold) {
+            shard.coldShares[request.service].sent(*best->view, request.liveNodes, now);
+        }
     }
     decision.exclusions = std::move(result.exclusions);
     return decision;
@@ -86,6 +99,9 @@
 {
     Shard &shard = shardOf(service);
     const std::scoped_lock lock(shard.mutex);
+    if (const auto shares = shard.coldShares.find(service); shares != shard.coldShares.end()) {
+        shares->second.forget(host);
+    }
     const auto known = shard.services.find(service);
     if (known == shard.services.end()) {
         return;
--- a/tests/membership/an_update_that_reaches_all_members.cpp
+++ b/tests/membership/an_update_that_reaches_all_members.cpp
@@ -84,6 +84,20 @@
     });
 }
 
+// Guards against entries that send a cold endpoint their full load until the next gossip reaches them.
+TEST(AnUpdateThatReachesAllMembers, ofAColdEndpointComesInOnePush)
+{
+    setEndpoint("h7", endpointOf(false, 0));
+    network.run(1s);
+    setEndpoint("h7", endpointOf(false, 0).with(&wire::EndpointStateFields::coldRate, 16.0));
+    network.run(10ms);
+    for (const auto &host : network.runningHosts()) {
+        const auto providers = network.protocolOf(host).snapshot(network.now())->providers(core::ServiceId("bookings"));
+        LONGS_EQUAL(1, providers.size());
+        DOUBLES_EQUAL(16, (*providers.front().endpoint())->coldRate, 0);
+    }
+}
+
 TEST(AnUpdateThatReachesAllMembers, ofAGracefulLeaveIsNoDeath)
 {
     network.perform("h7", network.protocolOf("h7").leave(network.now()));
