--- a/include/berylspring/node/dispatcher.h
+++ b/include/berylspring/node/dispatcher.h
@@ -30,6 +30,7 @@
     std::function<std::shared_ptr<const EndpointViews>(const core::ServiceId &)> endpoints;
     /** Data centres whose endpoints take no requests, never null; empty hook: none. */
     std::function<std::shared_ptr<const std::vector<core::DataCentreId>>()> evacuatedDataCentres;
+    std::function<std::size_t()> liveNodes; ///< Nodes that may send to the same endpoints, with this one.
     std::function<core::TimePoint()> now;
     core::RandomSource random;
     std::function<void()> retried; ///< Called for each retry, to count it.
--- a/include/berylspring/routing/routing_request.h
+++ b/include/berylspring/routing/routing_request.h
@@ -5,6 +5,7 @@
 #include "berylspring/routing/cost_table.h"
 
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string_view>
@@ -26,6 +27,7 @@
     std::vector<core::DataCentreId> evacuatedDataCentres; ///< Nothing is sent to their endpoints.
     std::vector<core::HostId> excludedHosts; ///< For example the hosts that earlier attempts were sent to.
     CostClass costClass = CostClass::None;
+    std::size_t liveNodes = 1; ///< Nodes that share the rate of a cold endpoint.
     [[nodiscard]] bool operator==(const RoutingRequest &) const = default;
 };
 
--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -187,7 +187,8 @@
                                     .dataCentre = m_dataCentre,
                                     .priority = call->priority,
                                     .excludedHosts = attempts.hosts,
-                                    .costClass = routing::costClassOf(call->route, call->method)};
+                                    .costClass = routing::costClassOf(call->route, call->method),
+                                    .liveNodes = m_hooks.liveNodes ? m_hooks.liveNodes() : 1};
     if (m_hooks.evacuatedDataCentres) {
         request.evacuatedDataCentres = *m_hooks.evacuatedDataCentres();
     }
--- a/src/node/node_hooks.cpp
+++ b/src/node/node_hooks.cpp
@@ -272,6 +272,7 @@
         }
         return m_evacuations.dataCentres();
     };
+    hooks.liveNodes = [this] { return m_membership->snapshot()->liveMembers().size(); };
     hooks.now = now;
     hooks.random = m_random;
     hooks.retried = [this] { m_metrics.countRetry(); };
