--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -1,10 +1,9 @@
 #include "berylspring/node/settings.h"
 
+#include "node/settings_reader.h"
+
 #include <algorithm>
-#include <charconv>
 #include <fstream>
-#include <functional>
-#include <map>
 #include <optional>
 #include <sstream>
 
@@ -17,6 +16,10 @@
 namespace {
 
 using boost::property_tree::ptree;
+using detail::InvalidValue;
+using detail::millisecondsOf;
+using detail::reject;
+using detail::SettingsReader;
 
 constexpr std::size_t MinSecretLength = 16;
 constexpr const char *SecretName = "fleet.secret";
@@ -24,212 +27,6 @@
 constexpr std::uint64_t MaxLimitExcess = 1'000'000;
 constexpr double MaxColdExcess = 100;
 
-std::uint64_t millisecondsOf(core::Duration duration)
-{
-    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
-}
-
-/** @brief Internal exception; parseSettings() and loadSettings() convert it to an Error. */
-struct InvalidValue
-{
-    std::string detail;
-};
-
-[[noreturn]] void reject(const std::string &name, const std::string &value, const std::string &range)
-{
-    throw InvalidValue{"setting " + name + " = \"" + value + "\": must be " + range};
-}
-
-/** @brief Reads values by "section.name" and records the names, so that unknown ones can be reported. */
-class SettingsReader
-{
-public:
-    explicit SettingsReader(const ptree &tree)
-        : m_tree(tree)
-    {
-    }
-
-    std::string
-    text(const std::string &name, const std::string &fallback, SettingSource fallbackSource = SettingSource::Default)
-    {
-        const auto written = m_tree.get_optional<std::string>(ptree::path_type(name, '.'));
-        std::string value = written ? *written : fallback;
-        m_effective.insert_or_assign(name,
-                                     EffectiveSetting{name, value, written ? SettingSource::File : fallbackSource});
-        return value;
-    }
-
-    std::string required(const std::string &name, const std::string &range)
-    {
-        std::string value = text(name, {});
-        if (value.empty()) {
-            reject(name, value, range);
-        }
-        return value;
-    }
-
-    std::uint64_t number(const std::string &name, std::uint64_t fallback, std::uint64_t low, std::uint64_t high)
-    {
-        return parseNumber(name, text(name, std::to_string(fallback)), low, high);
-    }
-
-    static std::uint64_t
-    parseNumber(const std::string &name, const std::string &value, std::uint64_t low, std::uint64_t high)
-    {
-        std::uint64_t result = 0;
-        const auto parsed = std::from_chars(value.data(), value.data() + value.size(), result);
-        if (parsed.ec != std::errc{} || parsed.ptr != value.data() + value.size() || result < low || result > high) {
-            reject(name, value, "a number from " + std::to_string(low) + " to " + std::to_string(high));
-        }
-        return result;
-    }
-
-    /** @brief Reads PORT or IP:PORT. The IP is ignored, since every port is bound to node.address. */
-    std::uint16_t port(const std::string &name)
-    {
-        const std::string value = text(name, "0");
-        const std::size_t colon = value.rfind(':');
-        const std::string digits = colon == std::string::npos ? value : value.substr(colon + 1);
-        return static_cast<std::uint16_t>(parseNumber(name, digits, 0, 65535));
-    }
-
-    std::chrono::milliseconds
-    milliseconds(const std::string &name, std::uint64_t fallback, std::uint64_t low, std::uint64_t high)
-    {
-        return std::chrono::milliseconds(number(name, fallback, low, high));
-    }
-
-    /** @brief Reads a time whose default follows from a bound of the deployment, if that is known. */
-    std::chrono::milliseconds derivedMilliseconds(const std::string &name,
-                                                  const std::optional<core::Duration> &derived,
-                                                  std::uint64_t fallback,
-                                                  std::uint64_t low,
-                                                  std::uint64_t high)
-    {
-        const auto milliseconds =
-            derived ? std::optional(static_cast<std::uint32_t>(millisecondsOf(*derived))) : std::nullopt;
-        return std::chrono::milliseconds(derivedNumber(name, milliseconds, fallback, low, high));
-    }
-
-    /** @brief Reads a number whose default follows from a bound of the deployment, if that is known. */
-    std::uint32_t derivedNumber(const std::string &name,
-                                const std::optional<std::uint32_t> &derived,
-                                std::uint64_t fallback,
-                                std::uint64_t low,
-                                std::uint64_t high)
-    {
-        const std::string value = std::to_string(derived ? *derived : fallback);
-        const SettingSource source = derived ? SettingSource::Bound : SettingSource::Default;
-        return static_cast<std::uint32_t>(parseNumber(name, text(name, value, source), low, high));
-    }
-
-    /** @return A bound of the deployment; without a value if the setting is missing or empty. */
-    std::optional<core::Duration> bound(const std::string &name, std::uint64_t low, std::uint64_t high)
-    {
-        const auto value = optionalNumber(name, low, high);
-        return value ? std::optional<core::Duration>(std::chrono::milliseconds(*value)) : std::nullopt;
-    }
-
-    /** @return Empty if the setting is missing or empty. */
-    std::optional<std::uint32_t> optionalNumber(const std::string &name, std::uint64_t low, std::uint64_t high)
-    {
-        const std::string value = text(name, {});
-        if (value.empty()) {
-            return std::nullopt;
-        }
-        return static_cast<std::uint32_t>(parseNumber(name, value, low, high));
-    }
-
-    double ratio(const std::string &name, double fallback)
-    {
-        return parseFactor(name, text(name, std::to_string(fallback)), 0, 1);
-    }
-
-    /** @return Empty if the setting is missing or empty. */
-    std::optional<double> optionalFactor(const std::string &name, double low, double high)
-    {
-        const std::string value = text(name, {});
-        return value.empty() ? std::nullopt : std::optional(parseFactor(name, value, low, high));
-    }
-
-    static double parseFactor(const std::string &name, const std::string &value, double low, double high)
-    {
-        std::istringstream stream(value);
-        double result = low - 1;
-        stream >> result;
-        if (!stream.eof() || stream.fail() || result < low || result > high) {
-            std::ostringstream range;
-            range << "a number from " << low << " to " << high;
-            reject(name, value, range.str());
-        }
-        return result;
-    }
-
-    bool flag(const std::string &name, bool fallback)
-    {
-        const std::string value = text(name, fallback ? "on" : "off");
-        if (value != "on" && value != "off") {
-            reject(name, value, "on or off");
-        }
-        return value == "on";
-    }
-
-    std::string validName(const std::string &name)
-    {
-        const std::string range = "1 to 63 characters a-z, 0-9 and '-'";
-        std::string value = required(name, range);
-        if (!core::isValidName(value)) {
-            reject(name, value, range);
-        }
-        return value;
-    }
-
-    /** @return The items of a comma-separated value, without surrounding spaces. */
-    std::vector<std::string> list(const std::string &name)
-    {
-        std::vector<std::string> words;
-        std::istringstream stream(text(name, {}));
-        for (std::string word; std::getline(stream, word, ',');) {
-            word.erase(0, word.find_first_not_of(' '));
-            word.erase(word.find_last_not_of(' ') + 1);
-            if (!word.empty()) {
-                words.push_back(word);
-            }
-        }
-        return words;
-    }
-
-    /** @brief Reports the first setting that no earlier call has read. */
-    void rejectUnknown() const
-    {
-        for (const auto &[section, values] : m_tree) {
-            if (values.empty()) {
-                throw InvalidValue{"unknown setting " + section};
-            }
-            for (const auto &entry : values) {
-                const std::string name = section + "." + entry.first;
-                if (!m_effective.contains(name)) {
-                    throw InvalidValue{"unknown setting " + name};
-                }
-            }
-        }
-    }
-
-    /** @return The settings that have been read, by name. */
-    [[nodiscard]] std::vector<EffectiveSetting> effective() const
-    {
-        std::vector<EffectiveSetting> settings;
-        for (const auto &[name, setting] : m_effective) {
-            settings.push_back(setting);
-        }
-        return settings;
-    }
-
-private:
-    const ptree &m_tree;
-    std::map<std::string, EffectiveSetting> m_effective;
-};
-
 std::string readFile(const std::string &path)
 {
     std::ifstream file(path);
