Wait until each caller has used its key before the test withdraws it

Cause: the test demands a use before the withdrawal from each of twelve callers, but waited for 80 uses in total, which the other callers reach while one of them is not scheduled. Ruled out: the change of routing, as no node reports a pace in this test.

--- a/tests/integration/a_key_is_withdrawn.cpp
+++ b/tests/integration/a_key_is_withdrawn.cpp
@@ -40,12 +40,14 @@
 public:
     Callers(test::Fleet &fleet, const std::string &key)
         : m_uses(fleet.size() * CallersPerNode)
+        , m_hasAccepted(m_uses.size())
     {
         const test::Call call({.target = "/front/use", .key = key, .timeout = 20s});
         for (std::size_t i = 0; i < m_uses.size(); ++i) {
             m_threads.emplace_back([this, &fleet, i, call] {
                 while (!m_isStopping) {
                     m_uses[i].push_back(useOnce(fleet, i % fleet.size(), call));
+                    m_hasAccepted[i] = m_hasAccepted[i] || m_uses[i].back().isAccepted;
                     ++m_count;
                     std::this_thread::sleep_for(CallInterval);
                 }
@@ -71,6 +73,11 @@
     {
         return m_count;
     }
+    /** @return Whether each caller has had an accepted use. */
+    [[nodiscard]] bool haveAllBeenAccepted() const
+    {
+        return std::all_of(m_hasAccepted.begin(), m_hasAccepted.end(), [](bool hasAccepted) { return hasAccepted; });
+    }
     /** @return The uses of each caller; caller i calls node i % number of nodes. Only valid after stop(). */
     [[nodiscard]] const std::vector<std::vector<KeyUse>> &uses() const
     {
@@ -89,6 +96,7 @@
     }
 
     std::vector<std::vector<KeyUse>> m_uses;
+    std::vector<std::atomic<bool>> m_hasAccepted; ///< By caller.
     std::vector<std::thread> m_threads;
     std::atomic<bool> m_isStopping{false};
     std::atomic<std::uint64_t> m_count{0};
@@ -149,7 +157,8 @@
 Withdrawal withdrawInUse(test::Fleet &fleet, std::size_t node, const std::string &name, core::Duration target)
 {
     Callers callers(fleet, "key-" + name);
-    CHECK(test::waitUntil([&] { return callers.count() >= 20 * fleet.size(); }));
+    // On a busy machine, one caller may not have had an answer yet when the others have had all of these.
+    CHECK(test::waitUntil([&] { return callers.count() >= 20 * fleet.size() && callers.haveAllBeenAccepted(); }));
     Withdrawal withdrawal = withdraw(fleet, node, name);
     std::this_thread::sleep_until(withdrawal.sentAt + ObservationTime);
     callers.stop();
