--- a/tests/admission/an_endpoint_is_cold.cpp
+++ b/tests/admission/an_endpoint_is_cold.cpp
@@ -255,7 +255,7 @@
         load.run(400, 2s);
     }
     CHECK(load.mostInASecond(begin) <= MostInASecond);
-    CHECK(load.starts.size() >= 4 * (12 + 30));
+    CHECK(load.starts.size() >= std::size_t{4} * (12 + 30));
 }
 
 // Guards against an endpoint that becomes cold under a load of 50 times its rate and is sent what waits for it.
--- a/tests/routing/a_cold_endpoint_is_shared.cpp
+++ b/tests/routing/a_cold_endpoint_is_shared.cpp
@@ -13,7 +13,6 @@
 using namespace berylspring;
 using namespace std::chrono_literals;
 using routing::EndpointView;
-using routing::EndpointViewFields;
 using routing::Router;
 using test::section;
 
