Use one function for the jitter of times to return

The last read found the same formula in entry.cpp and root_control.cpp, where a copy had come with the split of the entry, and twice more in admission. core::withJitter() serves all four; the times and random draws are the same. Tests of admission, node and retry pass.

--- a/src/admission/service_core.h
+++ b/src/admission/service_core.h
@@ -67,8 +67,6 @@
     /** @brief Sets the timer for the next start at a cold endpoint, if a request waits for it. */
     void armStartTimer();
     void wakeIdleWaiters();
-    [[nodiscard]] core::Duration jitteredRetryAfter() const;
-    [[nodiscard]] core::Duration jitteredColdWait(core::Duration wait) const;
     void recordPressure(double sample, core::TimePoint now);
     void count(core::RefusalReason reason);
     [[nodiscard]] wire::CallResponse
--- a/src/admission/service_responses.cpp
+++ b/src/admission/service_responses.cpp
@@ -1,5 +1,7 @@
 #include "admission/service_core.h"
 
+#include "berylspring/core/jitter.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -39,21 +41,6 @@
     }
 }
 
-core::Duration AdmissionService::Core::jitteredRetryAfter() const
-{
-    // Jitter between one and two times the setting, so that callers refused together do not retry together.
-    const auto base = static_cast<std::uint64_t>(std::max<core::Duration::rep>(m_settings.retryAfter.count(), 1));
-    return core::Duration(static_cast<core::Duration::rep>(base + m_hooks.random() % base));
-}
-
-core::Duration AdmissionService::Core::jitteredColdWait(core::Duration wait) const
-{
-    // The waits differ already, except for those that end when the endpoint is warm.
-    const auto most =
-        static_cast<std::uint64_t>(std::max<core::Duration::rep>(std::min(wait, m_settings.retryAfter).count(), 1));
-    return wait + core::Duration(static_cast<core::Duration::rep>(m_hooks.random() % most));
-}
-
 wire::CallResponse AdmissionService::Core::refuseStart(const AdmissionDecision &decision, const RequestContext &context)
 {
     wire::CallResponse response = refuse(decision.reason, core::Outcome::NotRun, context);
@@ -61,7 +48,9 @@
         return response;
     }
     ++m_history->totals.coldRefused;
-    const auto refusal = response->refusal->withRetryAfter(jitteredColdWait(*decision.coldWait));
+    // The waits differ already, except for those that end when the endpoint is warm.
+    const auto refusal = response->refusal->withRetryAfter(
+        core::withJitter(*decision.coldWait, std::min(*decision.coldWait, m_settings.retryAfter), m_hooks.random()));
     return response.with(&wire::CallResponseFields::refusal, std::optional(refusal));
 }
 
@@ -71,7 +60,8 @@
     count(reason);
     core::Refusal refusal(reason, outcome);
     if (reason == core::RefusalReason::Overloaded) {
-        refusal = refusal.withRetryAfter(jitteredRetryAfter());
+        refusal =
+            refusal.withRetryAfter(core::withJitter(m_settings.retryAfter, m_settings.retryAfter, m_hooks.random()));
     } else if (reason == core::RefusalReason::Quarantined) {
         refusal = refusal.withRetryAfter(m_history->quarantine.remaining(context.digest, context.arrivedAt));
     }
--- a/src/node/entry.cpp
+++ b/src/node/entry.cpp
@@ -1,5 +1,6 @@
 #include "berylspring/node/entry.h"
 
+#include "berylspring/core/jitter.h"
 #include "berylspring/idempotency/claim_name.h"
 #include "berylspring/telemetry/log.h"
 #include "node/milliseconds.h"
@@ -43,19 +44,13 @@
     return cannotHaveEarlierSend ? refusal : refusal.withOutcome(Outcome::Unknown);
 }
 
-/** Adds jitter of up to the base, so that callers refused at the same time do not retry at the same time. */
-core::Duration withJitter(core::Duration base, std::uint64_t random)
-{
-    return base + core::Duration(static_cast<core::Duration::rep>(random % static_cast<std::uint64_t>(base.count())));
-}
-
 /** Time in which a caller finds another node after this one refused a request because it stops. */
 constexpr core::Duration StoppingRetryAfter = std::chrono::milliseconds(50);
 
 Refusal stoppingRefusal(std::uint64_t random)
 {
     const Refusal refusal(RefusalReason::Draining, Outcome::NotRun, "the node stops before the request could end");
-    return refusal.withRetryAfter(withJitter(StoppingRetryAfter, random));
+    return refusal.withRetryAfter(core::withJitter(StoppingRetryAfter, StoppingRetryAfter, random));
 }
 
 /** @brief Reserves a part of the parent's retry allowance for the duration of a nested call. */
--- a/src/node/root_control.cpp
+++ b/src/node/root_control.cpp
@@ -1,5 +1,6 @@
 #include "berylspring/node/root_control.h"
 
+#include "berylspring/core/jitter.h"
 #include "berylspring/core/request_digest.h"
 
 #include <utility>
@@ -36,12 +37,6 @@
     return status >= FirstServerError;
 }
 
-/** Adds jitter of up to the base, so that callers refused at the same time do not retry at the same time. */
-core::Duration withJitter(core::Duration base, std::uint64_t random)
-{
-    return base + core::Duration(static_cast<core::Duration::rep>(random % static_cast<std::uint64_t>(base.count())));
-}
-
 }
 
 RootControl::RootControl(RootControlSettings settings, core::RandomSource random)
@@ -81,7 +76,7 @@
     if (hasReturnTimes(now)) {
         return withReturnTime(refusal, request, plan, plan->timeout, now);
     }
-    return RootRefusal{.refusal = refusal.withRetryAfter(withJitter(ShedRetryAfter, m_random()))};
+    return RootRefusal{.refusal = refusal.withRetryAfter(core::withJitter(ShedRetryAfter, ShedRetryAfter, m_random()))};
 }
 
 RootRefusal RootControl::withReturnTime(const Refusal &refusal,
