Ask one function each for decay, evacuation and cost samples in routing

Routing by load and by cost each had the decay of a report, the dispatcher repeated the eligibility check of an evacuated data centre, and the entry and the endpoint's node each decided which statuses show a request's cost. One function serves both sides now: reportDecay(), isEvacuated(), showsCost().

--- a/include/berylspring/routing/cost_table.h
+++ b/include/berylspring/routing/cost_table.h
@@ -19,6 +19,12 @@
 /** @return The class of the requests with this route and method. */
 [[nodiscard]] CostClass costClassOf(const core::RouteId &route, std::string_view method) noexcept;
 
+/**
+ * @return Whether the time of a response with this status shows what its request costs. Errors, also 502 to 504 and
+ * 429, are often fast.
+ */
+[[nodiscard]] bool showsCost(std::uint16_t status) noexcept;
+
 /** @brief Mean and spread of the service times of one class, with exponential decay. */
 class CostEstimate
 {
--- a/include/berylspring/routing/eligibility.h
+++ b/include/berylspring/routing/eligibility.h
@@ -16,6 +16,9 @@
     std::vector<Exclusion> exclusions;
 };
 
+/** @return Whether the endpoint is in a data centre to whose endpoints nothing is sent. */
+[[nodiscard]] bool isEvacuated(const RoutingRequest &request, const EndpointView &view);
+
 /**
  * @brief First step of routing: filters endpoints by hard requirements, independently of their scores.
  *
--- a/src/admission/service_core.cpp
+++ b/src/admission/service_core.cpp
@@ -44,8 +44,7 @@
 bool isCostSample(const EndpointResult &result) noexcept
 {
     const wire::CallResponse &response = result.response;
-    return !response->refusal && !result.connectionLost && response->status < FirstServerError
-           && response->status != TooManyRequests;
+    return !response->refusal && !result.connectionLost && routing::showsCost(response->status);
 }
 
 }
--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -1,6 +1,7 @@
 #include "berylspring/node/dispatcher.h"
 
 #include "berylspring/retry/failure.h"
+#include "berylspring/routing/eligibility.h"
 
 #include <algorithm>
 #include <vector>
@@ -84,11 +85,7 @@
 {
     // A refusal made by this node, for example after a lost connection, has none of these figures.
     report.hasAnswer = !response->refusal || response->outstandingWork > 0 || response->pace > 0;
-    // Errors of the endpoint, also 502 to 504 and 429, are often fast and don't show what the request costs.
-    constexpr std::uint16_t TooManyRequests = 429;
-    constexpr std::uint16_t FirstServerError = 500;
-    const bool isError = response->status == TooManyRequests || response->status >= FirstServerError;
-    report.serviceTime = isError ? core::Duration::zero() : response->serviceTime;
+    report.serviceTime = routing::showsCost(response->status) ? response->serviceTime : core::Duration::zero();
     report.outstandingWork = response->outstandingWork;
     report.pace = response->pace;
 }
@@ -192,10 +189,6 @@
     if (m_hooks.evacuatedDataCentres) {
         request.evacuatedDataCentres = *m_hooks.evacuatedDataCentres();
     }
-    const auto isEvacuated = [&](const routing::EndpointView &endpoint) {
-        const auto &evacuated = request.evacuatedDataCentres;
-        return std::find(evacuated.begin(), evacuated.end(), endpoint->dataCentre) != evacuated.end();
-    };
     if (call->isNested) {
         request.remoteCost = NestedRemoteCost;
     }
@@ -203,7 +196,8 @@
     if (m_areControlsOn && !call->isNested) {
         for (const routing::EndpointView &endpoint : *endpoints) {
             // An endpoint that takes no requests at all is no reason to report that requests are shed.
-            if (!isEvacuated(endpoint) && !m_shedding.admits({endpoint->host, call->service}, call->priority, now)) {
+            if (!routing::isEvacuated(request, endpoint)
+                && !m_shedding.admits({endpoint->host, call->service}, call->priority, now)) {
                 request.excludedHosts.push_back(endpoint->host);
                 attempts.wasShed = true;
             }
--- a/src/routing/cost_table.cpp
+++ b/src/routing/cost_table.cpp
@@ -26,6 +26,13 @@
     return static_cast<CostClass>(std::max<std::uint64_t>(hash, 1));
 }
 
+bool showsCost(std::uint16_t status) noexcept
+{
+    constexpr std::uint16_t TooManyRequests = 429;
+    constexpr std::uint16_t FirstServerError = 500;
+    return status < FirstServerError && status != TooManyRequests;
+}
+
 CostEstimate::CostEstimate(double mean, double spread, double weight) noexcept
     : m_mean(mean)
     , m_variance(spread * spread)
--- a/src/routing/eligibility.cpp
+++ b/src/routing/eligibility.cpp
@@ -22,8 +22,7 @@
     if (std::find(excluded.begin(), excluded.end(), view->host) != excluded.end()) {
         return ExclusionReason::Excluded;
     }
-    const auto &evacuated = request.evacuatedDataCentres;
-    if (std::find(evacuated.begin(), evacuated.end(), view->dataCentre) != evacuated.end()) {
+    if (isEvacuated(request, view)) {
         return ExclusionReason::Evacuated;
     }
     if (!view->isAlive) {
@@ -62,6 +61,12 @@
 
 }
 
+bool isEvacuated(const RoutingRequest &request, const EndpointView &view)
+{
+    const auto &evacuated = request.evacuatedDataCentres;
+    return std::find(evacuated.begin(), evacuated.end(), view->dataCentre) != evacuated.end();
+}
+
 EligibilityResult
 checkEligibility(const RoutingRequest &request, std::span<const Candidate> candidates, core::TimePoint now)
 {
--- a/src/routing/ranking.cpp
+++ b/src/routing/ranking.cpp
@@ -1,9 +1,9 @@
 #include "berylspring/routing/ranking.h"
 
+#include "berylspring/routing/endpoint_work.h"
 #include "berylspring/routing/expected_time.h"
 
 #include <algorithm>
-#include <cmath>
 #include <vector>
 
 namespace berylspring::routing {
@@ -15,11 +15,7 @@
 
 double decayed(double load, core::TimePoint at, const RouterSettings &settings, core::TimePoint now)
 {
-    if (load <= 0 || settings.reportHalfLife <= core::Duration::zero()) {
-        return 0;
-    }
-    const auto age = static_cast<double>(std::max(core::Duration::zero(), now - at).count());
-    return load * std::exp2(-age / static_cast<double>(settings.reportHalfLife.count()));
+    return load <= 0 ? 0 : load * reportDecay(at, now, settings.reportHalfLife);
 }
 
 /**
