Simplify the replacement of the admission and the end of an evacuation

A variable named retired held the new admission service until a swap; the new and the old one have names of their own now. The function that only called takenBack() is gone, and the work samples stand beside the admission samples instead of in a second anonymous namespace. No behaviour changes; tests of node pass.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -86,6 +86,22 @@
             {"berylspring_cold_refused", static_cast<double>(state->counters.coldRefused), {}}};
 }
 
+void addWorkSamples(std::vector<telemetry::Sample> &samples, const std::vector<routing::EndpointWorkState> &states)
+{
+    std::map<std::string, double> costs;
+    for (const routing::EndpointWorkState &state : states) {
+        const std::map<std::string, std::string> labels{{"service", state.service.value()},
+                                                        {"endpoint", state.host.value()}};
+        costs.insert_or_assign(state.service.value(), state.cost);
+        samples.push_back({"berylspring_endpoint_slowness", state.slowness, labels});
+        samples.push_back({"berylspring_endpoint_outstanding_seconds", state.outstanding, labels});
+        samples.push_back({"berylspring_endpoint_chosen", static_cast<double>(state.chosen), labels});
+    }
+    for (const auto &[service, cost] : costs) {
+        samples.push_back({"berylspring_route_cost_seconds", cost, {{"service", service}}});
+    }
+}
+
 }
 
 Node::Implementation::Implementation(asio::any_io_executor executor, Settings settings, Protocols protocols)
@@ -308,26 +324,6 @@
     return std::make_shared<admission::AdmissionService>(m_executor, settings, admissionHooks(), m_admissionHistory);
 }
 
-namespace {
-
-void addWorkSamples(std::vector<telemetry::Sample> &samples, const std::vector<routing::EndpointWorkState> &states)
-{
-    std::map<std::string, double> costs;
-    for (const routing::EndpointWorkState &state : states) {
-        const std::map<std::string, std::string> labels{{"service", state.service.value()},
-                                                        {"endpoint", state.host.value()}};
-        costs.insert_or_assign(state.service.value(), state.cost);
-        samples.push_back({"berylspring_endpoint_slowness", state.slowness, labels});
-        samples.push_back({"berylspring_endpoint_outstanding_seconds", state.outstanding, labels});
-        samples.push_back({"berylspring_endpoint_chosen", static_cast<double>(state.chosen), labels});
-    }
-    for (const auto &[service, cost] : costs) {
-        samples.push_back({"berylspring_route_cost_seconds", cost, {{"service", service}}});
-    }
-}
-
-}
-
 std::vector<telemetry::Sample> Node::Implementation::samples() const
 {
     std::vector<telemetry::Sample> samples = admissionSamples(admission()->state());
--- a/src/node/node_evacuation.cpp
+++ b/src/node/node_evacuation.cpp
@@ -14,7 +14,8 @@
         return std::find(changed.begin(), changed.end(), m_settings->dataCentre) != changed.end();
     };
     if (names(change.returned)) {
-        ownDataCentreWasTakenBack();
+        // The endpoint may be cold now. Its cold state begins before the node publishes that it takes requests.
+        m_endpoint.takenBack(now());
     }
     if (names(change.evacuated) || names(change.returned)) {
         publishEndpoint();
@@ -32,12 +33,6 @@
     }
 }
 
-void Node::Implementation::ownDataCentreWasTakenBack()
-{
-    // The endpoint may be cold now. Its cold state begins before the node publishes that it takes requests.
-    m_endpoint.takenBack(now());
-}
-
 void Node::Implementation::enforceEvacuation(admission::AdmissionService &service) const
 {
     service.setEvacuated(m_evacuations.isEvacuated(m_settings->dataCentre));
--- a/src/node/node_handlers.cpp
+++ b/src/node/node_handlers.cpp
@@ -6,6 +6,7 @@
 #include "berylspring/telemetry/log.h"
 
 #include <algorithm>
+#include <utility>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/error.hpp>
@@ -200,12 +201,13 @@
 
 void Node::Implementation::replaceAdmission()
 {
-    std::shared_ptr<admission::AdmissionService> retired = makeAdmission();
-    retired->setCold(m_endpoint.coldLimit());
-    enforceEvacuation(*retired); // Still the new service.
+    const std::shared_ptr<admission::AdmissionService> next = makeAdmission();
+    next->setCold(m_endpoint.coldLimit());
+    enforceEvacuation(*next);
+    std::shared_ptr<admission::AdmissionService> retired;
     {
         const std::scoped_lock lock(m_admissionMutex);
-        std::swap(retired, m_admission);
+        retired = std::exchange(m_admission, next);
     }
     retired->retire();
 }
--- a/src/node/node_implementation.h
+++ b/src/node/node_implementation.h
@@ -80,8 +80,6 @@
     // Evacuations, in node_evacuation.cpp.
     /** @brief Puts the evacuations of the configuration in force, without delay. */
     void applyEvacuations();
-    /** @brief Called once when the evacuation of the own data centre ends, before the endpoint's state is published. */
-    void ownDataCentreWasTakenBack();
     void enforceEvacuation(admission::AdmissionService &service) const;
 
     void publishEndpoint();
