Reserve the memory of response bodies before it is allocated

Cause: the budget counted the bytes that had arrived. The string of a body doubles its memory as it grows and leaves the old memory to the allocator, so bodies took up to several times what was reserved. After other tests of the same process the allocator serves these strings from its heaps, where the pieces are not given back; that is why the test passed alone.

Ruled out: load of the machine alone.

Change: what is reserved is the memory of the string. A body of announced length is reserved as a whole when its head has arrived; any other one grows in steps that are reserved before they are allocated and end at the limit. Fewer large bodies begin, and those that begin can end.

The new test reservesTheMemoryOfABodyThatArrivesSlowly failed before the change (1 MiB reserved of 8 MiB).

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -42,6 +42,8 @@
 constexpr int MaxInformationalResponses = 32;
 /** Time in which a process that has closed one connection closes its listening socket, if it ends. */
 constexpr std::chrono::milliseconds ListenerCloseTime(20);
+/** First size of the memory of a body whose length is not announced; takes what one read can deliver. */
+constexpr std::uint64_t FirstBodyBytes = detail::ReadBufferBytes;
 /** Connections of one probe that a running server may close at once. */
 constexpr int MaxProbeConnections = 3;
 
@@ -123,12 +125,13 @@
 
 namespace {
 
-/** @brief Share of one body in a budget; returned on destruction. */
+/** @brief Share of the memory of one body in a budget; returned on destruction. */
 class BodyShare
 {
 public:
-    explicit BodyShare(std::shared_ptr<BodyBudget> budget)
+    BodyShare(std::shared_ptr<BodyBudget> budget, std::uint64_t limitBytes)
         : m_budget(std::move(budget))
+        , m_limitBytes(limitBytes)
     {
     }
     ~BodyShare()
@@ -140,7 +143,36 @@
     BodyShare(const BodyShare &) = delete;
     BodyShare &operator=(const BodyShare &) = delete;
 
-    /** @return Whether a body of this size fits into the budget. */
+    /** @return Whether the memory that the body has fits into the budget. */
+    [[nodiscard]] bool cover(const std::string &body)
+    {
+        // A short string is stored within the object.
+        return body.capacity() <= std::string().capacity() || growTo(body.capacity());
+    }
+
+    /**
+     * Makes room for what one read can deliver, so that the parser never enlarges the string: a string doubles its
+     * memory without regard to the limit, and before it can be reserved.
+     * @return Whether the memory fits into the budget; if not, the body is unchanged.
+     */
+    [[nodiscard]] bool makeRoom(std::string &body)
+    {
+        const std::uint64_t wanted = std::max(body.size() + FirstBodyBytes, std::uint64_t{2} * body.size());
+        const std::uint64_t capacity = std::min(wanted, std::max<std::uint64_t>(m_limitBytes, body.size()));
+        if (body.capacity() - body.size() >= FirstBodyBytes || body.capacity() >= capacity) {
+            return true;
+        }
+        if (!growTo(capacity)) {
+            return false;
+        }
+        std::string enlarged;
+        enlarged.reserve(capacity);
+        enlarged.append(body);
+        body = std::move(enlarged);
+        return true;
+    }
+
+private:
     [[nodiscard]] bool growTo(std::uint64_t bytes)
     {
         if (m_budget && bytes > m_heldBytes) {
@@ -152,8 +184,8 @@
         return true;
     }
 
-private:
     std::shared_ptr<BodyBudget> m_budget;
+    std::uint64_t m_limitBytes;
     std::uint64_t m_heldBytes = 0;
 };
 
@@ -326,7 +358,7 @@
         parser.body_limit(m_options.bodyLimitBytes);
         parser.skip(isHeadRequest);
         parser.eager(true);
-        BodyShare share(m_options.bodyBudget);
+        BodyShare share(m_options.bodyBudget, m_options.bodyLimitBytes);
         while (!parser.is_done()) {
             co_await beast::http::async_read_some(
                 connection.stream, connection.buffer, parser, asio::redirect_error(asio::use_awaitable, error));
@@ -337,7 +369,10 @@
             if (std::chrono::steady_clock::now() >= deadline) {
                 co_return tl::unexpected(Error(ErrorCode::Timeout, true, "the response goes on beyond the timeout"));
             }
-            if (!share.growTo(parser.get().body().size())) {
+            // The parser allocates the whole of a body whose length is announced.
+            std::string &body = parser.get().body();
+            const bool hasMore = !parser.is_done() && parser.is_header_done() && !parser.content_length();
+            if (!share.cover(body) || (hasMore && !share.makeRoom(body))) {
                 co_return tl::unexpected(
                     Error(ErrorCode::TooLarge, true, "too many bytes of responses at the same time"));
             }
--- a/tests/http/a_server_that_never_stops.cpp
+++ b/tests/http/a_server_that_never_stops.cpp
@@ -3,6 +3,7 @@
 #include "http/scripted_server.h"
 #include "support/section.h"
 
+#include <algorithm>
 #include <chrono>
 #include <fstream>
 #include <future>
@@ -400,6 +401,40 @@
     pool.join();
 }
 
+// Guards against memory that is allocated for bodies beyond the budget, because only the bytes that have arrived count.
+TEST(AServerThatNeverStops, reservesTheMemoryOfABodyThatArrivesSlowly)
+{
+    constexpr std::uint64_t ArrivedBytes = 1024 * 1024;
+    constexpr std::uint64_t AnnouncedBytes = 8 * ArrivedBytes;
+    const std::string arrived(ArrivedBytes, 'x');
+    const auto checkReserved = [&](const std::string &head, std::uint64_t least, std::uint64_t most) {
+        const auto budget = std::make_shared<http::BodyBudget>(BudgetBytes);
+        ScriptedServer server([&](int) { return Script{.first = head + arrived, .pause = 2 * CallTimeout}; });
+        asio::thread_pool pool{1};
+        http::Client client(
+            pool.get_executor(), server.address(), {.bodyLimitBytes = BodyLimitBytes, .bodyBudget = budget});
+        auto response = asio::co_spawn(pool, client.send(requestWithId("a"), CallTimeout), asio::use_future);
+        const auto deadline = std::chrono::steady_clock::now() + CallTimeout;
+        std::uint64_t highest = 0;
+        while (highest < least && std::chrono::steady_clock::now() < deadline) {
+            highest = std::max(highest, budget->reservedBytes());
+            std::this_thread::sleep_for(1ms);
+        }
+        CHECK(highest >= least);
+        CHECK(highest <= most);
+        CHECK_FALSE(response.get().has_value());
+        LONGS_EQUAL(0, budget->reservedBytes());
+    };
+    section("an announced length is reserved as a whole", [&] {
+        checkReserved("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(AnnouncedBytes) + "\r\n\r\n",
+                      AnnouncedBytes,
+                      AnnouncedBytes);
+    });
+    section("a body without length is reserved before its string grows", [&] {
+        checkReserved("HTTP/1.1 200 OK\r\n\r\n", ArrivedBytes + UnparsedBytes, 2 * ArrivedBytes + UnparsedBytes);
+    });
+}
+
 // Guards against a timeout that never fires because the next bytes always arrive first.
 TEST(AServerThatNeverStops, makesProgressWithEveryRead)
 {
