Order the calls of a chain by the deadline of their root

What callers saw: a root request that makes several calls in series at a service fails with the first one that is refused. Where each call is refused with a chance of 0.11, 0.39 of the chains of eight calls end, and the work of the others is lost.

Cause: the queue of an endpoint orders nested calls by the deadline of their own route, which says nothing about the root, and refuses the one that arrives when it is full. Refusals hit chains of every age.

Change: an entry passes on how much time the root has left, while endpoints of the fleet report their pace. The queue orders such calls by the root's deadline, and in a full queue the youngest root gives way. Without the time of the root nothing changes.

--- a/include/berylspring/admission/admission_history.h
+++ b/include/berylspring/admission/admission_history.h
@@ -23,6 +23,7 @@
     std::atomic<std::uint64_t> coldStarted{0};
     std::atomic<std::uint64_t> coldRefused{0};
     std::atomic<std::uint64_t> evacuated{0};
+    std::atomic<std::uint64_t> displaced{0};
 
     [[nodiscard]] AdmissionCounters counters() const noexcept
     {
@@ -36,7 +37,8 @@
                 .connectionsLost = connectionsLost,
                 .coldStarted = coldStarted,
                 .coldRefused = coldRefused,
-                .evacuated = evacuated};
+                .evacuated = evacuated,
+                .displaced = displaced};
     }
 };
 
--- a/include/berylspring/admission/admission_queue.h
+++ b/include/berylspring/admission/admission_queue.h
@@ -27,6 +27,8 @@
     bool isNested = false; ///< Goes before new work of the same level.
     core::TimePoint arrivedAt;
     core::TimePoint deadline;
+    /** Deadline of the root request of a nested call. Calls that have it are ordered by it. */
+    std::optional<core::TimePoint> rootDeadline;
     [[nodiscard]] bool operator==(const QueueEntryFields &) const = default;
 };
 using QueueEntry = core::Immutable<QueueEntryFields>;
@@ -54,6 +56,10 @@
  * workspaces share by weight (start-time fair queueing); within a workspace, earliest deadline first. Nested entries
  * have no strict precedence, because a service deep in many call chains always has some waiting and new entries would
  * starve.
+ *
+ * Nested calls with a root deadline are ordered by that instead. A root that makes several calls in series fails if one
+ * of them is refused, so under overload the refusals have to fall on few roots: those that have most time left, which
+ * have used the least work.
  */
 class AdmissionQueue
 {
@@ -62,7 +68,8 @@
      * @brief Adds an entry.
      *
      * When the queue is full, the entry evicts one of a lower priority, or one of the same priority whose workspace
-     * has a longer backlog in relation to its weight.
+     * has a longer backlog in relation to its weight. An entry with a root deadline also evicts the one of its own
+     * workspace with the latest such deadline, if that is later.
      * @param maxLength Length from which the queue is full; for a new entry, nested ones do not count.
      */
     OfferResult offer(const QueueEntry &entry, std::size_t maxLength);
@@ -93,6 +100,7 @@
     [[nodiscard]] std::optional<core::PriorityLevel> lowestPriority() const noexcept;
 
 private:
+    /** The time is that of orderOf(). */
     using ByDeadline = std::set<std::pair<core::TimePoint, std::uint64_t>>;
 
     /** Waiting entries of one workspace in one lane. */
@@ -115,6 +123,8 @@
     [[nodiscard]] static std::size_t laneOf(const QueueEntry &entry) noexcept;
     [[nodiscard]] std::optional<std::size_t> lowestLane() const noexcept;
     [[nodiscard]] std::optional<std::uint64_t> displaceFor(const QueueEntry &entry);
+    [[nodiscard]] static core::TimePoint orderOf(const QueueEntry &entry) noexcept;
+    std::optional<std::uint64_t> removeLast(const Backlog &backlog);
     void insert(const QueueEntry &entry);
     [[nodiscard]] std::uint64_t selectNext(Lane &lane);
     static void removeIdleBacklogs(Lane &lane);
--- a/include/berylspring/admission/admission_state.h
+++ b/include/berylspring/admission/admission_state.h
@@ -22,6 +22,7 @@
     std::uint64_t coldStarted = 0; ///< Started while the endpoint was cold.
     std::uint64_t coldRefused = 0; ///< Refused because a cold endpoint could not start them in time.
     std::uint64_t evacuated = 0; ///< Refused because the data centre of the endpoint is evacuated.
+    std::uint64_t displaced = 0; ///< Waiting requests among `overloaded` whose place another one has taken.
     [[nodiscard]] bool operator==(const AdmissionCounters &) const = default;
 };
 
--- a/include/berylspring/admission/endpoint_gate.h
+++ b/include/berylspring/admission/endpoint_gate.h
@@ -35,6 +35,7 @@
     core::Duration maxWait{}; ///< With Wait: time after which the request calls leave().
     /** Set if the endpoint is cold: with Refuse, when a token is due for the caller; with a start, zero. */
     std::optional<core::Duration> coldWait;
+    bool isDisplaced = false; ///< With Refuse: another request has taken its place in the queue.
     [[nodiscard]] bool operator==(const AdmissionDecision &) const = default;
     [[nodiscard]] bool isStart() const noexcept
     {
--- a/include/berylspring/node/root_control.h
+++ b/include/berylspring/node/root_control.h
@@ -69,6 +69,11 @@
     /** @brief Notes whether the response, of any call of this node, shows that endpoints report their pace. */
     void recordPace(const wire::CallResponse &response, core::TimePoint now);
 
+    /** @return Whether endpoints of the fleet report their pace. */
+    [[nodiscard]] bool isPaceReported(core::TimePoint now) const
+    {
+        return now < m_paceHoldsUntil.load();
+    }
     /** @return Share of the demand that this node sheds, 0 to 1; the highest over all services. */
     [[nodiscard]] double shedding(core::TimePoint now) const
     {
--- a/include/berylspring/wire/messages.h
+++ b/include/berylspring/wire/messages.h
@@ -46,6 +46,8 @@
     bool isSuspect = false; ///< Ran while an endpoint crashed, so it must run alone.
     /** Time after `remaining` for which the endpoint's own answer, which may be that its time is over, is awaited. */
     core::Duration answerGrace{};
+    /** Of a nested call: time until the deadline of its root request, if that orders waiting calls; 0: not known. */
+    core::Duration rootRemaining{};
     [[nodiscard]] bool operator==(const CallRequestFields &) const = default;
 };
 using CallRequest = core::Immutable<CallRequestFields>;
--- a/src/admission/admission_queue.cpp
+++ b/src/admission/admission_queue.cpp
@@ -25,6 +25,11 @@
     return 2 * std::size_t{priority} + (entry->isNested ? 1 : 0);
 }
 
+core::TimePoint AdmissionQueue::orderOf(const QueueEntry &entry) noexcept
+{
+    return entry->rootDeadline.value_or(entry->deadline);
+}
+
 std::optional<std::size_t> AdmissionQueue::lowestLane() const noexcept
 {
     for (std::size_t i = 0; i < LaneCount; ++i) {
@@ -71,10 +76,17 @@
         const auto mine = backlogs.find(entry->workspace);
         const double lengthPerWeight = mine == backlogs.end() ? 1 / weightOf(entry) : mine->second.lengthPerWeight(1);
         if (lengthPerWeight >= largest->second.lengthPerWeight(0)) {
-            return std::nullopt;
+            const bool hasLater = entry->rootDeadline && mine != backlogs.end() && !mine->second.entries.empty()
+                                  && std::prev(mine->second.entries.end())->first > orderOf(entry);
+            return hasLater ? removeLast(mine->second) : std::nullopt;
         }
     }
-    const std::uint64_t displaced = std::prev(largest->second.entries.end())->second;
+    return removeLast(largest->second);
+}
+
+std::optional<std::uint64_t> AdmissionQueue::removeLast(const Backlog &backlog)
+{
+    const std::uint64_t displaced = std::prev(backlog.entries.end())->second;
     remove(displaced);
     return displaced;
 }
@@ -89,7 +101,7 @@
         // A workspace earns no credit while it has no backlog.
         backlog.virtualStart = std::max(backlog.virtualStart, lane.virtualTime);
     }
-    backlog.entries.emplace(entry->deadline, entry->id);
+    backlog.entries.emplace(orderOf(entry), entry->id);
     ++lane.size;
     m_entries.emplace(entry->id, entry);
 }
@@ -160,7 +172,7 @@
     const QueueEntry entry = found->second;
     Lane &lane = m_lanes[laneOf(entry)];
     Backlog &backlog = lane.backlogs[entry->workspace];
-    backlog.entries.erase({entry->deadline, id});
+    backlog.entries.erase({orderOf(entry), id});
     --lane.size;
     m_newCount -= entry->isNested ? 0 : 1;
     m_entries.erase(found);
--- a/src/admission/endpoint_gate.cpp
+++ b/src/admission/endpoint_gate.cpp
@@ -80,7 +80,9 @@
     }
     if (offer.displaced) {
         raiseLevel(now);
-        decide(*offer.displaced, refuseOverloaded(now), decided);
+        AdmissionDecision refused = refuseOverloaded(now);
+        refused.isDisplaced = true;
+        decide(*offer.displaced, refused, decided);
     }
     const core::Duration untilTooLate = entry->deadline - now - m_serviceTimes.lowQuantile(now);
     const core::Duration bound = entry->isNested ? untilTooLate : std::min(untilTooLate, m_settings.targetWait);
--- a/src/admission/service_core.cpp
+++ b/src/admission/service_core.cpp
@@ -298,6 +298,9 @@
     fields.isNested = request->isNested;
     fields.arrivedAt = context.arrivedAt;
     fields.deadline = context.deadline;
+    if (request->isNested && request->rootRemaining > core::Duration::zero()) {
+        fields.rootDeadline = context.arrivedAt + request->rootRemaining;
+    }
     return QueueEntry(std::move(fields));
 }
 
--- a/src/admission/service_responses.cpp
+++ b/src/admission/service_responses.cpp
@@ -44,6 +44,7 @@
 wire::CallResponse AdmissionService::Core::refuseStart(const AdmissionDecision &decision, const RequestContext &context)
 {
     wire::CallResponse response = refuse(decision.reason, core::Outcome::NotRun, context);
+    m_history->totals.displaced += decision.isDisplaced ? 1 : 0;
     if (decision.reason != core::RefusalReason::Overloaded || !decision.coldWait) {
         return response;
     }
--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -90,6 +90,12 @@
     report.pace = response->pace;
 }
 
+/** @return Time left to the root of a nested call when the call itself has `remaining` left. */
+core::Duration rootRemaining(const wire::CallRequest &call, core::Duration remaining)
+{
+    return std::max(core::Duration::zero(), call->rootRemaining - (call->remaining - remaining));
+}
+
 Refusal refusalOf(const wire::Error &error)
 {
     const Outcome outcome = error.maybeSent() ? Outcome::Unknown : Outcome::NotRun;
@@ -143,6 +149,7 @@
             attempts.hosts.push_back(*decision.host);
             const wire::CallRequest sent =
                 call.with(&wire::CallRequestFields::remaining, remaining)
+                    .with(&wire::CallRequestFields::rootRemaining, rootRemaining(call, remaining))
                     .with(&wire::CallRequestFields::isSuspect, call->isSuspect || attempts.isSuspect)
                     .with(&wire::CallRequestFields::retryAllowance,
                           call->retryAllowance - std::min(call->retryAllowance, attempts.retries));
--- a/src/node/entry.cpp
+++ b/src/node/entry.cpp
@@ -157,7 +157,8 @@
                                   .retryAllowance = allowance.amount(),
                                   .traceParent = trace.traceParent(),
                                   .requestId = request->requestId,
-                                  .answerGrace = (*plan)->answerGrace});
+                                  .answerGrace = (*plan)->answerGrace,
+                                  .rootRemaining = rootRemaining(request, *plan, startedAt)});
     const core::TimePoint sentAt = m_hooks.now();
     const wire::CallResponse response = co_await forward(call, request, *plan);
     const core::TimePoint endedAt = m_hooks.now();
@@ -196,6 +197,17 @@
     return plan.with(&CallPlanFields::timeout, timeForNested).with(&CallPlanFields::answerGrace, stop->answerGrace());
 }
 
+core::Duration
+Entry::rootRemaining(const http::CallerRequest &request, const CallPlan &plan, core::TimePoint startedAt) const
+{
+    // An endpoint passes the remaining time of its own request on, which is longer than the time of the call's route.
+    const core::TimePoint now = m_hooks.now();
+    if (!plan->isNested || !request->timeout || !m_rootControl.isPaceReported(now)) {
+        return core::Duration::zero();
+    }
+    return std::max(core::Duration::zero(), *request->timeout - (now - startedAt));
+}
+
 core::Duration Entry::expectedNestedTime(const CallPlan &plan) const
 {
     const auto known = m_nestedTimes.find(plan->route);
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -79,6 +79,7 @@
             {"berylspring_admission_limit", static_cast<double>(state->limit), {}},
             {"berylspring_admission_level", static_cast<double>(state->admittedLevel), {}},
             {"berylspring_admission_overloaded", static_cast<double>(state->counters.overloaded), {}},
+            {"berylspring_admission_displaced", static_cast<double>(state->counters.displaced), {}},
             {"berylspring_admission_too_late", static_cast<double>(state->counters.tooLate), {}},
             {"berylspring_admission_quarantined", static_cast<double>(state->counters.quarantined), {}},
             {"berylspring_admission_connections_lost", static_cast<double>(state->counters.connectionsLost), {}},
--- a/src/node/root_control.cpp
+++ b/src/node/root_control.cpp
@@ -52,7 +52,7 @@
     if (!m_settings.areControlsOn || m_settings.returnTimes == ReturnTimes::Off) {
         return false;
     }
-    return m_settings.returnTimes == ReturnTimes::On || now < m_paceHoldsUntil.load();
+    return m_settings.returnTimes == ReturnTimes::On || isPaceReported(now);
 }
 
 std::optional<RootRefusal>
--- a/src/wire/envelope_decode.cpp
+++ b/src/wire/envelope_decode.cpp
@@ -166,6 +166,7 @@
         fields.requestId = text(value.request_id());
         fields.isSuspect = value.is_suspect();
         fields.answerGrace = duration(value.answer_grace_ns());
+        fields.rootRemaining = duration(value.root_remaining_ns());
         return CallRequest(std::move(fields));
     }
 
--- a/src/wire/envelope_encode.cpp
+++ b/src/wire/envelope_encode.cpp
@@ -160,7 +160,8 @@
                                          claimName,
                                          requestId,
                                          value->isSuspect,
-                                         value->answerGrace.count());
+                                         value->answerGrace.count(),
+                                         value->rootRemaining.count());
     }
     Offset<schema::CallResponse> write(const CallResponse &value)
     {
--- a/tests/wire/generators.h
+++ b/tests/wire/generators.h
@@ -105,6 +105,7 @@
     fields.requestId = text();
     fields.isSuspect = value<bool>();
     fields.answerGrace = duration();
+    fields.rootRemaining = duration();
     return wire::CallRequest(fields);
 }
 
