Take settings that the file leaves out from the environment

Cause: the template of the platform's settings file cannot be given new fields, so the bounds of the cold start and of the retries that the deployment knows never reach the process.

Change: berylspringd passes its environment in as the value SettingsEnvironment. The settings reader asks it for each setting that the file does not have, by the name BERYLSPRING_SECTION_NAME, so that no second list of the settings exists. The file goes first; a blank variable counts as not set. Errors name the variables that the value depends on, also where a value of the file breaks a bound in a variable. A secret in the file goes before a secret file that a variable names. A reload reads the file with the variables of the start.

The integration tests were not run.

--- a/include/berylspring/node/settings.h
+++ b/include/berylspring/node/settings.h
@@ -7,6 +7,7 @@
 #include "berylspring/node/deployment_bounds.h"
 #include "berylspring/node/error.h"
 #include "berylspring/node/return_times.h"
+#include "berylspring/node/settings_environment.h"
 #include "berylspring/routing/service_work.h"
 #include "berylspring/telemetry/log.h"
 
@@ -82,6 +83,7 @@
 /** @brief Where the value of a setting comes from. */
 enum class SettingSource {
     File,
+    Environment, ///< Variable of the process.
     Bound, ///< Derived from a bound of the deployment.
     Default,
 };
@@ -100,22 +102,26 @@
 {
     Settings settings;
     std::vector<EffectiveSetting> effective; ///< Sorted by name.
+    std::vector<std::string> unknownVariables; ///< Names of the variables that belong to no setting, sorted.
     [[nodiscard]] bool operator==(const SettingsDocument &) const = default;
 };
 
 /**
  * @brief Parses settings in INI format.
  * @param text Content of the settings file.
- * @return The settings, or InvalidSettings with the name, value and allowed range of the first invalid setting.
- * Unknown sections and names are errors.
+ * @param environment Values of the settings that the file does not have.
+ * @return The settings, or InvalidSettings with the name, value and allowed range of the first invalid setting, and
+ * with the variables that it comes from. Unknown sections and names are errors, unknown variables are not.
  */
-[[nodiscard]] Result<Settings> parseSettings(const std::string &text);
+[[nodiscard]] Result<Settings> parseSettings(const std::string &text, const SettingsEnvironment &environment = {});
 /** @return As parseSettings(), with the value of each setting and where it comes from. */
-[[nodiscard]] Result<SettingsDocument> parseDocument(const std::string &text);
+[[nodiscard]] Result<SettingsDocument> parseDocument(const std::string &text,
+                                                     const SettingsEnvironment &environment = {});
 
 /** @return parseSettings() of the content of a file; StartFailed if the file cannot be read. */
-[[nodiscard]] Result<Settings> loadSettings(const std::string &path);
+[[nodiscard]] Result<Settings> loadSettings(const std::string &path, const SettingsEnvironment &environment = {});
 /** @return parseDocument() of the content of a file; StartFailed if the file cannot be read. */
-[[nodiscard]] Result<SettingsDocument> loadDocument(const std::string &path);
+[[nodiscard]] Result<SettingsDocument> loadDocument(const std::string &path,
+                                                    const SettingsEnvironment &environment = {});
 
 }
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -23,15 +23,17 @@
 
 constexpr std::size_t MinSecretLength = 16;
 constexpr const char *SecretName = "fleet.secret";
+constexpr const char *SecretFileName = "fleet.secret_file";
 constexpr std::uint64_t MaxBoundMs = 3'600'000;
 constexpr std::uint64_t MaxLimitExcess = 1'000'000;
 constexpr double MaxColdExcess = 100;
 
-std::string readFile(const std::string &path)
+/** @param settings Settings that the path comes from. */
+std::string readFile(const std::string &path, std::vector<std::string> settings = {})
 {
     std::ifstream file(path);
     if (!file) {
-        throw InvalidValue{"cannot read " + path};
+        throw InvalidValue{"cannot read " + path, std::move(settings)};
     }
     std::ostringstream content;
     content << file.rdbuf();
@@ -84,14 +86,16 @@
 
 std::string readSecret(SettingsReader &reader)
 {
-    const std::string path = reader.text("fleet.secret_file", {});
-    std::string secret = reader.text("fleet.secret", {});
+    std::string secret = reader.text(SecretName, {});
+    // A path from the environment must not replace the secret of the file.
+    const std::string path =
+        reader.isInFile(SecretName) ? reader.textWithoutEnvironment(SecretFileName) : reader.text(SecretFileName, {});
     if (!path.empty()) {
-        secret = readFile(path);
+        secret = readFile(path, {SecretFileName});
         secret.erase(secret.find_last_not_of(" \r\n") + 1);
     }
     if (secret.size() < MinSecretLength) {
-        reject("fleet.secret", "...", "at least 16 characters, here or in the file fleet.secret_file");
+        reject(SecretName, "...", "at least 16 characters, here or in the file fleet.secret_file", {SecretFileName});
     }
     return secret;
 }
@@ -106,7 +110,10 @@
     }
     const auto &all = fields.dataCentres;
     if (std::find(all.begin(), all.end(), fields.dataCentre) == all.end()) {
-        reject("fleet.data_centres", reader.text("fleet.data_centres", {}), "a list that contains node.data_centre");
+        reject("fleet.data_centres",
+               reader.text("fleet.data_centres", {}),
+               "a list that contains node.data_centre",
+               {"node.data_centre"});
     }
     fields.secret = readSecret(reader);
     fields.seeds = reader.list("fleet.seeds");
@@ -155,7 +162,8 @@
     if (fields.maxFrameBytes < fields.maxBodyBytes + 2 * fields.maxHeaderBytes) {
         reject("limits.max_frame_bytes",
                std::to_string(fields.maxFrameBytes),
-               "at least max_body_bytes + 2 x max_header_bytes");
+               "at least max_body_bytes + 2 x max_header_bytes",
+               {"limits.max_body_bytes", "limits.max_header_bytes"});
     }
 }
 
@@ -181,7 +189,8 @@
     if (bound && time >= *bound) {
         reject(name,
                std::to_string(millisecondsOf(time)),
-               "below " + boundName + " = " + std::to_string(millisecondsOf(*bound)));
+               "below " + boundName + " = " + std::to_string(millisecondsOf(*bound)),
+               {boundName});
     }
 }
 
@@ -195,7 +204,8 @@
     if (bounds->limitExcess && fields.burstTolerance > *bounds->limitExcess) {
         reject("limits.burst_tolerance",
                std::to_string(fields.burstTolerance),
-               "at most bounds.limit_excess_requests = " + std::to_string(*bounds->limitExcess));
+               "at most bounds.limit_excess_requests = " + std::to_string(*bounds->limitExcess),
+               {"bounds.limit_excess_requests"});
     }
     if (fields.keyStaleness > core::Duration::zero()) {
         checkBelow(
@@ -230,13 +240,13 @@
 
 }
 
-Result<SettingsDocument> parseDocument(const std::string &text)
+Result<SettingsDocument> parseDocument(const std::string &text, const SettingsEnvironment &environment)
 {
     ptree tree;
+    SettingsReader reader(tree, environment);
     try {
         std::istringstream stream(text);
         boost::property_tree::read_ini(stream, tree);
-        SettingsReader reader(tree);
         SettingsFields fields;
         fields.bounds = readBounds(reader);
         readNode(reader, fields);
@@ -252,32 +262,32 @@
         for (EffectiveSetting &setting : effective) {
             setting.value = setting.name == SecretName ? "..." : setting.value;
         }
-        return SettingsDocument{Settings(std::move(fields)), std::move(effective)};
+        return SettingsDocument{Settings(std::move(fields)), std::move(effective), reader.unknownVariables()};
     } catch (const InvalidValue &invalid) {
-        return tl::unexpected(Error(ErrorCode::InvalidSettings, invalid.detail));
+        return tl::unexpected(Error(ErrorCode::InvalidSettings, reader.describe(invalid)));
     } catch (const boost::property_tree::ini_parser_error &error) {
         return tl::unexpected(
             Error(ErrorCode::InvalidSettings, error.message() + " in line " + std::to_string(error.line())));
     }
 }
 
-Result<Settings> parseSettings(const std::string &text)
+Result<Settings> parseSettings(const std::string &text, const SettingsEnvironment &environment)
 {
-    return parseDocument(text).map(&SettingsDocument::settings);
+    return parseDocument(text, environment).map(&SettingsDocument::settings);
 }
 
-Result<SettingsDocument> loadDocument(const std::string &path)
+Result<SettingsDocument> loadDocument(const std::string &path, const SettingsEnvironment &environment)
 {
     try {
-        return parseDocument(readFile(path));
+        return parseDocument(readFile(path), environment);
     } catch (const InvalidValue &invalid) {
         return tl::unexpected(Error(ErrorCode::StartFailed, invalid.detail));
     }
 }
 
-Result<Settings> loadSettings(const std::string &path)
+Result<Settings> loadSettings(const std::string &path, const SettingsEnvironment &environment)
 {
-    return loadDocument(path).map(&SettingsDocument::settings);
+    return loadDocument(path, environment).map(&SettingsDocument::settings);
 }
 
 }
--- a/src/node/settings_reader.h
+++ b/src/node/settings_reader.h
@@ -9,8 +9,10 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <sstream>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <boost/property_tree/ptree.hpp>
@@ -28,30 +30,53 @@
 struct InvalidValue
 {
     std::string detail;
+    std::vector<std::string> settings; ///< Names of the settings that the value depends on.
 };
 
-[[noreturn]] inline void reject(const std::string &name, const std::string &value, const std::string &range)
+/** @param related Other settings that the range depends on. */
+[[noreturn]] inline void reject(const std::string &name,
+                                const std::string &value,
+                                const std::string &range,
+                                std::vector<std::string> related = {})
 {
-    throw InvalidValue{"setting " + name + " = \"" + value + "\": must be " + range};
+    related.insert(related.begin(), name);
+    throw InvalidValue{"setting " + name + " = \"" + value + "\": must be " + range, std::move(related)};
 }
 
 /** @brief Reads values by "section.name" and records the names, so that unknown ones can be reported. */
 class SettingsReader
 {
 public:
-    explicit SettingsReader(const ptree &tree)
+    SettingsReader(const ptree &tree, const SettingsEnvironment &environment)
         : m_tree(tree)
+        , m_environment(environment)
     {
     }
 
     std::string
     text(const std::string &name, const std::string &fallback, SettingSource fallbackSource = SettingSource::Default)
     {
-        const auto written = m_tree.get_optional<std::string>(ptree::path_type(name, '.'));
-        std::string value = written ? *written : fallback;
-        m_effective.insert_or_assign(name,
-                                     EffectiveSetting{name, value, written ? SettingSource::File : fallbackSource});
-        return value;
+        if (auto value = textInFile(name)) {
+            return record(name, std::move(*value), SettingSource::File);
+        }
+        if (auto value = m_environment.value(name)) {
+            return record(name, std::move(*value), SettingSource::Environment);
+        }
+        return record(name, fallback, fallbackSource);
+    }
+
+    /** @brief Reads a text of which the environment is ignored. */
+    std::string textWithoutEnvironment(const std::string &name)
+    {
+        auto value = textInFile(name);
+        const SettingSource source = value ? SettingSource::File : SettingSource::Default;
+        return record(name, std::move(value).value_or(std::string()), source);
+    }
+
+    /** @return Whether the setting has a value in the file that is not empty. */
+    [[nodiscard]] bool isInFile(const std::string &name) const
+    {
+        return !textInFile(name).value_or(std::string()).empty();
     }
 
     std::string required(const std::string &name, const std::string &range)
@@ -210,6 +235,35 @@
         }
     }
 
+    /** @return The names of the variables that belong to no setting that has been read. */
+    [[nodiscard]] std::vector<std::string> unknownVariables() const
+    {
+        std::set<std::string> known;
+        for (const auto &entry : m_effective) {
+            known.insert(settingsVariable(entry.first));
+        }
+        std::vector<std::string> names;
+        for (const auto &entry : m_environment->values) {
+            if (!known.contains(entry.first)) {
+                names.push_back(entry.first);
+            }
+        }
+        return names;
+    }
+
+    /** @return The error text, with the names of the variables that the value depends on. */
+    [[nodiscard]] std::string describe(const InvalidValue &invalid) const
+    {
+        std::string variables;
+        for (const std::string &name : invalid.settings) {
+            const auto found = m_effective.find(name);
+            if (found != m_effective.end() && found->second.source == SettingSource::Environment) {
+                variables += (variables.empty() ? " (from the environment: " : ", ") + settingsVariable(name);
+            }
+        }
+        return invalid.detail + variables + (variables.empty() ? "" : ")");
+    }
+
     /** @return The settings that have been read, by name. */
     [[nodiscard]] std::vector<EffectiveSetting> effective() const
     {
@@ -221,7 +275,20 @@
     }
 
 private:
+    [[nodiscard]] std::optional<std::string> textInFile(const std::string &name) const
+    {
+        const auto value = m_tree.get_optional<std::string>(ptree::path_type(name, '.'));
+        return value ? std::optional(*value) : std::nullopt;
+    }
+
+    std::string record(const std::string &name, std::string value, SettingSource source)
+    {
+        m_effective.insert_or_assign(name, EffectiveSetting{name, value, source});
+        return value;
+    }
+
     const ptree &m_tree;
+    const SettingsEnvironment &m_environment;
     std::map<std::string, EffectiveSetting> m_effective;
 };
 
--- a/src/programs/berylspringd.cpp
+++ b/src/programs/berylspringd.cpp
@@ -20,6 +20,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/program_options.hpp>
 
+#include <unistd.h>
+
 namespace {
 
 namespace asio = boost::asio;
@@ -46,8 +48,10 @@
 class SettingsReloader
 {
 public:
-    SettingsReloader(std::string path, node::Settings settings)
+    /** @param environment Variables of the start, which stay in force. */
+    SettingsReloader(std::string path, node::SettingsEnvironment environment, node::Settings settings)
         : m_path(std::move(path))
+        , m_environment(std::move(environment))
         , m_settings(std::move(settings))
         , m_modifiedAt(modifiedAt())
     {
@@ -64,7 +68,7 @@
 
     void reload()
     {
-        const auto loaded = node::loadSettings(m_path);
+        const auto loaded = node::loadSettings(m_path, m_environment);
         if (!loaded) {
             telemetry::log(telemetry::Severity::Error, "settings not reloaded", {{"error", loaded.error().detail()}});
             return;
@@ -85,6 +89,7 @@
     }
 
     std::string m_path;
+    node::SettingsEnvironment m_environment;
     node::Settings m_settings;
     std::filesystem::file_time_type m_modifiedAt;
 };
@@ -136,6 +141,8 @@
     switch (source) {
     case node::SettingSource::File:
         return "file";
+    case node::SettingSource::Environment:
+        return "environment";
     case node::SettingSource::Bound:
         return "bound";
     case node::SettingSource::Default:
@@ -144,16 +151,34 @@
     return "invalid";
 }
 
-void printEffective(const std::vector<node::EffectiveSetting> &settings)
+void printEffective(const node::SettingsDocument &document)
 {
-    for (const node::EffectiveSetting &setting : settings) {
+    for (const node::EffectiveSetting &setting : document.effective) {
         std::cout << setting.name << " = " << setting.value << " (" << nameOf(setting.source) << ")\n";
     }
+    for (const std::string &name : document.unknownVariables) {
+        std::cout << "unknown variable " << name << " is ignored\n";
+    }
 }
 
-int runNode(const std::string &path, const node::Settings &settings)
+node::SettingsEnvironment processEnvironment()
 {
+    std::vector<std::string> entries;
+    for (char **entry = environ; entry != nullptr && *entry != nullptr; ++entry) {
+        entries.emplace_back(*entry);
+    }
+    return node::settingsEnvironment(entries);
+}
+
+int runNode(const std::string &path,
+            const node::SettingsEnvironment &environment,
+            const node::SettingsDocument &document)
+{
+    const node::Settings &settings = document.settings;
     telemetry::startLogging(settings->host.value(), settings->logLevel);
+    for (const std::string &name : document.unknownVariables) {
+        telemetry::log(telemetry::Severity::Warning, "unknown environment variable ignored", {{"variable", name}});
+    }
     asio::io_context context(static_cast<int>(settings->threads));
     Signals signals(context);
     node::Node node(context.get_executor(),
@@ -169,7 +194,7 @@
     telemetry::log(telemetry::Severity::Info, "started", {{"data_centre", settings->dataCentre.value()}});
     asio::co_spawn(context, stopOnSignal(context, signals.stop, node), asio::detached);
     // Both run on one strand, so the reloader needs no lock.
-    SettingsReloader reloader(path, settings);
+    SettingsReloader reloader(path, environment, settings);
     const auto strand = asio::make_strand(context);
     asio::co_spawn(strand, reloadOnSignal(signals.reload, reloader), asio::detached);
     asio::co_spawn(strand, reloadOnChange(context, reloader), asio::detached);
@@ -212,15 +237,16 @@
         return ExitUsage;
     }
     const std::string path = values["settings"].as<std::string>();
-    const auto document = node::loadDocument(path);
+    const node::SettingsEnvironment environment = processEnvironment();
+    const auto document = node::loadDocument(path, environment);
     if (!document) {
         std::cerr << "berylspringd: " << document.error().detail() << '\n';
         return ExitInvalidSettings;
     }
     if (values.contains("check-settings")) {
-        printEffective(document->effective);
+        printEffective(*document);
         std::cout << "settings are valid\n";
         return ExitOk;
     }
-    return runNode(path, document->settings);
+    return runNode(path, environment, *document);
 }
