Remove what was learned about endpoints that have left

Cause: the node never called Router::forget(). The slowness of endpoints that have left stayed in the mean of their service, so that those that are left looked quicker or slower than they are, and their statistics stayed in memory.

Change: every 10 s, departedEndpoints() compares the endpoints that the router knows with the members, and the dispatcher removes those whose host was dropped from the membership table or provides another service. A host without an endpoint is kept, since its endpoint may be restarting; one with requests in flight is left to the next check. The comparison with all members runs in the publishing loop and not with each new view of the endpoints, because hosts that died stay members for 11 minutes and each view would visit all members for as long.

Router::forget() no longer removes the costs and the policy of a service with its last endpoint: the change of the policy was not reported then, and was reported again with the next response.

The time of a check was not measured.

--- a/include/berylspring/node/dispatcher.h
+++ b/include/berylspring/node/dispatcher.h
@@ -68,6 +68,11 @@
     {
         return m_router.workStates(now);
     }
+    /**
+     * @brief Removes what was learned about endpoints that have left permanently. Those with requests in flight are
+     * left to a later call.
+     */
+    void forgetDeparted(const membership::MemberSnapshot &members);
 
 private:
     struct Attempts;
--- a/include/berylspring/routing/router.h
+++ b/include/berylspring/routing/router.h
@@ -28,6 +28,14 @@
     std::function<void(const core::ServiceId &, bool isByCost)> policyChanged;
 };
 
+/** @brief An endpoint that the router has statistics of. */
+struct KnownEndpoint
+{
+    core::ServiceId service;
+    core::HostId host;
+    [[nodiscard]] bool operator==(const KnownEndpoint &) const = default;
+};
+
 /** @brief Learned figures of one endpoint, for metrics. */
 struct EndpointWorkState
 {
@@ -81,7 +89,12 @@
     [[nodiscard]] EndpointTraffic traffic(const core::ServiceId &service, const core::HostId &host) const;
     /** @return The endpoints of the services whose requests are routed by cost. */
     [[nodiscard]] std::vector<EndpointWorkState> workStates(core::TimePoint now) const;
-    /** @brief Removes the statistics of an endpoint that has left permanently, unless requests are in flight. */
+    /** @return The endpoints with statistics, in unspecified order. */
+    [[nodiscard]] std::vector<KnownEndpoint> knownEndpoints() const;
+    /**
+     * @brief Removes the statistics of an endpoint that has left permanently, unless requests are in flight. The costs
+     * of its service are kept.
+     */
     void forget(const core::ServiceId &service, const core::HostId &host);
 
 private:
--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -2,6 +2,7 @@
 
 #include "berylspring/retry/failure.h"
 #include "berylspring/routing/eligibility.h"
+#include "node/departed_endpoints.h"
 
 #include <algorithm>
 #include <vector>
@@ -279,6 +280,13 @@
     });
 }
 
+void Dispatcher::forgetDeparted(const membership::MemberSnapshot &members)
+{
+    for (const routing::KnownEndpoint &endpoint : detail::departedEndpoints(m_router.knownEndpoints(), members)) {
+        m_router.forget(endpoint.service, endpoint.host);
+    }
+}
+
 double Dispatcher::nestedPressure(core::TimePoint now) const
 {
     double highest = 0;
--- a/src/node/node_handlers.cpp
+++ b/src/node/node_handlers.cpp
@@ -24,6 +24,9 @@
 constexpr core::Duration PublishInterval = std::chrono::milliseconds(100);
 /** Short enough to find the state of a node in its log close to the time of a failed request. */
 constexpr core::Duration StatusInterval = std::chrono::seconds(10);
+/** Bounds the cost of a check that visits all members. Hosts that died stay members for minutes, so it is not urgent.
+ */
+constexpr core::Duration DepartureCheckInterval = std::chrono::seconds(10);
 constexpr std::uint32_t WatchPageRecords = 200;
 
 std::string_view nameOf(wire::MemberState state) noexcept
@@ -294,6 +297,7 @@
 {
     asio::steady_timer timer(m_executor);
     core::TimePoint lastStatus = now();
+    core::TimePoint lastDepartureCheck = lastStatus;
     while (true) {
         publishEndpoint();
         m_quarantineExchange.tick(now());
@@ -301,6 +305,10 @@
             lastStatus = now();
             logStatus();
         }
+        if (now() - lastDepartureCheck >= DepartureCheckInterval) {
+            lastDepartureCheck = now();
+            m_dispatcher.forgetDeparted(*m_membership->snapshot());
+        }
         timer.expires_after(PublishInterval);
         co_await timer.async_wait(asio::use_awaitable);
     }
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -129,6 +129,20 @@
     return states;
 }
 
+std::vector<KnownEndpoint> Router::knownEndpoints() const
+{
+    std::vector<KnownEndpoint> known;
+    for (const Shard &shard : m_shards) {
+        const std::scoped_lock lock(shard.mutex);
+        for (const auto &[service, endpoints] : shard.services) {
+            for (const auto &entry : endpoints) {
+                known.push_back({service, entry.first});
+            }
+        }
+    }
+    return known;
+}
+
 EndpointTraffic Router::traffic(const core::ServiceId &service, const core::HostId &host) const
 {
     const Shard &shard = shardOf(service);
@@ -157,9 +171,9 @@
         shard.works[service].work.forget(found->second.work());
         known->second.erase(found);
     }
+    // The costs and the policy in force belong to the service, which may be moving to other hosts.
     if (known->second.empty()) {
         shard.services.erase(known);
-        shard.works.erase(service);
     }
 }
 
