Explain a routing decision without making it

An operator could not ask a node where it would route a request and why. Router::explain() returns a RouteExplanation from the steps that decide. To share them, ranking keeps the choice between data centres in one function, and expectedTime() is the last figure of estimateTime(). The decisions and the use of random numbers stay the same.

--- a/include/berylspring/routing/endpoint_work.h
+++ b/include/berylspring/routing/endpoint_work.h
@@ -67,6 +67,11 @@
     {
         return m_reportedAt != core::TimePoint() && now - m_reportedAt < 2 * halfLife;
     }
+    /** @return Time of the last response; the epoch when there was none. */
+    [[nodiscard]] core::TimePoint reportedAt() const noexcept
+    {
+        return m_reportedAt;
+    }
     /** @return Whether a service time has been observed. */
     [[nodiscard]] bool hasTime() const noexcept
     {
--- a/include/berylspring/routing/ranking.h
+++ b/include/berylspring/routing/ranking.h
@@ -63,4 +63,30 @@
                                     core::TimePoint now,
                                     const ServiceWork *work = nullptr);
 
+/** @brief The best endpoint of each side and the choice between them; null where there is none. */
+struct FullRanking
+{
+    const Candidate *bestLocal = nullptr;
+    const Candidate *bestRemote = nullptr;
+    const Candidate *chosen = nullptr;
+    [[nodiscard]] bool operator==(const FullRanking &) const = default;
+};
+
+/** @brief As rank(), but compares all eligible endpoints and uses no random numbers. */
+[[nodiscard]] FullRanking rankAll(std::span<const Candidate> eligible,
+                                  const RoutingRequest &request,
+                                  const RouterSettings &settings,
+                                  core::TimePoint now,
+                                  const ServiceWork *work = nullptr);
+
+/** @return The figure that rank() compares: expectedTime() if `work` is not null, else score(). Lower is better. */
+[[nodiscard]] double rankingFigure(const Candidate &candidate,
+                                   const RoutingRequest &request,
+                                   const RouterSettings &settings,
+                                   core::TimePoint now,
+                                   const ServiceWork *work = nullptr);
+
+/** @return Number of endpoints of each side that rank() compares for one request. */
+[[nodiscard]] std::uint32_t comparedEndpoints(const RouterSettings &settings, bool isByCost) noexcept;
+
 }
--- a/include/berylspring/routing/router.h
+++ b/include/berylspring/routing/router.h
@@ -6,6 +6,7 @@
 #include "berylspring/routing/cold_share.h"
 #include "berylspring/routing/endpoint_traffic.h"
 #include "berylspring/routing/endpoint_view.h"
+#include "berylspring/routing/explanation.h"
 #include "berylspring/routing/ranking.h"
 #include "berylspring/routing/routing_request.h"
 
@@ -56,6 +57,12 @@
      */
     [[nodiscard]] RoutingDecision
     choose(const RoutingRequest &request, std::span<const EndpointView> endpoints, core::TimePoint now);
+    /**
+     * @brief Explains what choose() would decide now, without random numbers or a change of state.
+     * @param endpoints As for choose().
+     */
+    [[nodiscard]] RouteExplanation
+    explain(const RoutingRequest &request, std::span<const EndpointView> endpoints, core::TimePoint now) const;
     /**
      * @brief Records that a request was sent to the endpoint.
      * @return Its expected cost in seconds, for WorkReport::expectedCost.
@@ -101,6 +108,9 @@
         std::unordered_map<core::ServiceId, ColdShares> coldShares; ///< Of services with an endpoint that was cold.
     };
 
+    /** @return The endpoints with their traffic. Valid while the shard is locked. */
+    [[nodiscard]] static std::vector<Candidate>
+    candidatesOf(const Shard &shard, const core::ServiceId &service, std::span<const EndpointView> endpoints);
     [[nodiscard]] Shard &shardOf(const core::ServiceId &service) noexcept;
     [[nodiscard]] const Shard &shardOf(const core::ServiceId &service) const noexcept;
 
--- a/src/routing/expected_time.cpp
+++ b/src/routing/expected_time.cpp
@@ -1,7 +1,8 @@
 #include "berylspring/routing/expected_time.h"
 
+#include "routing/candidate_pools.h"
+
 #include <algorithm>
-#include <limits>
 #include <random>
 #include <utility>
 #include <vector>
@@ -10,23 +11,17 @@
 
 namespace {
 
-struct TimedCandidate
-{
-    const Candidate *candidate = nullptr;
-    double seconds = std::numeric_limits<double>::infinity();
-};
-
 /** Draws candidates without replacement and returns the one with the least time. Reorders the pool. */
-TimedCandidate bestOfDrawn(std::vector<const Candidate *> &pool,
-                           std::uint64_t seed,
-                           double cost,
-                           const ServiceWork &work,
-                           const RouterSettings &settings,
-                           core::TimePoint now)
+detail::RankedCandidate bestOfDrawn(std::vector<const Candidate *> &pool,
+                                    std::uint64_t seed,
+                                    double cost,
+                                    const ServiceWork &work,
+                                    const RouterSettings &settings,
+                                    core::TimePoint now)
 {
     std::minstd_rand random(static_cast<std::minstd_rand::result_type>(seed % std::minstd_rand::modulus));
     std::uniform_real_distribution<double> jitter(1, 1 + settings.jitter);
-    TimedCandidate best;
+    detail::RankedCandidate best;
     const std::size_t count = std::min<std::size_t>(settings.comparedByCost, pool.size());
     for (std::size_t i = 0; i < count; ++i) {
         std::swap(pool[i], pool[std::uniform_int_distribution<std::size_t>(i, pool.size() - 1)(random)]);
@@ -34,7 +29,7 @@
         if (settings.jitter > 0) {
             seconds *= jitter(random);
         }
-        if (best.candidate == nullptr || seconds < best.seconds) {
+        if (best.candidate == nullptr || seconds < best.figure) {
             best = {pool[i], seconds};
         }
     }
@@ -43,11 +38,11 @@
 
 }
 
-double expectedTime(const Candidate &candidate,
-                    double cost,
-                    const ServiceWork &work,
-                    const RouterSettings &settings,
-                    core::TimePoint now)
+TimeEstimate estimateTime(const Candidate &candidate,
+                          double cost,
+                          const ServiceWork &work,
+                          const RouterSettings &settings,
+                          core::TimePoint now)
 {
     const EndpointView &view = *candidate.view;
     const EndpointWork endpoint = candidate.traffic != nullptr ? candidate.traffic->work() : EndpointWork();
@@ -62,7 +57,20 @@
     const double outstanding = endpoint.outstanding(slowness, viewed, now, settings.reportHalfLife);
     const double waiting = std::max(outstanding / std::max(1U, view->slots),
                                     endpoint.observedWait(now, settings.reportHalfLife) / slowness);
-    return slowness * (cost + waiting) / slowStartWeight(candidate, settings, now);
+    const core::TimePoint reportedAt = isViewNeeded ? view->reportedAt : endpoint.reportedAt();
+    return {.slowness = slowness,
+            .outstanding = outstanding,
+            .reportedAt = reportedAt != core::TimePoint() ? std::optional(reportedAt) : std::nullopt,
+            .seconds = slowness * (cost + waiting) / slowStartWeight(candidate, settings, now)};
+}
+
+double expectedTime(const Candidate &candidate,
+                    double cost,
+                    const ServiceWork &work,
+                    const RouterSettings &settings,
+                    core::TimePoint now)
+{
+    return estimateTime(candidate, cost, work, settings, now).seconds;
 }
 
 const Candidate *leastExpectedTime(std::span<const Candidate> eligible,
@@ -72,19 +80,11 @@
                                    const RouterSettings &settings,
                                    core::TimePoint now)
 {
-    std::vector<const Candidate *> localPool;
-    std::vector<const Candidate *> remotePool;
-    for (const Candidate &candidate : eligible) {
-        auto &pool = (*candidate.view)->dataCentre == request.dataCentre ? localPool : remotePool;
-        pool.push_back(&candidate);
-    }
+    detail::CandidatePools pools = detail::poolsOf(eligible, request);
     const double cost = work.costs().estimate(request.costClass).mean();
-    const TimedCandidate local = bestOfDrawn(localPool, random.first, cost, work, settings, now);
-    const TimedCandidate remote = bestOfDrawn(remotePool, random.second, cost, work, settings, now);
-    if (local.candidate == nullptr || remote.candidate == nullptr) {
-        return local.candidate == nullptr ? remote.candidate : local.candidate;
-    }
-    return remote.seconds * request.remoteCost < local.seconds ? remote.candidate : local.candidate;
+    const detail::RankedCandidate local = bestOfDrawn(pools.local, random.first, cost, work, settings, now);
+    const detail::RankedCandidate remote = bestOfDrawn(pools.remote, random.second, cost, work, settings, now);
+    return detail::preferredOf(local, remote, request);
 }
 
 }
--- a/src/routing/ranking.cpp
+++ b/src/routing/ranking.cpp
@@ -2,6 +2,7 @@
 
 #include "berylspring/routing/endpoint_work.h"
 #include "berylspring/routing/expected_time.h"
+#include "routing/candidate_pools.h"
 
 #include <algorithm>
 #include <vector>
@@ -12,6 +13,8 @@
 
 /** Weight of an endpoint that has just appeared. Above 0, because it needs some requests to warm up. */
 constexpr double MinSlowStartWeight = 0.1;
+/** Endpoints of a data centre that betterOfTwo() draws. */
+constexpr std::uint32_t ComparedByLoad = 2;
 
 double decayed(double load, core::TimePoint at, const RouterSettings &settings, core::TimePoint now)
 {
@@ -56,6 +59,12 @@
     return score(*pool[second], settings, now) < score(*pool[first], settings, now) ? pool[second] : pool[first];
 }
 
+bool areAllFull(std::span<const Candidate *const> pool, const RouterSettings &settings, core::TimePoint now)
+{
+    return std::all_of(
+        pool.begin(), pool.end(), [&](const Candidate *candidate) { return loadShare(*candidate, settings, now) > 1; });
+}
+
 }
 
 double slowStartWeight(const Candidate &candidate, const RouterSettings &settings, core::TimePoint now)
@@ -92,27 +101,59 @@
     if (work != nullptr) {
         return leastExpectedTime(eligible, request, random, *work, settings, now);
     }
-    std::vector<const Candidate *> localPool;
-    std::vector<const Candidate *> remotePool;
-    bool areAllLocalFull = true;
-    for (const Candidate &candidate : eligible) {
-        if ((*candidate.view)->dataCentre == request.dataCentre) {
-            localPool.push_back(&candidate);
-            areAllLocalFull = areAllLocalFull && loadShare(candidate, settings, now) > 1;
-        } else {
-            remotePool.push_back(&candidate);
-        }
-    }
-    const Candidate *local = betterOfTwo(localPool, random, settings, now);
-    if (local != nullptr && !areAllLocalFull) {
+    const detail::CandidatePools pools = detail::poolsOf(eligible, request);
+    const Candidate *local = betterOfTwo(pools.local, random, settings, now);
+    if (local != nullptr && !areAllFull(pools.local, settings, now)) {
         return local;
     }
-    const Candidate *remote = betterOfTwo(remotePool, random, settings, now);
-    if (local == nullptr || remote == nullptr) {
-        return local == nullptr ? remote : local;
+    const Candidate *remote = betterOfTwo(pools.remote, random, settings, now);
+    const auto ranked = [&](const Candidate *candidate) {
+        return candidate == nullptr ? detail::RankedCandidate()
+                                    : detail::RankedCandidate{candidate, score(*candidate, settings, now)};
+    };
+    return detail::preferredOf(ranked(local), ranked(remote), request);
+}
+
+FullRanking rankAll(std::span<const Candidate> eligible,
+                    const RoutingRequest &request,
+                    const RouterSettings &settings,
+                    core::TimePoint now,
+                    const ServiceWork *work)
+{
+    const detail::CandidatePools pools = detail::poolsOf(eligible, request);
+    const auto bestOf = [&](const std::vector<const Candidate *> &pool) {
+        detail::RankedCandidate best;
+        for (const Candidate *candidate : pool) {
+            const double figure = rankingFigure(*candidate, request, settings, now, work);
+            if (best.candidate == nullptr || figure < best.figure) {
+                best = {candidate, figure};
+            }
+        }
+        return best;
+    };
+    const detail::RankedCandidate local = bestOf(pools.local);
+    const detail::RankedCandidate remote = bestOf(pools.remote);
+    const bool isLocalOnly = work == nullptr && local.candidate != nullptr && !areAllFull(pools.local, settings, now);
+    return {.bestLocal = local.candidate,
+            .bestRemote = remote.candidate,
+            .chosen = isLocalOnly ? local.candidate : detail::preferredOf(local, remote, request)};
+}
+
+double rankingFigure(const Candidate &candidate,
+                     const RoutingRequest &request,
+                     const RouterSettings &settings,
+                     core::TimePoint now,
+                     const ServiceWork *work)
+{
+    if (work == nullptr) {
+        return score(candidate, settings, now);
     }
-    const bool isWorthwhile = score(*remote, settings, now) * request.remoteCost < score(*local, settings, now);
-    return isWorthwhile ? remote : local;
+    return expectedTime(candidate, work->costs().estimate(request.costClass).mean(), *work, settings, now);
+}
+
+std::uint32_t comparedEndpoints(const RouterSettings &settings, bool isByCost) noexcept
+{
+    return isByCost ? settings.comparedByCost : ComparedByLoad;
 }
 
 }
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -24,6 +24,23 @@
     return m_shards[std::hash<core::ServiceId>{}(service) % ShardCount];
 }
 
+std::vector<Candidate>
+Router::candidatesOf(const Shard &shard, const core::ServiceId &service, std::span<const EndpointView> endpoints)
+{
+    std::vector<Candidate> candidates;
+    candidates.reserve(endpoints.size());
+    const auto known = shard.services.find(service);
+    for (const EndpointView &view : endpoints) {
+        const EndpointTraffic *traffic = nullptr;
+        if (known != shard.services.end()) {
+            const auto found = known->second.find(view->host);
+            traffic = found == known->second.end() ? nullptr : &found->second;
+        }
+        candidates.push_back(Candidate{&view, traffic});
+    }
+    return candidates;
+}
+
 RoutingDecision
 Router::choose(const RoutingRequest &request, std::span<const EndpointView> endpoints, core::TimePoint now)
 {
@@ -31,8 +48,6 @@
     const bool hasCold =
         std::any_of(endpoints.begin(), endpoints.end(), [](const EndpointView &view) { return view->coldRate > 0; });
     const std::uint64_t shareRandom = hasCold ? m_hooks.random() : 0;
-    std::vector<Candidate> candidates;
-    candidates.reserve(endpoints.size());
     RoutingDecision decision;
     EligibilityResult result;
     bool isByCost = false;
@@ -40,16 +55,7 @@
     {
         Shard &shard = shardOf(request.service);
         const std::scoped_lock lock(shard.mutex);
-        const auto service = shard.services.find(request.service);
-        for (const EndpointView &view : endpoints) {
-            const EndpointTraffic *traffic = nullptr;
-            if (service != shard.services.end()) {
-                const auto found = service->second.find(view->host);
-                traffic = found == service->second.end() ? nullptr : &found->second;
-            }
-            candidates.push_back(Candidate{&view, traffic});
-        }
-        result = checkEligibility(request, candidates, now);
+        result = checkEligibility(request, candidatesOf(shard, request.service, endpoints), now);
         if (hasCold) {
             ColdShares &shares = shard.coldShares[request.service];
             result.eligible = shares.withinShare(result.eligible, request.liveNodes, shareRandom, now);
@@ -78,6 +84,21 @@
     return decision;
 }
 
+RouteExplanation
+Router::explain(const RoutingRequest &request, std::span<const EndpointView> endpoints, core::TimePoint now) const
+{
+    const Shard &shard = shardOf(request.service);
+    const std::scoped_lock lock(shard.mutex);
+    const auto known = shard.works.find(request.service);
+    const ServiceWork unknown;
+    const ServiceWork &work = known == shard.works.end() ? unknown : known->second.work;
+    const auto shares = shard.coldShares.find(request.service);
+    const RoutingState state{.work = work,
+                             .coldShares = shares == shard.coldShares.end() ? nullptr : &shares->second,
+                             .isByCost = work.isByCost(m_settings.policy, now)};
+    return explainRoute(request, candidatesOf(shard, request.service, endpoints), state, m_settings, now);
+}
+
 double Router::started(const core::ServiceId &service, const core::HostId &host, core::TimePoint, CostClass costClass)
 {
     Shard &shard = shardOf(service);
