Answer GET /v1/explain on the operator port

RootAdmission::shedShare() reads the shares of the ranks without counting demand, without updating the kept shares and without random numbers.

--- a/include/berylspring/admission/root_admission.h
+++ b/include/berylspring/admission/root_admission.h
@@ -62,6 +62,8 @@
     [[nodiscard]] bool admits(const RootClass &root, core::TimePoint now, bool hasPromise = false);
     /** @return Whether requests of the same first service that are more important than this one are shed. */
     [[nodiscard]] bool shedsMoreImportant(const RootClass &root, core::TimePoint now);
+    /** @return Probability with which admits() sheds such a request without a promise. Counts no demand. */
+    [[nodiscard]] double shedShare(const RootClass &root, core::TimePoint now) const;
     void recordResult(const RootClass &root, const RootResult &result, core::TimePoint now);
     /** @return Share of the demand for a first service that is shed, 0 to 1. */
     [[nodiscard]] double shedding(const core::ServiceId &service, core::TimePoint now) const;
@@ -109,8 +111,15 @@
     [[nodiscard]] static Demand decayed(const Demand &demand, core::TimePoint now) noexcept;
     [[nodiscard]] static Service withPressure(Service service, double sample, core::TimePoint now) noexcept;
     [[nodiscard]] static double shareToShed(const Service &service, core::TimePoint now) noexcept;
+    /** @return The shares, updated if they are old. */
     [[nodiscard]] std::shared_ptr<const std::vector<RankDemand>> shares(core::TimePoint now);
+    /** @return The shares that were last updated; null if they are old. */
+    [[nodiscard]] std::shared_ptr<const std::vector<RankDemand>> recentShares(core::TimePoint now) const;
+    [[nodiscard]] std::shared_ptr<const std::vector<RankDemand>> computeShares(core::TimePoint now) const;
     [[nodiscard]] std::optional<RankDemand> demandOf(Rank rank, core::TimePoint now);
+    [[nodiscard]] static std::optional<RankDemand> demandIn(const std::vector<RankDemand> &shares, Rank rank);
+    /** @return Share of the requests of the rank to shed when this share of the demand is shed. */
+    [[nodiscard]] static double shareOf(const RankDemand &demand, double shedding, double sensitivity) noexcept;
     /** @return Share of the newcomers to shed so that they and the promised requests together keep the share. */
     [[nodiscard]] static double shareOfNewcomers(double share, double promised) noexcept;
 
@@ -118,7 +127,7 @@
     core::ShardedMap<core::ServiceId, Service> m_services;
     core::ShardedMap<core::RouteId, Route> m_routes;
     core::ShardedMap<Rank, Demand> m_demands;
-    std::mutex m_sharesMutex;
+    mutable std::mutex m_sharesMutex;
     std::shared_ptr<const std::vector<RankDemand>> m_shares; ///< In ascending order of rank.
     core::TimePoint m_sharesAt;
 };
--- a/include/berylspring/http/operator_api.h
+++ b/include/berylspring/http/operator_api.h
@@ -7,6 +7,7 @@
 #include "berylspring/core/name.h"
 #include "berylspring/core/time.h"
 #include "berylspring/core/types.h"
+#include "berylspring/http/explanation.h"
 #include "berylspring/http/server.h"
 
 #include <cstdint>
@@ -17,6 +18,7 @@
 #include <vector>
 
 #include <boost/asio/awaitable.hpp>
+#include <tl/expected.hpp>
 
 namespace berylspring::http {
 
@@ -67,6 +69,8 @@
     std::function<bool(const core::DataCentreId &)> isDeclared; ///< Whether the data centre is one of the fleet.
     /** Queries the members that are not known to have applied the change; does not wait for them. */
     std::function<void(core::Offset change)> queryAppliedOffsets;
+    /** Explains where this node would route a request now; sends nothing. */
+    std::function<tl::expected<RequestExplanation, ExplainError>(const ExplainQuestion &)> explain;
     std::function<std::string()> metrics;
     std::function<bool()> isReady;
 };
@@ -88,6 +92,7 @@
     [[nodiscard]] Reply read(config::ResourceType type, const std::string &name) const;
     [[nodiscard]] Reply changeStatus(core::Offset change) const;
     [[nodiscard]] Reply nodes() const;
+    [[nodiscard]] Reply explain(const Request &request) const;
     [[nodiscard]] boost::asio::awaitable<void> watch(core::Offset from, ChunkWriter writer) const;
 
     OperatorHooks m_hooks;
--- a/include/berylspring/node/call_plan.h
+++ b/include/berylspring/node/call_plan.h
@@ -10,6 +10,7 @@
 
 #include <functional>
 #include <optional>
+#include <string_view>
 
 #include <tl/expected.hpp>
 
@@ -33,6 +34,15 @@
 };
 using CallPlan = core::Immutable<CallPlanFields>;
 
+/**
+ * @return What the route and the workspace decide about a root request: without service, key and the caller's timeout.
+ * @param workspace Empty for a request without a workspace.
+ */
+[[nodiscard]] CallPlanFields planOfRoute(const config::Route &route,
+                                         const core::WorkspaceId &workspace,
+                                         std::string_view method,
+                                         const config::Catalogue &catalogue);
+
 /** @brief Node state that planCall() reads in addition to the request. */
 struct PlanContext
 {
--- a/include/berylspring/node/dispatcher.h
+++ b/include/berylspring/node/dispatcher.h
@@ -56,6 +56,17 @@
      */
     [[nodiscard]] boost::asio::awaitable<wire::CallResponse> dispatch(wire::CallRequest call);
 
+    /**
+     * @brief Explains to which endpoint the call would be sent now. Sends nothing and changes no state.
+     *
+     * Endpoints whose admitted level is above the priority of a root call count as excluded. The few probes that
+     * dispatch() sends them are left out.
+     * @param call Service, route, method, priority and whether it is nested are read.
+     * @param dataCentre Routes as if the node were there.
+     */
+    [[nodiscard]] routing::RouteExplanation
+    explain(const wire::CallRequest &call, const core::DataCentreId &dataCentre, core::TimePoint now) const;
+
     /** @return Highest pressure among the services that the endpoint of this host calls. */
     [[nodiscard]] double nestedPressure(core::TimePoint now) const;
     /** @return Number of requests for which no endpoint was left because of an evacuation. */
@@ -72,6 +83,7 @@
 private:
     struct Attempts;
 
+    [[nodiscard]] routing::RoutingRequest routingRequestOf(const wire::CallRequest &call) const;
     [[nodiscard]] routing::RoutingDecision
     chooseEndpoint(const wire::CallRequest &call, Attempts &attempts, core::TimePoint now);
     [[nodiscard]] boost::asio::awaitable<wire::CallResponse> attempt(wire::CallRequest call, core::HostId host);
--- a/include/berylspring/node/root_control.h
+++ b/include/berylspring/node/root_control.h
@@ -74,6 +74,8 @@
     {
         return m_rootAdmission.highestShedding(now);
     }
+    /** @return Share of the root requests with this plan and without a promise that this node sheds, 0 to 1. */
+    [[nodiscard]] double shedShare(const CallPlan &plan, core::TimePoint now) const;
     [[nodiscard]] RootReturns returns() const;
 
 private:
--- a/src/admission/root_admission.cpp
+++ b/src/admission/root_admission.cpp
@@ -66,12 +66,24 @@
 
 std::shared_ptr<const std::vector<RootAdmission::RankDemand>> RootAdmission::shares(core::TimePoint now)
 {
-    {
-        const std::scoped_lock lock(m_sharesMutex);
-        if (m_shares && now - m_sharesAt < SharesUpdateInterval) {
-            return m_shares;
-        }
+    if (auto recent = recentShares(now)) {
+        return recent;
     }
+    auto shares = computeShares(now);
+    const std::scoped_lock lock(m_sharesMutex);
+    m_shares = std::move(shares);
+    m_sharesAt = now;
+    return m_shares;
+}
+
+std::shared_ptr<const std::vector<RootAdmission::RankDemand>> RootAdmission::recentShares(core::TimePoint now) const
+{
+    const std::scoped_lock lock(m_sharesMutex);
+    return m_shares && now - m_sharesAt < SharesUpdateInterval ? m_shares : nullptr;
+}
+
+std::shared_ptr<const std::vector<RootAdmission::RankDemand>> RootAdmission::computeShares(core::TimePoint now) const
+{
     std::map<Rank, Demand> demands;
     double sum = 0;
     m_demands.forEach([&](Rank rank, const Demand &demand) {
@@ -90,10 +102,7 @@
                           .promised = demand.promised / demand.requests});
         below += demand.requests / sum;
     }
-    const std::scoped_lock lock(m_sharesMutex);
-    m_shares = std::make_shared<const std::vector<RankDemand>>(std::move(shares));
-    m_sharesAt = now;
-    return m_shares;
+    return std::make_shared<const std::vector<RankDemand>>(std::move(shares));
 }
 
 RootAdmission::Demand RootAdmission::decayed(const Demand &demand, core::TimePoint now) noexcept
@@ -104,10 +113,14 @@
 
 std::optional<RootAdmission::RankDemand> RootAdmission::demandOf(Rank rank, core::TimePoint now)
 {
-    const auto shares = this->shares(now);
+    return demandIn(*shares(now), rank);
+}
+
+std::optional<RootAdmission::RankDemand> RootAdmission::demandIn(const std::vector<RankDemand> &shares, Rank rank)
+{
     const auto place = std::lower_bound(
-        shares->begin(), shares->end(), rank, [](const RankDemand &entry, Rank wanted) { return entry.rank < wanted; });
-    return place == shares->end() || place->rank != rank ? std::nullopt : std::optional(*place);
+        shares.begin(), shares.end(), rank, [](const RankDemand &entry, Rank wanted) { return entry.rank < wanted; });
+    return place == shares.end() || place->rank != rank ? std::nullopt : std::optional(*place);
 }
 
 double RootAdmission::shareOfNewcomers(double share, double promised) noexcept
@@ -119,6 +132,12 @@
     return std::clamp(1 - admitted, share, std::max(share, MaxShedShare));
 }
 
+double RootAdmission::shareOf(const RankDemand &demand, double shedding, double sensitivity) noexcept
+{
+    const double shareOfRank = std::clamp((shedding - demand.below) / demand.own, 0.0, MaxShedShare);
+    return sensitivity * shareOfNewcomers(shareOfRank, demand.promised);
+}
+
 RootAdmission::Service RootAdmission::withPressure(Service service, double sample, core::TimePoint now) noexcept
 {
     const double elapsed = std::min(MaxStepSeconds, secondsBetween(service.updatedAt, now));
@@ -171,11 +190,23 @@
     if (!demand || (hasPromise && !demand->isExceededBy(shedding))) {
         return true;
     }
-    const double shareOfRank = std::clamp((shedding - demand->below) / demand->own, 0.0, MaxShedShare);
-    const double share = sensitivity * shareOfNewcomers(shareOfRank, demand->promised);
+    const double share = shareOf(*demand, shedding, sensitivity);
     return m_random() % RandomSteps >= static_cast<std::uint64_t>(share * static_cast<double>(RandomSteps));
 }
 
+double RootAdmission::shedShare(const RootClass &root, core::TimePoint now) const
+{
+    const auto route = m_routes.find(root.route);
+    const double sensitivity = route ? route->sensitivity : 0;
+    const double shedding = this->shedding(root.service, now);
+    if (shedding <= 0 || sensitivity <= 0) {
+        return 0;
+    }
+    const auto recent = recentShares(now);
+    const std::optional<RankDemand> demand = demandIn(recent ? *recent : *computeShares(now), rankOf(root));
+    return demand ? shareOf(*demand, shedding, sensitivity) : 0;
+}
+
 bool RootAdmission::shedsMoreImportant(const RootClass &root, core::TimePoint now)
 {
     const double shedding = this->shedding(root.service, now);
--- a/src/http/operator_api.cpp
+++ b/src/http/operator_api.cpp
@@ -1,5 +1,6 @@
 #include "berylspring/http/operator_api.h"
 
+#include "berylspring/http/explain_json.h"
 #include "berylspring/http/problem.h"
 
 #include <algorithm>
@@ -147,6 +148,9 @@
     if (segments[1] == "nodes" && name.empty()) {
         co_return nodes();
     }
+    if (segments[1] == "explain" && name.empty()) {
+        co_return explain(request);
+    }
     if (segments[1] == "changes" && parseOffset(name)) {
         co_return changeStatus(*parseOffset(name));
     }
@@ -250,6 +254,15 @@
     return jsonResponse(200, boost::json::serialize(boost::json::object{{"items", std::move(items)}}));
 }
 
+Reply OperatorApi::explain(const Request &request) const
+{
+    if (request->method != "GET") {
+        return problemResponse(405, "method-not-allowed", "GET only");
+    }
+    const auto explanation = parseExplainQuestion(request->target).and_then(m_hooks.explain);
+    return explanation ? jsonResponse(200, toJson(*explanation)) : problemResponse(explanation.error());
+}
+
 asio::awaitable<void> OperatorApi::watch(core::Offset from, ChunkWriter writer) const
 {
     asio::steady_timer timer(co_await asio::this_coro::executor);
--- a/src/node/call_plan.cpp
+++ b/src/node/call_plan.cpp
@@ -117,18 +117,30 @@
 }
 
 core::PriorityLevel
-priorityOf(const config::Route &route, const core::WorkspaceId &workspaceName, const PlanContext &context)
+priorityOf(const config::Route &route, const core::WorkspaceId &workspaceName, const config::Catalogue &catalogue)
 {
-    if (context.parent) {
-        return (*context.parent)->priority;
-    }
-    const config::Workspace *workspace = context.catalogue.findWorkspace(workspaceName);
+    const config::Workspace *workspace = catalogue.findWorkspace(workspaceName);
     const bool hasOwn = workspace != nullptr && !(*workspace)->priority.isEmpty();
-    return levelOf(context.catalogue.findPriority(hasOwn ? (*workspace)->priority : route->priority));
+    return levelOf(catalogue.findPriority(hasOwn ? (*workspace)->priority : route->priority));
 }
 
 }
 
+CallPlanFields planOfRoute(const config::Route &route,
+                           const core::WorkspaceId &workspace,
+                           std::string_view method,
+                           const config::Catalogue &catalogue)
+{
+    return {.route = route->name,
+            .workspace = workspace,
+            .priority = priorityOf(route, workspace, catalogue),
+            .routeLevel = levelOf(catalogue.findPriority(route->priority)),
+            .timeout = route->timeout,
+            .retries = route->retries,
+            .isNested = route->isInternal && workspace.isEmpty(),
+            .isIdempotent = config::isIdempotent(route, method)};
+}
+
 tl::expected<CallPlan, Refusal>
 planCall(const http::CallerRequest &request, const PlanContext &context, core::TimePoint now)
 {
@@ -147,17 +159,13 @@
     if (timeout <= core::Duration::zero()) {
         return unexpected(notRun(RefusalReason::DeadlineExceeded, "no time is left for the request"));
     }
-    return CallPlan(
-        {.route = (*route)->name,
-         .service = context.chooseService(*route),
-         .workspace = identity->workspace,
-         .keyDigest = identity->keyDigest,
-         .priority = priorityOf(*route, identity->workspace, context),
-         .routeLevel = levelOf(context.catalogue.findPriority((*route)->priority)),
-         .timeout = timeout,
-         .retries = (*route)->retries,
-         .isNested = request->contextToken.has_value() || ((*route)->isInternal && identity->workspace.isEmpty()),
-         .isIdempotent = config::isIdempotent(*route, request->method)});
+    CallPlanFields plan = planOfRoute(*route, identity->workspace, request->method, context.catalogue);
+    plan.service = context.chooseService(*route);
+    plan.keyDigest = identity->keyDigest;
+    plan.priority = context.parent ? (*context.parent)->priority : plan.priority;
+    plan.timeout = timeout;
+    plan.isNested = plan.isNested || request->contextToken.has_value();
+    return CallPlan(std::move(plan));
 }
 
 }
--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -176,14 +176,11 @@
     }
 }
 
-routing::RoutingDecision
-Dispatcher::chooseEndpoint(const wire::CallRequest &call, Attempts &attempts, core::TimePoint now)
+routing::RoutingRequest Dispatcher::routingRequestOf(const wire::CallRequest &call) const
 {
-    const std::shared_ptr<const EndpointViews> endpoints = m_hooks.endpoints(call->service);
     routing::RoutingRequest request{.service = call->service,
                                     .dataCentre = m_dataCentre,
                                     .priority = call->priority,
-                                    .excludedHosts = attempts.hosts,
                                     .costClass = routing::costClassOf(call->route, call->method),
                                     .liveNodes = m_hooks.liveNodes ? m_hooks.liveNodes() : 1};
     if (m_hooks.evacuatedDataCentres) {
@@ -192,6 +189,31 @@
     if (call->isNested) {
         request.remoteCost = NestedRemoteCost;
     }
+    return request;
+}
+
+routing::RouteExplanation
+Dispatcher::explain(const wire::CallRequest &call, const core::DataCentreId &dataCentre, core::TimePoint now) const
+{
+    EndpointViews endpoints = *m_hooks.endpoints(call->service);
+    routing::RoutingRequest request = routingRequestOf(call);
+    request.dataCentre = dataCentre;
+    if (m_areControlsOn && !call->isNested) {
+        for (routing::EndpointView &endpoint : endpoints) {
+            const core::PriorityLevel level = m_shedding.level({endpoint->host, call->service}, now);
+            endpoint =
+                endpoint.with(&routing::EndpointViewFields::admittedLevel, std::max(endpoint->admittedLevel, level));
+        }
+    }
+    return m_router.explain(request, endpoints, now);
+}
+
+routing::RoutingDecision
+Dispatcher::chooseEndpoint(const wire::CallRequest &call, Attempts &attempts, core::TimePoint now)
+{
+    const std::shared_ptr<const EndpointViews> endpoints = m_hooks.endpoints(call->service);
+    routing::RoutingRequest request = routingRequestOf(call);
+    request.excludedHosts = attempts.hosts;
     // Admission levels shed new work only; a nested call continues work that was already admitted.
     if (m_areControlsOn && !call->isNested) {
         for (const routing::EndpointView &endpoint : *endpoints) {
--- a/src/node/node_hooks.cpp
+++ b/src/node/node_hooks.cpp
@@ -323,9 +323,9 @@
     };
     hooks.changes = [this](core::Offset from) { return changes(from); };
     hooks.nodes = [this] { return nodeStatus(); };
-    hooks.isDeclared = [this](const core::DataCentreId &dataCentre) {
-        const std::vector<core::DataCentreId> &declared = m_settings->dataCentres;
-        return std::find(declared.begin(), declared.end(), dataCentre) != declared.end();
+    hooks.isDeclared = [this](const core::DataCentreId &dataCentre) { return isDeclared(dataCentre); };
+    hooks.explain = [explained = explainHooks()](const http::ExplainQuestion &question) {
+        return explainRequest(question, explained, now());
     };
     hooks.queryAppliedOffsets = [this](core::Offset change) { refreshMembers(change); };
     hooks.metrics = [this] { return m_metrics.text(); };
@@ -333,6 +333,34 @@
     return hooks;
 }
 
+ExplainHooks Node::Implementation::explainHooks()
+{
+    ExplainHooks hooks;
+    hooks.catalogue = [this] { return isConfigurationUsable() ? m_config.catalogue() : nullptr; };
+    hooks.isDeclared = [this](const core::DataCentreId &dataCentre) { return isDeclared(dataCentre); };
+    hooks.shedShare = [this](const CallPlan &plan, core::TimePoint time) {
+        return m_entry.rootControl().shedShare(plan, time);
+    };
+    hooks.route = [this](const CallPlan &plan,
+                         const std::string &method,
+                         const std::optional<core::DataCentreId> &dataCentre,
+                         core::TimePoint time) {
+        const wire::CallRequest call({.service = plan->service,
+                                      .route = plan->route,
+                                      .method = method,
+                                      .priority = plan->priority,
+                                      .isNested = plan->isNested});
+        return m_dispatcher.explain(call, dataCentre.value_or(m_settings->dataCentre), time);
+    };
+    return hooks;
+}
+
+bool Node::Implementation::isDeclared(const core::DataCentreId &dataCentre) const
+{
+    const std::vector<core::DataCentreId> &declared = m_settings->dataCentres;
+    return std::find(declared.begin(), declared.end(), dataCentre) != declared.end();
+}
+
 std::vector<core::HostId> Node::Implementation::liveHosts(const core::DataCentreId &dataCentre) const
 {
     return m_membership->snapshot()->liveHosts(dataCentre);
--- a/src/node/node_implementation.h
+++ b/src/node/node_implementation.h
@@ -11,6 +11,7 @@
 #include "berylspring/node/dispatcher.h"
 #include "berylspring/node/endpoint_views.h"
 #include "berylspring/node/entry.h"
+#include "berylspring/node/explain.h"
 #include "berylspring/node/in_flight_table.h"
 #include "berylspring/node/join_progress.h"
 #include "berylspring/node/local_endpoint.h"
@@ -57,6 +58,7 @@
     DispatcherHooks dispatcherHooks();
     EntryHooks entryHooks();
     http::OperatorHooks operatorHooks();
+    ExplainHooks explainHooks();
     std::vector<telemetry::Sample> samples() const;
 
     // Messages and requests, in node_handlers.cpp.
@@ -100,6 +102,7 @@
     [[nodiscard]] std::shared_ptr<admission::AdmissionService> makeAdmission();
     [[nodiscard]] std::vector<core::HostId> liveHosts(const core::DataCentreId &dataCentre) const;
     [[nodiscard]] std::vector<core::HostId> claimHosts(const core::DataCentreId &dataCentre) const;
+    [[nodiscard]] bool isDeclared(const core::DataCentreId &dataCentre) const;
     [[nodiscard]] JoinProgress joinProgress() const;
     /** @return Whether callers' requests may be decided by the configuration of this node. */
     [[nodiscard]] bool isConfigurationUsable() const;
--- a/src/node/root_control.cpp
+++ b/src/node/root_control.cpp
@@ -79,6 +79,11 @@
     return RootRefusal{.refusal = refusal.withRetryAfter(core::withJitter(ShedRetryAfter, ShedRetryAfter, m_random()))};
 }
 
+double RootControl::shedShare(const CallPlan &plan, core::TimePoint now) const
+{
+    return m_settings.areControlsOn ? m_rootAdmission.shedShare(rootClassOf(plan), now) : 0;
+}
+
 RootRefusal RootControl::withReturnTime(const Refusal &refusal,
                                         const http::CallerRequest &request,
                                         const CallPlan &plan,
