Add berylspringctl explain

The command asks a node for /v1/explain. Its table shows the answer, then each service with a table of its endpoints.

--- a/include/berylspring/ctl/options.h
+++ b/include/berylspring/ctl/options.h
@@ -19,10 +19,16 @@
     std::string token; ///< Operator token from --token-file or the environment variable.
     OutputFormat output = OutputFormat::Table;
     std::string file; ///< Resources for `apply`.
-    std::string workspace; ///< Workspace for `key create`.
+    std::string workspace; ///< Workspace for `key create` and `explain`.
     std::string ifMatch; ///< Expected version of a write.
     std::string from; ///< First change for `watch`.
     unsigned waitSeconds = 0; ///< Time to wait until a change is in force; 0: no wait.
+    std::string method; ///< Method of the request for `explain`, as are the next ones.
+    std::string path;
+    std::string hostHeader; ///< Value of `Host`.
+    std::string priority; ///< Empty: as configured.
+    std::string dataCentre; ///< Empty: that of the node.
+    bool isNested = false;
     std::vector<std::string> command; ///< Positional arguments: the command and its operands.
     [[nodiscard]] bool operator==(const Options &) const = default;
 };
--- a/include/berylspring/ctl/table.h
+++ b/include/berylspring/ctl/table.h
@@ -13,4 +13,11 @@
  */
 [[nodiscard]] std::string toTable(std::string_view json);
 
+/**
+ * @brief Formats the answer of `/v1/explain`.
+ * @return One line for each member of the answer, and for each service one line for each member and a table of the
+ * endpoints, with blank lines between. Text of another form is formatted as by toTable().
+ */
+[[nodiscard]] std::string explanationTable(std::string_view json);
+
 }
--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -11,6 +11,7 @@
 #include <sstream>
 
 #include <boost/json.hpp>
+#include <boost/url.hpp>
 #include <openssl/rand.h>
 
 namespace berylspring::ctl {
@@ -112,6 +113,21 @@
         return show("GET", argument(1).empty() ? "/v1/nodes" : "/v1/changes/" + argument(1));
     }
 
+    ExitCode explain()
+    {
+        if (m_options.path.empty()) {
+            m_err << "berylspringctl: explain needs --path\n";
+            return ExitCode::Usage;
+        }
+        const auto response = m_client.send("GET", explainTarget(m_options), {});
+        const ExitCode code = check(response);
+        if (code == ExitCode::Ok) {
+            const std::string &json = (*response)->body;
+            m_out << (m_options.output == OutputFormat::Json ? json + "\n" : explanationTable(json));
+        }
+        return code;
+    }
+
     ExitCode completion()
     {
         m_out << completionScript();
@@ -275,6 +291,24 @@
     }
 }
 
+std::string explainTarget(const Options &options)
+{
+    const std::pair<const char *, std::string> parameters[] = {{"method", options.method},
+                                                               {"path", options.path},
+                                                               {"host", options.hostHeader},
+                                                               {"workspace", options.workspace},
+                                                               {"priority", options.priority},
+                                                               {"data_centre", options.dataCentre},
+                                                               {"nested", options.isNested ? "true" : ""}};
+    boost::urls::url target("/v1/explain");
+    for (const auto &[name, value] : parameters) {
+        if (!value.empty()) {
+            target.params().append({name, value});
+        }
+    }
+    return target.buffer();
+}
+
 ExitCode runCommand(const Options &options, std::ostream &out, std::ostream &err)
 {
     static const std::map<std::string, std::function<ExitCode(CommandRunner &)>> commands{
@@ -287,6 +321,7 @@
         {"key", &CommandRunner::key},
         {"watch", &CommandRunner::watch},
         {"status", &CommandRunner::status},
+        {"explain", &CommandRunner::explain},
         {"completion", &CommandRunner::completion},
         {"version", &CommandRunner::version},
     };
--- a/src/ctl/options.cpp
+++ b/src/ctl/options.cpp
@@ -24,6 +24,9 @@
     "  key withdraw NAME                   withdraw a key for good\n"
     "  watch [--from N]                    print changes until they are in force\n"
     "  status [CHANGE]                     show the nodes, or where a change is in force\n"
+    "  explain --path P [--method M] [--host-header H] [--workspace W] [--priority N]\n"
+    "          [--data-centre DC] [--nested]\n"
+    "                                      show where the node would route a request, and why\n"
     "  completion                          print a completion script for bash\n"
     "TYPE is workspaces, keys, limits, priorities, routes, request-limits, services or\n"
     "evacuations.\n"
@@ -38,10 +41,15 @@
         "token-file", po::value<std::string>(), "file with the operator token; else BERYLSPRING_TOKEN")(
         "output,o", po::value<std::string>()->default_value("table"), "table or json")(
         "file,f", po::value<std::string>(), "resources for apply")(
-        "workspace,w", po::value<std::string>(), "workspace of a new key")(
+        "workspace,w", po::value<std::string>(), "workspace of a new key, or of the explained request")(
         "if-match", po::value<std::string>(), "write only if this is the version")(
         "from", po::value<std::string>(), "first change of a watch")(
-        "wait", po::value<unsigned>()->default_value(0), "seconds to wait until a change is in force");
+        "wait", po::value<unsigned>()->default_value(0), "seconds to wait until a change is in force")(
+        "method", po::value<std::string>()->default_value("GET"), "method of the explained request")(
+        "path", po::value<std::string>(), "its path")("host-header", po::value<std::string>(), "its Host field")(
+        "priority", po::value<std::string>(), "its priority, 0 to 7; else as configured")(
+        "data-centre", po::value<std::string>(), "explain as if the node were there")(
+        "nested", po::bool_switch(), "explain a call that an endpoint makes");
     return description;
 }
 
@@ -91,7 +99,13 @@
                     .workspace = textOf(values, "workspace"),
                     .ifMatch = textOf(values, "if-match"),
                     .from = textOf(values, "from"),
-                    .waitSeconds = values["wait"].as<unsigned>()};
+                    .waitSeconds = values["wait"].as<unsigned>(),
+                    .method = textOf(values, "method"),
+                    .path = textOf(values, "path"),
+                    .hostHeader = textOf(values, "host-header"),
+                    .priority = textOf(values, "priority"),
+                    .dataCentre = textOf(values, "data-centre"),
+                    .isNested = values["nested"].as<bool>()};
     const std::string output = textOf(values, "output");
     if (output != "table" && output != "json") {
         return tl::unexpected("--output is \"" + output + "\": must be table or json\n");
@@ -112,10 +126,12 @@
 std::string completionScript()
 {
     return "_berylspringctl() {\n"
-           "    local words='get list apply delete evacuate return key watch status completion create withdraw\n"
+           "    local words='get list apply delete evacuate return key watch status explain completion create "
+           "withdraw\n"
            "        workspaces keys limits priorities routes request-limits services evacuations --address "
            "--token-file --output --file\n"
-           "        --workspace --if-match --from --wait --help --version'\n"
+           "        --workspace --if-match --from --wait --method --path --host-header --priority --data-centre "
+           "--nested --help --version'\n"
            "    COMPREPLY=($(compgen -W \"$words\" -- \"${COMP_WORDS[COMP_CWORD]}\"))\n"
            "}\n"
            "complete -F _berylspringctl berylspringctl\n";
--- a/src/ctl/table.cpp
+++ b/src/ctl/table.cpp
@@ -89,4 +89,25 @@
     return layOut(rows);
 }
 
+std::string explanationTable(std::string_view json)
+{
+    boost::system::error_code error;
+    const boost::json::value value = boost::json::parse(json, error);
+    const boost::json::value *services =
+        error || !value.is_object() ? nullptr : value.as_object().if_contains("services");
+    if (services == nullptr || !isListOfObjects(*services)) {
+        return toTable(json);
+    }
+    boost::json::object answer = value.as_object();
+    answer.erase("services");
+    std::string text = toTable(boost::json::serialize(answer));
+    for (const auto &item : services->as_array()) {
+        boost::json::object service = item.as_object();
+        const boost::json::object endpoints{{"items", service["endpoints"]}};
+        service.erase("endpoints");
+        text += "\n" + toTable(boost::json::serialize(service)) + "\n" + toTable(boost::json::serialize(endpoints));
+    }
+    return text;
+}
+
 }
--- a/tests/ctl/an_operator_types_a_command.cpp
+++ b/tests/ctl/an_operator_types_a_command.cpp
@@ -1,6 +1,7 @@
 #include "berylspring/ctl/commands.h"
 #include "berylspring/ctl/options.h"
 #include "berylspring/ctl/table.h"
+#include "berylspring/http/messages.h"
 #include "support/section.h"
 
 #include <sstream>
@@ -31,15 +32,17 @@
     section("an unknown output format", [] {
         STRCMP_CONTAINS("must be table or json", ctl::parseOptions({"list", "-o", "xml"}).error().c_str());
     });
-    section("an unknown command, a key without workspace and no data centre end in a usage error", [] {
-        for (const std::vector<std::string> &words :
-             {std::vector<std::string>{"lst"}, {"key", "create", "k1"}, {"evacuate"}, {"return"}}) {
-            std::ostringstream out;
-            std::ostringstream err;
-            CHECK(ctl::runCommand(ctl::parseOptions(words).value(), out, err) == ctl::ExitCode::Usage);
-            CHECK(!err.str().empty());
-        }
-    });
+    section(
+        "an unknown command, a key without workspace, a request without path and no data centre end in a usage error",
+        [] {
+            for (const std::vector<std::string> &words :
+                 {std::vector<std::string>{"lst"}, {"key", "create", "k1"}, {"explain"}, {"evacuate"}, {"return"}}) {
+                std::ostringstream out;
+                std::ostringstream err;
+                CHECK(ctl::runCommand(ctl::parseOptions(words).value(), out, err) == ctl::ExitCode::Usage);
+                CHECK(!err.str().empty());
+            }
+        });
     section("a node that does not answer", [] {
         std::ostringstream out;
         std::ostringstream err;
@@ -55,3 +58,22 @@
     checkProperty("any text yields some output",
                   [](const std::string &text) { RC_ASSERT(!ctl::toTable(text).empty()); });
 }
+
+// Guards against a path or host whose characters change the question.
+TEST(AnOperatorTypesACommand, andARequestIsExplained)
+{
+    const auto options = ctl::parseOptions(
+        {"explain", "--path", "/visits/1?a=b&c", "--workspace", "w", "--data-centre", "north", "--nested"});
+    const std::string target = ctl::explainTarget(options.value());
+    STRCMP_EQUAL("/visits/1?a=b&c", http::queryParameter(target, "path").c_str());
+    STRCMP_EQUAL("GET", http::queryParameter(target, "method").c_str());
+    STRCMP_EQUAL("w", http::queryParameter(target, "workspace").c_str());
+    STRCMP_EQUAL("north", http::queryParameter(target, "data_centre").c_str());
+    STRCMP_EQUAL("true", http::queryParameter(target, "nested").c_str());
+    section("the endpoints of each service are a table of their own", [] {
+        const std::string table = ctl::explanationTable(
+            R"({"route":"r","services":[{"service":"s","endpoints":[{"eligible":true,"host":"a"}]},)"
+            R"({"service":"t","endpoints":[]}]})");
+        STRCMP_EQUAL("route  r\n\nservice  s\n\nhost  eligible\na     true\n\nservice  t\n\n\n", table.c_str());
+    });
+}
