--- a/tests/ctl/an_operator_types_a_command.cpp
+++ b/tests/ctl/an_operator_types_a_command.cpp
@@ -32,17 +32,15 @@
     section("an unknown output format", [] {
         STRCMP_CONTAINS("must be table or json", ctl::parseOptions({"list", "-o", "xml"}).error().c_str());
     });
-    section(
-        "an unknown command, a key without workspace, a request without path and no data centre end in a usage error",
-        [] {
-            for (const std::vector<std::string> &words :
-                 {std::vector<std::string>{"lst"}, {"key", "create", "k1"}, {"explain"}, {"evacuate"}, {"return"}}) {
-                std::ostringstream out;
-                std::ostringstream err;
-                CHECK(ctl::runCommand(ctl::parseOptions(words).value(), out, err) == ctl::ExitCode::Usage);
-                CHECK(!err.str().empty());
-            }
-        });
+    section("an unknown command, and a missing workspace, path or data centre, end in a usage error", [] {
+        for (const std::vector<std::string> &words :
+             {std::vector<std::string>{"lst"}, {"key", "create", "k1"}, {"explain"}, {"evacuate"}, {"return"}}) {
+            std::ostringstream out;
+            std::ostringstream err;
+            CHECK(ctl::runCommand(ctl::parseOptions(words).value(), out, err) == ctl::ExitCode::Usage);
+            CHECK(!err.str().empty());
+        }
+    });
     section("a node that does not answer", [] {
         std::ostringstream out;
         std::ostringstream err;
--- a/tests/node/root_requests_that_return.cpp
+++ b/tests/node/root_requests_that_return.cpp
@@ -1,7 +1,9 @@
 #include "berylspring/node/root_control.h"
 #include "support/section.h"
 
+#include <memory>
 #include <optional>
+#include <random>
 #include <string>
 
 #include <CppUTest/TestHarness.h>
@@ -26,8 +28,8 @@
 /** @brief The roots of an entry whose endpoint answers under the highest pressure, and reports its pace or not. */
 struct Overload
 {
-    explicit Overload(ReturnTimes mode)
-        : control({.returnTimes = mode}, core::systemRandom())
+    explicit Overload(ReturnTimes mode, core::RandomSource random = core::systemRandom())
+        : control({.returnTimes = mode}, std::move(random))
     {
     }
 
@@ -124,3 +126,31 @@
                    == RootRefusal{other});
     });
 }
+
+// Load pattern: sustained overload behind the first service. Guards against an explained share that differs from the
+// one that is shed, and against a question that changes later decisions.
+TEST(RootRequestsThatReturn, areShedInTheShareThatIsExplained)
+{
+    constexpr int Requests = 4000;
+    const auto seeded = [] { return [generator = std::make_shared<std::mt19937_64>(7)] { return (*generator)(); }; };
+    Overload asked(ReturnTimes::Off, seeded());
+    Overload other(ReturnTimes::Off, seeded());
+    DOUBLES_EQUAL(0, asked.control.shedShare(Plan, asked.now), 0);
+    asked.begin(0);
+    other.begin(0);
+    const double share = asked.control.shedShare(Plan, asked.now);
+    CHECK_TRUE(share > 0.2 && share < 1);
+    int shed = 0;
+    for (int i = 0; i < Requests; ++i) {
+        const bool isShed = asked.control.admit(asked.request(), Plan, asked.now).has_value();
+        shed += isShed ? 1 : 0;
+        DOUBLES_EQUAL(share, asked.control.shedShare(Plan, asked.now), 1e-9);
+        CHECK_TRUE(isShed == other.control.admit(other.request(), Plan, other.now).has_value());
+    }
+    // Five standard deviations of the number of shed requests are below 4 %.
+    DOUBLES_EQUAL(share, static_cast<double>(shed) / Requests, 0.04);
+    section("not at all with the controls off", [&] {
+        RootControl off({.areControlsOn = false}, core::systemRandom());
+        DOUBLES_EQUAL(0, off.shedShare(Plan, asked.now), 0);
+    });
+}
