Round the figures in the table of berylspringctl explain

The table shows four digits and the members of the limit as rows of their own; JSON output keeps the whole figures.

--- a/include/berylspring/ctl/table.h
+++ b/include/berylspring/ctl/table.h
@@ -16,7 +16,7 @@
 /**
  * @brief Formats the answer of `/v1/explain`.
  * @return One line for each member of the answer, and for each service one line for each member and a table of the
- * endpoints, with blank lines between. Text of another form is formatted as by toTable().
+ * endpoints, with blank lines between. Fractions are rounded. Text of another form is formatted as by toTable().
  */
 [[nodiscard]] std::string explanationTable(std::string_view json);
 
--- a/src/ctl/options.cpp
+++ b/src/ctl/options.cpp
@@ -46,7 +46,8 @@
         "from", po::value<std::string>(), "first change of a watch")(
         "wait", po::value<unsigned>()->default_value(0), "seconds to wait until a change is in force")(
         "method", po::value<std::string>()->default_value("GET"), "method of the explained request")(
-        "path", po::value<std::string>(), "its path")("host-header", po::value<std::string>(), "its Host field")(
+        "path", po::value<std::string>(), "path of the explained request")(
+        "host-header", po::value<std::string>(), "Host field of the explained request")(
         "priority", po::value<std::string>(), "its priority, 0 to 7; else as configured")(
         "data-centre", po::value<std::string>(), "explain as if the node were there")(
         "nested", po::bool_switch(), "explain a call that an endpoint makes");
--- a/src/ctl/table.cpp
+++ b/src/ctl/table.cpp
@@ -1,6 +1,8 @@
 #include "berylspring/ctl/table.h"
 
 #include <algorithm>
+#include <cmath>
+#include <iomanip>
 #include <sstream>
 #include <vector>
 
@@ -59,6 +61,34 @@
     return text.str();
 }
 
+/** @return The number with about four digits of its fraction. The part before the point is kept, as limits have one. */
+std::string roundedText(double value)
+{
+    constexpr double Digits = 4;
+    const double magnitude = value == 0 ? 0 : std::max(0.0, std::floor(std::log10(std::abs(value))));
+    std::ostringstream text;
+    text << std::setprecision(static_cast<int>(Digits + magnitude)) << value;
+    return text.str();
+}
+
+/** @return The members with fractions rounded, and the members of an object in it as members "NAME.MEMBER". */
+boost::json::object rounded(const boost::json::object &object)
+{
+    boost::json::object result;
+    for (const auto &[name, value] : object) {
+        if (value.is_object()) {
+            for (const auto &member : rounded(value.as_object())) {
+                result[std::string(name) + "." + std::string(member.key())] = member.value();
+            }
+        } else if (value.is_double()) {
+            result[name] = roundedText(value.as_double());
+        } else {
+            result[name] = value;
+        }
+    }
+    return result;
+}
+
 }
 
 std::string toTable(std::string_view json)
@@ -100,12 +130,20 @@
     }
     boost::json::object answer = value.as_object();
     answer.erase("services");
-    std::string text = toTable(boost::json::serialize(answer));
+    std::string text = toTable(boost::json::serialize(rounded(answer)));
     for (const auto &item : services->as_array()) {
         boost::json::object service = item.as_object();
-        const boost::json::object endpoints{{"items", service["endpoints"]}};
+        boost::json::array endpoints;
+        if (isListOfObjects(service["endpoints"])) {
+            for (const auto &endpoint : service["endpoints"].as_array()) {
+                endpoints.push_back(rounded(endpoint.as_object()));
+            }
+        }
         service.erase("endpoints");
-        text += "\n" + toTable(boost::json::serialize(service)) + "\n" + toTable(boost::json::serialize(endpoints));
+        text += "\n" + toTable(boost::json::serialize(rounded(service)));
+        if (!endpoints.empty()) {
+            text += "\n" + toTable(boost::json::serialize(boost::json::object{{"items", std::move(endpoints)}}));
+        }
     }
     return text;
 }
--- a/tests/ctl/an_operator_types_a_command.cpp
+++ b/tests/ctl/an_operator_types_a_command.cpp
@@ -70,8 +70,11 @@
     STRCMP_EQUAL("true", http::queryParameter(target, "nested").c_str());
     section("the endpoints of each service are a table of their own", [] {
         const std::string table = ctl::explanationTable(
-            R"({"route":"r","services":[{"service":"s","endpoints":[{"eligible":true,"host":"a"}]},)"
+            R"({"route":"r","limit":{"rate":1.23456E5},"services":[{"service":"s","endpoints":[{"eligible":true,"host":"a","score":4.9768530669E-1}]},)"
             R"({"service":"t","endpoints":[]}]})");
-        STRCMP_EQUAL("route  r\n\nservice  s\n\nhost  eligible\na     true\n\nservice  t\n\n\n", table.c_str());
+        STRCMP_EQUAL(
+            "route       r\nlimit.rate  123456\n\nservice  s\n\n"
+            "host  eligible  score\na     true      0.4977\n\nservice  t\n",
+            table.c_str());
     });
 }
