Share a partly shed rank of root requests fairly among workspaces

Cause: RootAdmission sheds each request of the rank that is partly shed with the same probability, so a workspace that sends many times its usual demand takes capacity from all other workspaces of its rank.

Change: WorkspaceShares keeps the decayed work of each workspace and rank and computes the level of weighted max-min fairness at which the shed share of the rank stays the same. RootAdmission::decide() asks it for the share of a request that comes with a WorkspaceLoad. Without one, the decision is as before; admits() does that.

The level compares the demand that the last request of a workspace saw. With the demand of the present instead, workspaces that send less than a request in 2 s would be shed by more than the share of the rank.

--- a/include/berylspring/admission/root_admission.h
+++ b/include/berylspring/admission/root_admission.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "berylspring/admission/pressure.h"
+#include "berylspring/admission/workspace_shares.h"
 #include "berylspring/core/name.h"
 #include "berylspring/core/sharded_map.h"
 #include "berylspring/core/time.h"
@@ -25,6 +26,27 @@
     [[nodiscard]] bool operator==(const RootClass &) const = default;
 };
 
+/** @brief A root request that asks for admission. */
+struct RootRequest
+{
+    RootClass root;
+    /**
+     * The request returns at a time that it was promised (see ReturnSchedule). It is sent unless more important
+     * requests are shed, and newcomers of its rank are shed the more for it.
+     */
+    bool hasPromise = false;
+    std::optional<WorkspaceLoad> load; ///< Without it, the request is shed by the share of its rank.
+    [[nodiscard]] bool operator==(const RootRequest &) const = default;
+};
+
+/** @brief Whether a root request is sent. */
+struct RootDecision
+{
+    bool isAdmitted = true;
+    double workspaceShedShare = 0; ///< Share of the work of its workspace that is shed; 0 without a WorkspaceLoad.
+    [[nodiscard]] bool operator==(const RootDecision &) const = default;
+};
+
 /** @brief Result of a root request that was sent. */
 struct RootResult
 {
@@ -43,6 +65,9 @@
  * each rank that this node has seen. All first services in front of one bottleneck see the same pressure, and the mix
  * of requests is about the same at all nodes, so nodes reach the same result without coordination. A route whose
  * latency and failures have not risen does not depend on the bottleneck and is not shed.
+ *
+ * Within the rank that is partly shed, requests with a WorkspaceLoad are shed by the fair shares of their workspaces
+ * (see WorkspaceShares), which leave the shed share of the rank as it is.
  */
 class RootAdmission
 {
@@ -53,13 +78,12 @@
     using Rank = std::uint32_t;
     [[nodiscard]] static Rank rankOf(const RootClass &root) noexcept;
 
-    /**
-     * @param root The request.
-     * @param hasPromise The request returns at a time that it was promised (see ReturnSchedule). It is sent unless
-     * more important requests are shed, and newcomers of its rank are shed the more for it.
-     * @return Whether to send the request.
-     */
-    [[nodiscard]] bool admits(const RootClass &root, core::TimePoint now, bool hasPromise = false);
+    [[nodiscard]] RootDecision decide(const RootRequest &request, core::TimePoint now);
+    /** @return Whether to send a request that is not shed by the share of its workspace. */
+    [[nodiscard]] bool admits(const RootClass &root, core::TimePoint now, bool hasPromise = false)
+    {
+        return decide({.root = root, .hasPromise = hasPromise, .load = std::nullopt}, now).isAdmitted;
+    }
     /** @return Whether requests of the same first service that are more important than this one are shed. */
     [[nodiscard]] bool shedsMoreImportant(const RootClass &root, core::TimePoint now);
     void recordResult(const RootClass &root, const RootResult &result, core::TimePoint now);
@@ -67,6 +91,8 @@
     [[nodiscard]] double shedding(const core::ServiceId &service, core::TimePoint now) const;
     /** @return The largest share that is shed for any first service. */
     [[nodiscard]] double highestShedding(core::TimePoint now) const;
+    /** @return The largest share that is shed of any workspace in a rank that is partly shed. */
+    [[nodiscard]] double highestWorkspaceShedding(core::TimePoint now);
 
 private:
     /** @brief Share of one rank in the demand that reaches a bottleneck. */
@@ -81,6 +107,8 @@
         {
             return shedding > below + own;
         }
+        /** @return Share of this rank that is shed when this share of the demand is shed. */
+        [[nodiscard]] double shareToShed(double shedding) const noexcept;
     };
 
     struct Service
@@ -118,6 +146,7 @@
     core::ShardedMap<core::ServiceId, Service> m_services;
     core::ShardedMap<core::RouteId, Route> m_routes;
     core::ShardedMap<Rank, Demand> m_demands;
+    WorkspaceShares m_workspaces;
     std::mutex m_sharesMutex;
     std::shared_ptr<const std::vector<RankDemand>> m_shares; ///< In ascending order of rank.
     core::TimePoint m_sharesAt;
--- a/src/admission/root_admission.cpp
+++ b/src/admission/root_admission.cpp
@@ -110,6 +110,11 @@
     return place == shares->end() || place->rank != rank ? std::nullopt : std::optional(*place);
 }
 
+double RootAdmission::RankDemand::shareToShed(double shedding) const noexcept
+{
+    return std::clamp((shedding - below) / own, 0.0, MaxShedShare);
+}
+
 double RootAdmission::shareOfNewcomers(double share, double promised) noexcept
 {
     if (promised <= 0) {
@@ -142,8 +147,10 @@
     return std::min(MaxShedShare, 1 - admitted / (1 + ProportionalGain * excess));
 }
 
-bool RootAdmission::admits(const RootClass &root, core::TimePoint now, bool hasPromise)
+RootDecision RootAdmission::decide(const RootRequest &request, core::TimePoint now)
 {
+    const RootClass &root = request.root;
+    const bool hasPromise = request.hasPromise;
     const Rank rank = rankOf(root);
     const double sensitivity = m_routes.update(root.route, [&](std::optional<Route> &route) {
         if (!route) {
@@ -158,6 +165,11 @@
                         .promised = (hasPromise ? sensitivity : 0) + before.promised,
                         .at = now};
     });
+    std::optional<WorkspaceDemand> workspace;
+    if (request.load && sensitivity > 0) {
+        const double work = sensitivity * request.load->cost;
+        workspace = m_workspaces.recordRequest(rank, *request.load, work, hasPromise, now);
+    }
     const double shedding = m_services.update(root.service, [&](std::optional<Service> &service) {
         if (!service) {
             service.emplace();
@@ -165,15 +177,23 @@
         return shareToShed(*service, now);
     });
     if (shedding <= 0 || sensitivity <= 0) {
-        return true;
+        return {};
     }
     const std::optional<RankDemand> demand = demandOf(rank, now);
     if (!demand || (hasPromise && !demand->isExceededBy(shedding))) {
-        return true;
+        return {};
+    }
+    const double shareOfRank = demand->shareToShed(shedding);
+    const auto isShed = [&](double share) {
+        return m_random() % RandomSteps < static_cast<std::uint64_t>(share * static_cast<double>(RandomSteps));
+    };
+    // Of a rank that is shed as a whole, what is still sent are probes, which need no fair shares.
+    if (!workspace || demand->isExceededBy(shedding)) {
+        return {.isAdmitted = !isShed(sensitivity * shareOfNewcomers(shareOfRank, demand->promised))};
     }
-    const double shareOfRank = std::clamp((shedding - demand->below) / demand->own, 0.0, MaxShedShare);
-    const double share = sensitivity * shareOfNewcomers(shareOfRank, demand->promised);
-    return m_random() % RandomSteps >= static_cast<std::uint64_t>(share * static_cast<double>(RandomSteps));
+    // The sensitivity lowers the share before it is divided; afterwards, it would spare the largest workspace.
+    const SheddableShare own = m_workspaces.shareOf(rank, *workspace, sensitivity * shareOfRank, now);
+    return {.isAdmitted = !isShed(shareOfNewcomers(own.shed, own.promised)), .workspaceShedShare = own.shed};
 }
 
 bool RootAdmission::shedsMoreImportant(const RootClass &root, core::TimePoint now)
@@ -237,4 +257,23 @@
     return highest;
 }
 
+double RootAdmission::highestWorkspaceShedding(core::TimePoint now)
+{
+    const double shedding = highestShedding(now);
+    double sensitivity = 0;
+    m_routes.forEach(
+        [&](const core::RouteId &, const Route &route) { sensitivity = std::max(sensitivity, route.sensitivity); });
+    double highest = 0;
+    if (shedding > 0) {
+        const auto shares = this->shares(now);
+        for (const RankDemand &demand : *shares) {
+            if (!demand.isExceededBy(shedding)) {
+                highest = std::max(
+                    highest, m_workspaces.highestShare(demand.rank, sensitivity * demand.shareToShed(shedding), now));
+            }
+        }
+    }
+    return highest;
+}
+
 }
--- a/tests/admission/deep_service.h
+++ b/tests/admission/deep_service.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <tuple>
 #include <utility>
@@ -65,8 +66,18 @@
     {
         m_offered[root.route.value()] = {root, perSecond, calls, 0};
     }
+    /** @brief As above, for the requests of one workspace. */
+    void offer(const admission::RootClass &root, double perSecond, double calls, const core::WorkspaceId &workspace)
+    {
+        m_offered[workspace.value()] = {root, perSecond, calls, 0, workspace};
+    }
+    /** @brief From now on entries shed requests by the fair shares of their workspaces. */
+    void shareAmongWorkspaces()
+    {
+        m_isShared = true;
+    }
 
-    /** @return Share of the requests of each route that were sent, by route. */
+    /** @return Share of the requests of each route or workspace that were sent, by its name. */
     std::map<std::string, double> run(core::Duration time)
     {
         std::map<std::string, double> asked;
@@ -124,6 +135,7 @@
         double perSecond = 0;
         double calls = 0;
         double due = 0;
+        core::WorkspaceId workspace{};
     };
     struct Caller
     {
@@ -132,6 +144,7 @@
         std::size_t entry = 0;
         core::TimePoint deadline;
         std::uint64_t number = 0;
+        core::WorkspaceId workspace{};
     };
     static constexpr core::Duration Step = 5ms;
     static constexpr double PressureWaitSeconds = 0.040;
@@ -151,7 +164,8 @@
     bool send(const Offer &offer)
     {
         const std::size_t entry = (random() >> 32U) % m_entries.size();
-        return attempt(Caller{offer.root, offer.calls, entry, m_now + m_callerDeadline, m_nextCaller++});
+        return attempt(
+            Caller{offer.root, offer.calls, entry, m_now + m_callerDeadline, m_nextCaller++, offer.workspace});
     }
 
     /** Sends the requests of callers whose time to return has come. */
@@ -188,7 +202,9 @@
                                                   .rank = admission::RootAdmission::rankOf(caller.root)};
         const bool hasPromise =
             m_returnRule == ReturnRule::Promised && m_schedules[caller.entry]->takePromise(request, m_now);
-        if (!entry.admits(caller.root, m_now, hasPromise)) {
+        const std::optional<admission::WorkspaceLoad> load =
+            m_isShared ? std::optional(admission::WorkspaceLoad{.workspace = caller.workspace}) : std::nullopt;
+        if (!entry.decide({.root = caller.root, .hasPromise = hasPromise, .load = load}, m_now).isAdmitted) {
             if (m_returnRule != ReturnRule::Never) {
                 refuse(caller, request);
             }
@@ -230,6 +246,7 @@
     std::multimap<core::TimePoint, std::tuple<std::size_t, admission::RootClass, admission::RootResult>>
         m_running; ///< By the time at which they end.
     bool m_isFeedbackLate = false;
+    bool m_isShared = false;
     double m_longestWait = 0;
     double m_sent = 0;
     double m_failed = 0;
