Switch fair shares of workspaces on where the pace is reported

Change: RootControl passes the workspace, its weight and the expected cost of a request to RootAdmission while [admission] workspace_shares is on, or while it is auto and the pace is reported. The weight is the one that the admission queue uses; the cost is a hook with the default 1. The metric berylspring_workspace_shed_share and the field workspace_shed_share of "request refused" show the result. The caches of RootAdmission::shares() are mutable, as a scrape reads through a const reference.

--- a/include/berylspring/admission/root_admission.h
+++ b/include/berylspring/admission/root_admission.h
@@ -92,7 +92,7 @@
     /** @return The largest share that is shed for any first service. */
     [[nodiscard]] double highestShedding(core::TimePoint now) const;
     /** @return The largest share that is shed of any workspace in a rank that is partly shed. */
-    [[nodiscard]] double highestWorkspaceShedding(core::TimePoint now);
+    [[nodiscard]] double highestWorkspaceShedding(core::TimePoint now) const;
 
 private:
     /** @brief Share of one rank in the demand that reaches a bottleneck. */
@@ -137,7 +137,7 @@
     [[nodiscard]] static Demand decayed(const Demand &demand, core::TimePoint now) noexcept;
     [[nodiscard]] static Service withPressure(Service service, double sample, core::TimePoint now) noexcept;
     [[nodiscard]] static double shareToShed(const Service &service, core::TimePoint now) noexcept;
-    [[nodiscard]] std::shared_ptr<const std::vector<RankDemand>> shares(core::TimePoint now);
+    [[nodiscard]] std::shared_ptr<const std::vector<RankDemand>> shares(core::TimePoint now) const;
     [[nodiscard]] std::optional<RankDemand> demandOf(Rank rank, core::TimePoint now);
     /** @return Share of the newcomers to shed so that they and the promised requests together keep the share. */
     [[nodiscard]] static double shareOfNewcomers(double share, double promised) noexcept;
@@ -147,9 +147,9 @@
     core::ShardedMap<core::RouteId, Route> m_routes;
     core::ShardedMap<Rank, Demand> m_demands;
     WorkspaceShares m_workspaces;
-    std::mutex m_sharesMutex;
-    std::shared_ptr<const std::vector<RankDemand>> m_shares; ///< In ascending order of rank.
-    core::TimePoint m_sharesAt;
+    mutable std::mutex m_sharesMutex;
+    mutable std::shared_ptr<const std::vector<RankDemand>> m_shares; ///< In ascending order of rank.
+    mutable core::TimePoint m_sharesAt;
 };
 
 }
--- a/include/berylspring/admission/workspace_shares.h
+++ b/include/berylspring/admission/workspace_shares.h
@@ -108,7 +108,7 @@
     [[nodiscard]] SheddableShare
     shareOf(Rank rank, const WorkspaceDemand &demand, double shedShare, core::TimePoint now);
     /** @return The largest share of any workspace while this share of the rank's work is shed. */
-    [[nodiscard]] double highestShare(Rank rank, double shedShare, core::TimePoint now);
+    [[nodiscard]] double highestShare(Rank rank, double shedShare, core::TimePoint now) const;
     /** @return Number of workspaces with demand in the rank. */
     [[nodiscard]] std::size_t size(Rank rank) const;
 
@@ -131,6 +131,7 @@
 
     [[nodiscard]] Shard &shardOf(Rank rank) noexcept;
     [[nodiscard]] const Shard &shardOf(Rank rank) const noexcept;
+    [[nodiscard]] static std::vector<WorkspaceDemand> recentDemands(const RankState &state, core::TimePoint now);
     [[nodiscard]] double levelFor(Rank rank, double shedShare, core::TimePoint now);
 
     std::array<Shard, ShardCount> m_shards;
--- a/include/berylspring/node/entry.h
+++ b/include/berylspring/node/entry.h
@@ -35,6 +35,7 @@
     std::function<boost::asio::awaitable<wire::CallResponse>(wire::CallRequest)> dispatch;
     /** Runs a call at most once per claim name, through the home of the name. */
     std::function<boost::asio::awaitable<wire::CallResponse>(wire::CallRequest)> runOnce;
+    RootControlHooks roots;
     std::function<core::TimePoint()> now;
     core::RandomSource random;
     telemetry::SpanSink spans;
@@ -66,6 +67,7 @@
     {
         core::PriorityLevel priority = 0;
         bool isPromised = false; ///< The refusal names a time at which room is reserved.
+        double workspaceShedShare = 0; ///< See RootRefusal.
     };
 
     [[nodiscard]] boost::asio::awaitable<wire::CallResponse>
--- a/include/berylspring/node/root_control.h
+++ b/include/berylspring/node/root_control.h
@@ -8,11 +8,13 @@
 #include "berylspring/http/caller_request.h"
 #include "berylspring/node/call_plan.h"
 #include "berylspring/node/return_times.h"
+#include "berylspring/node/workspace_shares_mode.h"
 #include "berylspring/wire/messages.h"
 
 #include <atomic>
 #include <compare>
 #include <cstdint>
+#include <functional>
 #include <optional>
 
 namespace berylspring::node {
@@ -21,14 +23,24 @@
 {
     bool areControlsOn = true; ///< False: no request is shed.
     ReturnTimes returnTimes = ReturnTimes::Auto;
+    WorkspaceSharesMode workspaceShares = WorkspaceSharesMode::Auto;
     [[nodiscard]] bool operator==(const RootControlSettings &) const = default;
 };
 
+/** @brief What the fair shares of workspaces are computed from. Called only while the part is on; both are optional. */
+struct RootControlHooks
+{
+    std::function<double(const core::WorkspaceId &)> weightOf; ///< Default: 1.
+    /** Expected work of a request, in a unit that is the same for all requests. Default: 1. */
+    std::function<double(const http::CallerRequest &, const CallPlan &)> costOf;
+};
+
 /** @brief A refusal and whether the caller has a promise for the time to return that it names. */
 struct RootRefusal
 {
     core::Refusal refusal;
     bool isPromised = false;
+    double workspaceShedShare = 0; ///< See admission::RootDecision.
     [[nodiscard]] bool operator==(const RootRefusal &) const = default;
 };
 
@@ -49,7 +61,7 @@
 class RootControl
 {
 public:
-    RootControl(RootControlSettings settings, core::RandomSource random);
+    RootControl(RootControlSettings settings, core::RandomSource random, RootControlHooks hooks = {});
 
     /** @return Nothing if the request may be sent, else its refusal. */
     [[nodiscard]] std::optional<RootRefusal>
@@ -74,13 +86,21 @@
     {
         return m_rootAdmission.highestShedding(now);
     }
+    /** @return The largest share that this node sheds of any workspace, 0 to 1; 0 while fair shares are off. */
+    [[nodiscard]] double workspaceShedding(core::TimePoint now) const
+    {
+        return hasWorkspaceShares(now) ? m_rootAdmission.highestWorkspaceShedding(now) : 0;
+    }
     [[nodiscard]] RootReturns returns() const;
 
 private:
     [[nodiscard]] bool hasReturnTimes(core::TimePoint now) const;
+    [[nodiscard]] bool hasWorkspaceShares(core::TimePoint now) const;
+    [[nodiscard]] admission::WorkspaceLoad loadOf(const http::CallerRequest &request, const CallPlan &plan) const;
 
     RootControlSettings m_settings;
     core::RandomSource m_random;
+    RootControlHooks m_hooks;
     admission::RootAdmission m_rootAdmission;
     admission::ReturnSchedule m_schedule;
     std::atomic<core::TimePoint> m_paceHoldsUntil{core::TimePoint::min()};
--- a/include/berylspring/node/settings.h
+++ b/include/berylspring/node/settings.h
@@ -7,6 +7,7 @@
 #include "berylspring/node/deployment_bounds.h"
 #include "berylspring/node/error.h"
 #include "berylspring/node/return_times.h"
+#include "berylspring/node/workspace_shares_mode.h"
 #include "berylspring/routing/service_work.h"
 #include "berylspring/telemetry/log.h"
 
@@ -69,6 +70,7 @@
     telemetry::Severity logLevel = telemetry::Severity::Info;
     bool isFirstStart = false; ///< Initial start of the whole fleet.
     ReturnTimes returnTimes = ReturnTimes::Auto;
+    WorkspaceSharesMode workspaceShares = WorkspaceSharesMode::Auto;
     bool areControlsOn = true; ///< False: no limits, queues, shedding or retry budgets, for comparison runs.
     [[nodiscard]] bool operator==(const SettingsFields &) const = default;
 };
--- a/src/admission/root_admission.cpp
+++ b/src/admission/root_admission.cpp
@@ -64,7 +64,7 @@
     return Rank{root.level} * (Rank{core::MaxPriority} + 1) + root.routeLevel;
 }
 
-std::shared_ptr<const std::vector<RootAdmission::RankDemand>> RootAdmission::shares(core::TimePoint now)
+std::shared_ptr<const std::vector<RootAdmission::RankDemand>> RootAdmission::shares(core::TimePoint now) const
 {
     {
         const std::scoped_lock lock(m_sharesMutex);
@@ -257,7 +257,7 @@
     return highest;
 }
 
-double RootAdmission::highestWorkspaceShedding(core::TimePoint now)
+double RootAdmission::highestWorkspaceShedding(core::TimePoint now) const
 {
     const double shedding = highestShedding(now);
     double sensitivity = 0;
--- a/src/admission/workspace_shares.cpp
+++ b/src/admission/workspace_shares.cpp
@@ -123,6 +123,18 @@
     return demand;
 }
 
+std::vector<WorkspaceDemand> WorkspaceShares::recentDemands(const RankState &state, core::TimePoint now)
+{
+    std::vector<WorkspaceDemand> demands;
+    demands.reserve(state.workspaces.size());
+    for (const auto &[workspace, demand] : state.workspaces) {
+        if (now - demand.lastRequestAt <= MaxAge) {
+            demands.push_back(demand.decayed(now));
+        }
+    }
+    return demands;
+}
+
 double WorkspaceShares::levelFor(Rank rank, double shedShare, core::TimePoint now)
 {
     Shard &shard = shardOf(rank);
@@ -141,10 +153,7 @@
         state.levelsAt = now;
         state.totalOfLevels = total;
         std::erase_if(state.workspaces, [&](const auto &entry) { return now - entry.second.lastRequestAt > MaxAge; });
-        demands.reserve(state.workspaces.size());
-        for (const auto &[workspace, demand] : state.workspaces) {
-            demands.push_back(demand.decayed(now));
-        }
+        demands = recentDemands(state, now);
     }
     levels = std::make_shared<const FairLevels>(demands);
     const std::scoped_lock lock(shard.mutex);
@@ -158,18 +167,22 @@
             .promised = demand.work > 0 ? demand.promised / demand.work : 0};
 }
 
-double WorkspaceShares::highestShare(Rank rank, double shedShare, core::TimePoint now)
+double WorkspaceShares::highestShare(Rank rank, double shedShare, core::TimePoint now) const
 {
-    const double level = levelFor(rank, shedShare, now);
-    double highest = 0;
-    const Shard &shard = shardOf(rank);
-    const std::scoped_lock lock(shard.mutex);
-    const auto state = shard.ranks.find(rank);
-    if (state != shard.ranks.end()) {
-        for (const auto &[workspace, demand] : state->second.workspaces) {
-            highest = std::max(highest, FairLevels::shedShare(demand.decayed(now), level));
+    std::vector<WorkspaceDemand> demands;
+    {
+        const Shard &shard = shardOf(rank);
+        const std::scoped_lock lock(shard.mutex);
+        const auto state = shard.ranks.find(rank);
+        if (state != shard.ranks.end()) {
+            demands = recentDemands(state->second, now);
         }
     }
+    const double level = FairLevels(demands).levelFor(shedShare);
+    double highest = 0;
+    for (const WorkspaceDemand &demand : demands) {
+        highest = std::max(highest, FairLevels::shedShare(demand, level));
+    }
     return highest;
 }
 
--- a/src/node/entry.cpp
+++ b/src/node/entry.cpp
@@ -95,7 +95,7 @@
     , m_metrics(metrics)
     , m_settings(settings)
     , m_hooks(std::move(hooks))
-    , m_rootControl(m_settings.roots, m_hooks.random)
+    , m_rootControl(m_settings.roots, m_hooks.random, m_hooks.roots)
 {
 }
 
@@ -219,6 +219,7 @@
     const std::optional<RootRefusal> shed = m_rootControl.admit(request, plan, m_hooks.now());
     if (shed) {
         summary.isPromised = shed->isPromised;
+        summary.workspaceShedShare = shed->workspaceShedShare;
         co_return tl::unexpected(shed->refusal);
     }
     if (plan->workspace.isEmpty()) {
@@ -285,6 +286,7 @@
              {"priority", std::int64_t{summary.priority}},
              {"retry_after_ms", milliseconds(refusal.retryAfter().value_or(core::Duration::zero()))},
              {"is_promised", summary.isPromised},
+             {"workspace_shed_share", summary.workspaceShedShare},
              {"configuration_offset", offset},
              {"configuration_age_ms", milliseconds(m_hooks.configurationAge())},
              {"retries", std::int64_t{response->retriesSpent}},
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -145,7 +145,9 @@
     , m_entry(m_inFlight,
               m_metrics,
               {.sampleRatio = m_settings->sampleRatio,
-               .roots = {.areControlsOn = m_settings->areControlsOn, .returnTimes = m_settings->returnTimes},
+               .roots = {.areControlsOn = m_settings->areControlsOn,
+                         .returnTimes = m_settings->returnTimes,
+                         .workspaceShares = m_settings->workspaceShares},
                .denialStaleness = m_settings->denialStaleness},
               entryHooks())
     , m_operatorApi(operatorHooks())
@@ -333,6 +335,7 @@
     add("berylspring_endpoint_cold", m_endpoint.coldLimit().reason(now()) ? 1 : 0);
     const RootReturns returns = m_entry.rootControl().returns();
     add("berylspring_roots_shed_share", m_entry.rootControl().shedding(now()));
+    add("berylspring_workspace_shed_share", m_entry.rootControl().workspaceShedding(now()));
     add("berylspring_returns_promised", returns.promised);
     add("berylspring_returns_admitted", returns.admitted);
     add("berylspring_returns_late", returns.late);
--- a/src/node/node_hooks.cpp
+++ b/src/node/node_hooks.cpp
@@ -205,6 +205,13 @@
     return hooks;
 }
 
+double Node::Implementation::weightOf(const core::WorkspaceId &name) const
+{
+    const std::shared_ptr<const config::Catalogue> catalogue = m_config.catalogue();
+    const config::Workspace *workspace = catalogue->findWorkspace(name);
+    return workspace == nullptr ? 1.0 : (*workspace)->weight;
+}
+
 admission::AdmissionHooks Node::Implementation::admissionHooks()
 {
     admission::AdmissionHooks hooks;
@@ -212,11 +219,7 @@
     hooks.now = now;
     hooks.random = m_random;
     hooks.isKeyWithdrawn = [this](const core::Digest &digest) { return m_config.isKeyWithdrawn(digest); };
-    hooks.weightOf = [this](const core::WorkspaceId &name) {
-        const std::shared_ptr<const config::Catalogue> catalogue = m_config.catalogue();
-        const config::Workspace *workspace = catalogue->findWorkspace(name);
-        return workspace == nullptr ? 1.0 : (*workspace)->weight;
-    };
+    hooks.weightOf = [this](const core::WorkspaceId &name) { return weightOf(name); };
     hooks.crashed = [this](const admission::CrashReport &report) { m_quarantineExchange.report(report, now()); };
     return hooks;
 }
@@ -303,6 +306,7 @@
     };
     hooks.dispatch = [this](wire::CallRequest call) { return m_dispatcher.dispatch(std::move(call)); };
     hooks.runOnce = [this](wire::CallRequest call) { return m_idempotency.run(std::move(call)); };
+    hooks.roots.weightOf = [this](const core::WorkspaceId &name) { return weightOf(name); };
     hooks.now = now;
     hooks.random = m_random;
     hooks.spans = spanSink();
--- a/src/node/node_implementation.h
+++ b/src/node/node_implementation.h
@@ -96,6 +96,8 @@
     boost::asio::awaitable<bool> sendNotice(core::HostId host, wire::QuarantineNotice notice);
 
     [[nodiscard]] telemetry::SpanSink spanSink() const;
+    /** @return Weight of the workspace relative to others; 1 for one that does not exist. */
+    [[nodiscard]] double weightOf(const core::WorkspaceId &name) const;
     [[nodiscard]] std::shared_ptr<admission::AdmissionService> admission() const;
     [[nodiscard]] std::shared_ptr<admission::AdmissionService> makeAdmission();
     [[nodiscard]] std::vector<core::HostId> liveHosts(const core::DataCentreId &dataCentre) const;
--- a/src/node/root_control.cpp
+++ b/src/node/root_control.cpp
@@ -31,6 +31,13 @@
             .rank = admission::RootAdmission::rankOf(rootClassOf(plan))};
 }
 
+/** @return Whether a part is on that may be set to follow the reported pace. */
+template<typename Mode>
+bool isOn(Mode mode, core::TimePoint now, core::TimePoint paceHoldsUntil) noexcept
+{
+    return mode == Mode::On || (mode == Mode::Auto && now < paceHoldsUntil);
+}
+
 bool isServerError(std::uint16_t status) noexcept
 {
     constexpr std::uint16_t FirstServerError = 500;
@@ -39,9 +46,10 @@
 
 }
 
-RootControl::RootControl(RootControlSettings settings, core::RandomSource random)
+RootControl::RootControl(RootControlSettings settings, core::RandomSource random, RootControlHooks hooks)
     : m_settings(settings)
     , m_random(std::move(random))
+    , m_hooks(std::move(hooks))
     , m_rootAdmission(m_random)
     , m_schedule(m_random)
 {
@@ -49,10 +57,24 @@
 
 bool RootControl::hasReturnTimes(core::TimePoint now) const
 {
-    if (!m_settings.areControlsOn || m_settings.returnTimes == ReturnTimes::Off) {
-        return false;
+    return m_settings.areControlsOn && isOn(m_settings.returnTimes, now, m_paceHoldsUntil);
+}
+
+bool RootControl::hasWorkspaceShares(core::TimePoint now) const
+{
+    return m_settings.areControlsOn && isOn(m_settings.workspaceShares, now, m_paceHoldsUntil);
+}
+
+admission::WorkspaceLoad RootControl::loadOf(const http::CallerRequest &request, const CallPlan &plan) const
+{
+    admission::WorkspaceLoad load{.workspace = plan->workspace};
+    if (m_hooks.weightOf) {
+        load.weight = m_hooks.weightOf(plan->workspace);
     }
-    return m_settings.returnTimes == ReturnTimes::On || now < m_paceHoldsUntil.load();
+    if (m_hooks.costOf) {
+        load.cost = m_hooks.costOf(request, plan);
+    }
+    return load;
 }
 
 std::optional<RootRefusal>
@@ -61,22 +83,28 @@
     if (!m_settings.areControlsOn) {
         return std::nullopt;
     }
-    const admission::RootClass root = rootClassOf(plan);
-    bool hasPromise = false;
+    admission::RootRequest root{.root = rootClassOf(plan)};
     if (hasReturnTimes(now)) {
         m_schedule.recordArrival(plan->service, plan->workspace, now);
-        hasPromise = m_schedule.hasPromises(plan->service, now)
-                     && m_schedule.takePromise(returningRequestOf(request, plan), now);
+        root.hasPromise = m_schedule.hasPromises(plan->service, now)
+                          && m_schedule.takePromise(returningRequestOf(request, plan), now);
+    }
+    if (hasWorkspaceShares(now)) {
+        root.load = loadOf(request, plan);
     }
-    if (m_rootAdmission.admits(root, now, hasPromise)) {
-        m_returnsAdmitted += hasPromise ? 1 : 0;
+    const admission::RootDecision decision = m_rootAdmission.decide(root, now);
+    if (decision.isAdmitted) {
+        m_returnsAdmitted += root.hasPromise ? 1 : 0;
         return std::nullopt;
     }
     const Refusal refusal(RefusalReason::Overloaded, Outcome::NotRun, "a service behind the route is overloaded");
     if (hasReturnTimes(now)) {
-        return withReturnTime(refusal, request, plan, plan->timeout, now);
+        RootRefusal shed = withReturnTime(refusal, request, plan, plan->timeout, now);
+        shed.workspaceShedShare = decision.workspaceShedShare;
+        return shed;
     }
-    return RootRefusal{.refusal = refusal.withRetryAfter(core::withJitter(ShedRetryAfter, ShedRetryAfter, m_random()))};
+    return RootRefusal{.refusal = refusal.withRetryAfter(core::withJitter(ShedRetryAfter, ShedRetryAfter, m_random())),
+                       .workspaceShedShare = decision.workspaceShedShare};
 }
 
 RootRefusal RootControl::withReturnTime(const Refusal &refusal,
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -159,17 +159,18 @@
     }
 }
 
-ReturnTimes readReturnTimes(SettingsReader &reader)
+/** @brief Reads the mode of a part that may follow the reported pace. */
+template<typename Mode>
+Mode readMode(SettingsReader &reader, const std::string &name)
 {
-    const std::string name = "admission.return_times";
     const std::string value = reader.text(name, "auto");
     if (value != "auto" && value != "on" && value != "off") {
         reject(name, value, "auto, on or off");
     }
     if (value == "auto") {
-        return ReturnTimes::Auto;
+        return Mode::Auto;
     }
-    return value == "on" ? ReturnTimes::On : ReturnTimes::Off;
+    return value == "on" ? Mode::On : Mode::Off;
 }
 
 /** @brief Reports a time that is not below the bound that it has to keep. */
@@ -243,7 +244,8 @@
         readFleet(reader, fields);
         readPlatform(reader, fields);
         readLimits(reader, fields);
-        fields.returnTimes = readReturnTimes(reader);
+        fields.returnTimes = readMode<ReturnTimes>(reader, "admission.return_times");
+        fields.workspaceShares = readMode<WorkspaceSharesMode>(reader, "admission.workspace_shares");
         readRouting(reader, fields);
         readTelemetry(reader, fields);
         reader.rejectUnknown();
--- a/tests/node/settings_that_are_checked.cpp
+++ b/tests/node/settings_that_are_checked.cpp
@@ -45,6 +45,8 @@
             [] { checkRefused(Minimal + "[limits]\nmax_hold_ms=soon\n", "limits.max_hold_ms"); });
     section("a mode that does not exist",
             [] { checkRefused(Minimal + "[admission]\nreturn_times=yes\n", "admission.return_times = \"yes\""); });
+    section("a mode of the shares that does not exist",
+            [] { checkRefused(Minimal + "[admission]\nworkspace_shares=1\n", "admission.workspace_shares = \"1\""); });
     section("an unknown name", [] { checkRefused(Minimal + "[ports]\ncallers=1\n", "unknown setting ports.callers"); });
     section("an unknown section", [] { checkRefused(Minimal + "[port]\ncaller=1\n", "unknown setting port.caller"); });
     section("a missing host", [] { checkRefused("[fleet]\ndata_centres=a\n", "node.host"); });
