Count the demand of workspaces in the expected cost of their requests

Change: Router::expectedCost() tells what a request of a route and method is expected to cost, and the node passes it to RootControl. A service without samples counts with the initial value of its estimate, not with 1, since known costs are in seconds and the two would be compared within one rank.

The first requests of the workspaces in the test are spread now.

--- a/include/berylspring/node/dispatcher.h
+++ b/include/berylspring/node/dispatcher.h
@@ -15,6 +15,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <string_view>
 #include <vector>
 
 #include <boost/asio/awaitable.hpp>
@@ -63,6 +64,12 @@
     {
         return m_evacuatedRefusals;
     }
+    /** @return Expected cost in seconds of a request, see routing::Router::expectedCost(). */
+    [[nodiscard]] double
+    expectedCost(const core::ServiceId &service, const core::RouteId &route, std::string_view method) const
+    {
+        return m_router.expectedCost(service, routing::costClassOf(route, method));
+    }
     /** @return The endpoints of the services whose requests are routed by cost. */
     [[nodiscard]] std::vector<routing::EndpointWorkState> workStates(core::TimePoint now) const
     {
--- a/include/berylspring/node/root_control.h
+++ b/include/berylspring/node/root_control.h
@@ -31,7 +31,7 @@
 struct RootControlHooks
 {
     std::function<double(const core::WorkspaceId &)> weightOf; ///< Default: 1.
-    /** Expected work of a request, in a unit that is the same for all requests. Default: 1. */
+    /** Expected work of a request, in a unit that is the same for all requests. Default: 1. Must be positive. */
     std::function<double(const http::CallerRequest &, const CallPlan &)> costOf;
 };
 
--- a/include/berylspring/routing/router.h
+++ b/include/berylspring/routing/router.h
@@ -79,6 +79,9 @@
                   const WorkReport &report = {});
     /** @return Traffic statistics of the endpoint; empty if it is not known. */
     [[nodiscard]] EndpointTraffic traffic(const core::ServiceId &service, const core::HostId &host) const;
+    /** @return Expected cost in seconds of a request of this class; an initial value before the service's first sample.
+     */
+    [[nodiscard]] double expectedCost(const core::ServiceId &service, CostClass costClass) const;
     /** @return The endpoints of the services whose requests are routed by cost. */
     [[nodiscard]] std::vector<EndpointWorkState> workStates(core::TimePoint now) const;
     /** @brief Removes the statistics of an endpoint that has left permanently, unless requests are in flight. */
--- a/src/node/node_hooks.cpp
+++ b/src/node/node_hooks.cpp
@@ -306,6 +306,9 @@
     };
     hooks.dispatch = [this](wire::CallRequest call) { return m_dispatcher.dispatch(std::move(call)); };
     hooks.runOnce = [this](wire::CallRequest call) { return m_idempotency.run(std::move(call)); };
+    hooks.roots.costOf = [this](const http::CallerRequest &request, const CallPlan &plan) {
+        return m_dispatcher.expectedCost(plan->service, plan->route, request->method);
+    };
     hooks.roots.weightOf = [this](const core::WorkspaceId &name) { return weightOf(name); };
     hooks.now = now;
     hooks.random = m_random;
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -103,6 +103,15 @@
     traffic = traffic.withFinished(result, latency, inFlight, now).withWork(work);
 }
 
+double Router::expectedCost(const core::ServiceId &service, CostClass costClass) const
+{
+    const Shard &shard = shardOf(service);
+    const std::scoped_lock lock(shard.mutex);
+    const auto known = shard.works.find(service);
+    return known == shard.works.end() ? CostTable().overall().mean()
+                                      : known->second.work.costs().estimate(costClass).mean();
+}
+
 std::vector<EndpointWorkState> Router::workStates(core::TimePoint now) const
 {
     std::vector<EndpointWorkState> states;
--- a/tests/admission/a_workspace_floods_a_rank.cpp
+++ b/tests/admission/a_workspace_floods_a_rank.cpp
@@ -63,7 +63,11 @@
     /** @return The mean share that is shed of the requests of the last workspace, while half of the work is shed. */
     double shedOfLast(const std::vector<double> &ratesPerSecond, core::Duration time)
     {
-        std::vector<double> due(ratesPerSecond.size());
+        std::vector<double> due;
+        for (std::size_t i = 0; i < ratesPerSecond.size(); ++i) {
+            // Spreads the first requests, as workspaces do not send at the same moments.
+            due.push_back(std::fmod(0.618 * static_cast<double>(i), 1.0));
+        }
         double sum = 0;
         double count = 0;
         for (const core::TimePoint end = now + time; now < end; now += 5ms) {
--- a/tests/node/a_pace_that_is_reported.cpp
+++ b/tests/node/a_pace_that_is_reported.cpp
@@ -73,6 +73,12 @@
         DOUBLES_EQUAL(0.02, states.front().cost * states.front().slowness, 0.002);
         DOUBLES_EQUAL(2, states.front().outstanding * states.front().slowness, 0.01);
     });
+    section("the expected cost of a request is that of its service, or an initial one", [&] {
+        const core::RouteId other("other");
+        const auto state = dispatcher.workStates(now).front();
+        DOUBLES_EQUAL(state.cost, dispatcher.expectedCost(state.service, other, "GET"), 1e-12);
+        DOUBLES_EQUAL(0.01, dispatcher.expectedCost(core::ServiceId("unknown"), other, "GET"), 1e-12);
+    });
     section("errors are no samples of the cost", [&] {
         const double cost = dispatcher.workStates(now).front().cost;
         dispatch({.status = 503, .serviceTime = 1ms, .pace = 1});
