Join the cases of the tests of fair shares

The two tests with late and with prompt feedback share their model, the sum of the admitted work is computed from the level instead of by the code under test, and cost and weight are one section.

--- a/tests/admission/a_workspace_floods_a_rank.cpp
+++ b/tests/admission/a_workspace_floods_a_rank.cpp
@@ -2,7 +2,7 @@
 #include "berylspring/admission/workspace_shares.h"
 #include "support/section.h"
 
-#include <array>
+#include <algorithm>
 #include <cmath>
 #include <string>
 #include <vector>
@@ -13,7 +13,6 @@
 using namespace std::chrono_literals;
 using admission::FairLevels;
 using admission::RootClass;
-using admission::SheddableShare;
 using admission::WorkspaceDemand;
 using admission::WorkspaceShares;
 using test::DeepService;
@@ -22,20 +21,16 @@
 namespace {
 
 constexpr WorkspaceShares::Rank Rank = 5;
-const core::TimePoint StartTime{1h};
-const RootClass Visit{
-    .route = core::RouteId("visit"), .service = core::ServiceId("visits"), .level = 6, .routeLevel = 5};
-
-constexpr std::array<const char *, 4> Others{"a", "b", "c", "d"};
-constexpr double UsualRate = 62.5; ///< Requests per second of each of the others.
-constexpr double CallsPerRequest = 4;
+constexpr double Flood = 875; ///< Requests per second, 14 times the usual ones.
+constexpr double UsualRate = 62.5; ///< Of each of the other four workspaces.
 
 void offer(DeepService &deep, double flood)
 {
-    for (const char *name : Others) {
-        deep.offer(Visit, UsualRate, CallsPerRequest, core::WorkspaceId(name));
+    const RootClass visit{.route = core::RouteId("visit"), .service = core::ServiceId("visits"), .level = 6};
+    for (const char *name : {"a", "b", "c", "d"}) {
+        deep.offer(visit, UsualRate, 4, core::WorkspaceId(name));
     }
-    deep.offer(Visit, flood, CallsPerRequest, core::WorkspaceId("flood"));
+    deep.offer(visit, flood, 4, core::WorkspaceId("flood"));
 }
 
 WorkspaceDemand demandOf(double work, double promised = 0, double weight = 1)
@@ -43,22 +38,11 @@
     return {.work = work, .promised = promised, .atLastRequest = work, .weight = weight};
 }
 
-/** @return Work that is admitted of the demands when this share is shed. */
-double admittedOf(const std::vector<WorkspaceDemand> &demands, double shedShare)
-{
-    const double level = FairLevels(demands).levelFor(shedShare);
-    double admitted = 0;
-    for (const WorkspaceDemand &demand : demands) {
-        admitted += std::max(demand.promised, demand.work * (1 - FairLevels::shedShare(demand, level)));
-    }
-    return admitted;
-}
-
 /** @brief The shares of an entry at which each of some workspaces sends requests at its own rate. */
 struct Arrivals
 {
     WorkspaceShares shares;
-    core::TimePoint now = StartTime;
+    core::TimePoint now{1h};
 
     /** @return The mean share that is shed of the requests of the last workspace, while half of the work is shed. */
     double shedOfLast(const std::vector<double> &ratesPerSecond, core::Duration time)
@@ -75,8 +59,8 @@
                 for (due[i] += 0.005 * ratesPerSecond[i]; due[i] >= 1; due[i] -= 1) {
                     const core::WorkspaceId name("w" + std::to_string(i));
                     const auto demand = shares.recordRequest(Rank, {.workspace = name}, 1, false, now);
-                    const SheddableShare share = shares.shareOf(Rank, demand, 0.5, now);
-                    sum += i + 1 == due.size() ? share.shed : 0;
+                    const double shed = shares.shareOf(Rank, demand, 0.5, now).shed;
+                    sum += i + 1 == due.size() ? shed : 0;
                     count += i + 1 == due.size() ? 1 : 0;
                 }
             }
@@ -95,46 +79,34 @@
 TEST(AWorkspaceFloodsARank, andIsShedBeforeTheOthers)
 {
     DeepService deep(1500);
-    double flood = 0;
-    section("without shares, all are shed alike", [&] {
-        offer(deep, 875);
-        (void)deep.run(5s);
-        const auto sent = deep.run(10s);
-        CHECK_TRUE(sent.at("a") < 0.5);
-        flood = sent.at("flood");
-    });
-    section("with shares, hardly any but the flood are shed, and no capacity is left unused", [&] {
+    offer(deep, Flood);
+    (void)deep.run(5s);
+    const auto uniform = deep.run(10s);
+    section("hardly any but the flood are shed, and no capacity is left unused", [&] {
         deep.shareAmongWorkspaces();
         (void)deep.run(5s);
         const auto sent = deep.run(10s);
-        for (const char *name : Others) {
-            CHECK_TRUE(sent.at(name) > 0.95);
+        double others = 0;
+        for (const char *name : {"a", "b", "c", "d"}) {
+            CHECK_TRUE(uniform.at(name) < 0.5 && sent.at(name) > 0.95);
+            others += UsualRate * sent.at(name);
         }
-        CHECK_TRUE(sent.at("flood") < flood);
-        CHECK_TRUE(CallsPerRequest * (4 * UsualRate + 875 * sent.at("flood")) > 0.95 * 1500);
+        CHECK_TRUE(sent.at("flood") < uniform.at("flood"));
+        CHECK_TRUE(4 * (others + Flood * sent.at("flood")) > 0.95 * 1500);
     });
     section("two seconds after the flood, nearly everything is sent again", [&] {
         offer(deep, UsualRate);
         (void)deep.run(2s);
         CHECK_TRUE(deep.run(3s).at("flood") > 0.95);
     });
-}
-
-// Load pattern: the same flood, with feedback only when root requests end, so that the share of the rank swings.
-// Guards against shares that protect the others only while the controller is steady.
-TEST(AWorkspaceFloodsARank, whileFeedbackIsLate)
-{
-    const auto sentOfOthers = [](bool isShared) {
-        DeepService deep(1500);
-        deep.delayFeedback();
-        if (isShared) {
-            deep.shareAmongWorkspaces();
-        }
-        offer(deep, 875);
-        (void)deep.run(5s);
-        return deep.run(10s).at("a");
-    };
-    CHECK_TRUE(sentOfOthers(true) > 2 * sentOfOthers(false));
+    section("with late feedback, the share of the rank swings, and most requests of the others are sent", [] {
+        DeepService late(1500);
+        late.delayFeedback();
+        late.shareAmongWorkspaces();
+        offer(late, Flood);
+        (void)late.run(5s);
+        CHECK_TRUE(late.run(10s).at("a") > 2 * 0.342); // Without shares, 0.342 are sent.
+    });
 }
 
 // Load pattern: a partly shed rank of workspaces with different demands, weights and promised returns. Guards against
@@ -147,16 +119,15 @@
         DOUBLES_EQUAL(40, FairLevels(demands).levelFor(0.3), 1e-9);
         CHECK_TRUE(std::isinf(FairLevels(demands).levelFor(0)));
     });
-    section("a weight multiplies the level", [] {
-        const std::vector<WorkspaceDemand> demands{demandOf(60), demandOf(60, 0, 3)};
-        const double level = FairLevels(demands).levelFor(0.5);
-        DOUBLES_EQUAL(0.75, FairLevels::shedShare(demands[0], level), 1e-9);
-        DOUBLES_EQUAL(0.25, FairLevels::shedShare(demands[1], level), 1e-9);
-    });
-    section("promised work is admitted first, and the sum is kept", [] {
+    section("promised work is admitted first, weights multiply the level, and the sum is kept", [] {
         const std::vector<WorkspaceDemand> demands{demandOf(10), demandOf(50, 40), demandOf(40, 5, 2)};
-        for (const double shed : {0.1, 0.3, 0.5}) {
-            DOUBLES_EQUAL(100 * (1 - shed), admittedOf(demands, shed), 1e-9);
+        for (const double shed : {0.1, 0.3, 0.5, 0.55}) {
+            const double level = FairLevels(demands).levelFor(shed);
+            double admitted = 0;
+            for (const WorkspaceDemand &demand : demands) {
+                admitted += std::max(demand.promised, std::min(demand.work, level * demand.weight));
+            }
+            DOUBLES_EQUAL(100 * (1 - shed), admitted, 1e-9);
         }
         DOUBLES_EQUAL(0, FairLevels(demands).levelFor(0.9), 1e-9);
     });
@@ -168,10 +139,7 @@
 {
     Arrivals arrivals;
     DOUBLES_EQUAL(0.5, arrivals.shedOfLast(std::vector<double>(500, 0.25), 20s), 0.05);
-    for (std::size_t i = 0; i < 2 * WorkspaceShares::MaxWorkspaces; ++i) {
-        const core::WorkspaceId name("n" + std::to_string(i));
-        (void)arrivals.shares.recordRequest(Rank, {.workspace = name}, 1, false, arrivals.now + 1ms * i);
-    }
+    (void)arrivals.shedOfLast(std::vector<double>(2 * WorkspaceShares::MaxWorkspaces, 1), 1s);
     LONGS_EQUAL(WorkspaceShares::MaxWorkspaces, arrivals.shares.size(Rank));
 }
 
@@ -180,14 +148,8 @@
 // new.
 TEST(AWorkspaceFloodsARank, whileItsNodeRestarts)
 {
-    section("two seconds after the restart, the workspace below the level is not shed", [] {
-        Arrivals restarted;
-        (void)restarted.shedOfLast({100, 10}, 2s);
-        DOUBLES_EQUAL(0, restarted.shedOfLast({100, 10}, 2s), 0.01);
-    });
-    section("nor is one that is new", [] {
-        Arrivals arrivals;
-        (void)arrivals.shedOfLast({100}, 5s);
-        DOUBLES_EQUAL(0, arrivals.shedOfLast({100, 10}, 1s), 0.01);
-    });
+    Arrivals restarted;
+    (void)restarted.shedOfLast({100, 10}, 2s);
+    DOUBLES_EQUAL(0, restarted.shedOfLast({100, 10}, 2s), 0.01);
+    DOUBLES_EQUAL(0, restarted.shedOfLast({100, 10, 10}, 1s), 0.01);
 }
--- a/tests/node/workspaces_that_share_an_entry.cpp
+++ b/tests/node/workspaces_that_share_an_entry.cpp
@@ -2,8 +2,9 @@
 #include "support/section.h"
 
 #include <cstdint>
-#include <memory>
+#include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <CppUTest/TestHarness.h>
@@ -39,18 +40,17 @@
     {
         return ++drawn * 6364136223846793005ULL >> 7U;
     }
-    /** @return Share of the requests of a workspace that is shed in 5 s in which "flood" sends ten times as many. */
-    double shedOf(const std::string &workspace)
+    /** @return The shares of the requests of each workspace that are shed while "flood" sends ten times as many. */
+    std::map<std::string, double> run()
     {
-        constexpr int Steps = 1000;
-        double asked = 0;
-        double shed = 0;
-        for (int i = 0; i < Steps; ++i) {
+        std::map<std::string, double> asked;
+        std::map<std::string, double> shed;
+        for (int i = 0; i < 1000; ++i) {
             now += 5ms;
-            const bool isFlood = i % 11 != 0;
+            const std::string name = i % 11 == 0 ? "usual" : "flood";
             const node::CallPlan plan({.route = core::RouteId("visit"),
                                        .service = core::ServiceId("visits"),
-                                       .workspace = core::WorkspaceId(isFlood ? "flood" : "usual"),
+                                       .workspace = core::WorkspaceId(name),
                                        .timeout = 9s});
             const auto refusal = control.admit(http::CallerRequest(), plan, now);
             if (refusal) {
@@ -60,10 +60,13 @@
                 control.recordPace(response, now);
                 control.recordResult(plan, response, i < 10 ? 10ms : 200ms, now);
             }
-            asked += plan->workspace.value() == workspace ? 1 : 0;
-            shed += refusal && plan->workspace.value() == workspace ? 1 : 0;
+            asked[name] += 1;
+            shed[name] += refusal ? 1 : 0;
         }
-        return shed / asked;
+        for (auto &[name, count] : shed) {
+            count /= asked[name];
+        }
+        return shed;
     }
 };
 
@@ -77,8 +80,8 @@
 {
     Flood off(WorkspaceSharesMode::Off, 1);
     Flood unreported(WorkspaceSharesMode::Auto, 0);
-    CHECK_TRUE(off.shedOf("usual") > 0.1);
-    (void)unreported.shedOf("usual");
+    CHECK_TRUE(off.run().at("usual") > 0.1);
+    (void)unreported.run();
     CHECK_TRUE(off.refusals == unreported.refusals);
     LONGS_EQUAL(off.drawn, unreported.drawn);
     DOUBLES_EQUAL(0, off.control.workspaceShedding(off.now), 0);
@@ -90,22 +93,21 @@
 {
     section("the one that floods", [] {
         Flood flood(WorkspaceSharesMode::Auto, 1);
-        DOUBLES_EQUAL(0, flood.shedOf("usual"), 0.03);
+        DOUBLES_EQUAL(0, flood.run().at("usual"), 0.03);
         CHECK_TRUE(flood.control.workspaceShedding(flood.now) > 0.1);
         CHECK_TRUE(flood.refusals.back().workspaceShedShare > 0.1);
         flood.now += 11s;
         DOUBLES_EQUAL(0, flood.control.workspaceShedding(flood.now), 0);
     });
-    section("or the other one, if its requests cost far more", [] {
-        Flood flood(WorkspaceSharesMode::On, 0, {.costOf = [](const http::CallerRequest &, const node::CallPlan &plan) {
-                        return plan->workspace.value() == "usual" ? 100.0 : 1.0;
-                    }});
-        CHECK_TRUE(flood.shedOf("usual") > flood.shedOf("flood"));
-    });
-    section("or if the flood has by far the greater weight", [] {
-        Flood flood(WorkspaceSharesMode::On, 0, {.weightOf = [](const core::WorkspaceId &workspace) {
-                        return workspace.value() == "flood" ? 1000.0 : 1.0;
-                    }});
-        CHECK_TRUE(flood.shedOf("usual") > flood.shedOf("flood"));
+    section("or the other one, if its requests cost more, or the flood has the greater weight", [] {
+        const auto costOf = [](const http::CallerRequest &, const node::CallPlan &plan) {
+            return plan->workspace.value() == "usual" ? 100.0 : 1.0;
+        };
+        const auto weightOf = [](const core::WorkspaceId &name) { return name.value() == "flood" ? 1000.0 : 1.0; };
+        Flood costly(WorkspaceSharesMode::On, 0, {.costOf = costOf});
+        Flood heavy(WorkspaceSharesMode::On, 0, {.weightOf = weightOf});
+        for (const auto &shed : {costly.run(), heavy.run()}) {
+            CHECK_TRUE(shed.at("usual") > shed.at("flood"));
+        }
     });
 }
