--- /dev/null
+++ b/tests/node/workspaces_that_share_an_entry.cpp
@@ -0,0 +1,113 @@
+#include "berylspring/node/root_control.h"
+#include "support/section.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace berylspring;
+using namespace std::chrono_literals;
+using node::RootControl;
+using node::RootRefusal;
+using node::WorkspaceSharesMode;
+using test::section;
+
+namespace {
+
+/** @brief An entry whose endpoint answers under steady pressure, and reports its pace or not. */
+struct Flood
+{
+    Flood(WorkspaceSharesMode mode, double pacePerResponse, node::RootControlHooks hooks = {})
+        : pace(pacePerResponse)
+        , control(
+              {.returnTimes = node::ReturnTimes::Off, .workspaceShares = mode},
+              [this] { return random(); },
+              std::move(hooks))
+    {
+    }
+
+    double pace;
+    std::uint64_t drawn = 0;
+    RootControl control;
+    core::TimePoint now{1h};
+    std::vector<RootRefusal> refusals;
+
+    std::uint64_t random()
+    {
+        return ++drawn * 6364136223846793005ULL >> 7U;
+    }
+    /** @return The shares of the requests of each workspace that are shed while "flood" sends ten times as many. */
+    std::map<std::string, double> run()
+    {
+        std::map<std::string, double> asked;
+        std::map<std::string, double> shed;
+        for (int i = 0; i < 1000; ++i) {
+            now += 5ms;
+            const std::string name = i % 11 == 0 ? "usual" : "flood";
+            const node::CallPlan plan({.route = core::RouteId("visit"),
+                                       .service = core::ServiceId("visits"),
+                                       .workspace = core::WorkspaceId(name),
+                                       .timeout = 9s});
+            const auto refusal = control.admit(http::CallerRequest(), plan, now);
+            if (refusal) {
+                refusals.push_back(*refusal);
+            } else {
+                const wire::CallResponse response({.status = 200, .pressure = 1.3, .pace = pace});
+                control.recordPace(response, now);
+                control.recordResult(plan, response, i < 10 ? 10ms : 200ms, now);
+            }
+            asked[name] += 1;
+            shed[name] += refusal ? 1 : 0;
+        }
+        for (auto &[name, count] : shed) {
+            count /= asked[name];
+        }
+        return shed;
+    }
+};
+
+}
+
+TEST_GROUP(WorkspacesThatShareAnEntry){};
+
+// Load pattern: a workspace sends ten times as many requests as another one of its rank, behind which a service is
+// overloaded. Guards against other decisions, or more random numbers, in deployments that report no pace.
+TEST(WorkspacesThatShareAnEntry, areShedAlikeUnlessTheirDeploymentCallsForMore)
+{
+    Flood off(WorkspaceSharesMode::Off, 1);
+    Flood unreported(WorkspaceSharesMode::Auto, 0);
+    CHECK_TRUE(off.run().at("usual") > 0.1);
+    (void)unreported.run();
+    CHECK_TRUE(off.refusals == unreported.refusals);
+    LONGS_EQUAL(off.drawn, unreported.drawn);
+    DOUBLES_EQUAL(0, off.control.workspaceShedding(off.now), 0);
+}
+
+// Load pattern: the same flood where the pace is reported. Guards against a switch, a weight or a cost that has no
+// effect, and against a report of the shares that hides the flood.
+TEST(WorkspacesThatShareAnEntry, areShedByTheirDemandWhereThePaceIsReported)
+{
+    section("the one that floods", [] {
+        Flood flood(WorkspaceSharesMode::Auto, 1);
+        DOUBLES_EQUAL(0, flood.run().at("usual"), 0.03);
+        CHECK_TRUE(flood.control.workspaceShedding(flood.now) > 0.1);
+        CHECK_TRUE(flood.refusals.back().workspaceShedShare > 0.1);
+        flood.now += 11s;
+        DOUBLES_EQUAL(0, flood.control.workspaceShedding(flood.now), 0);
+    });
+    section("or the other one, if its requests cost more, or the flood has the greater weight", [] {
+        const auto costOf = [](const http::CallerRequest &, const node::CallPlan &plan) {
+            return plan->workspace.value() == "usual" ? 100.0 : 1.0;
+        };
+        const auto weightOf = [](const core::WorkspaceId &name) { return name.value() == "flood" ? 1000.0 : 1.0; };
+        Flood costly(WorkspaceSharesMode::On, 0, {.costOf = costOf});
+        Flood heavy(WorkspaceSharesMode::On, 0, {.weightOf = weightOf});
+        for (const auto &shed : {costly.run(), heavy.run()}) {
+            CHECK_TRUE(shed.at("usual") > shed.at("flood"));
+        }
+    });
+}
