Explain the shed share of the asking workspace

With fair shares, the share that a root request is shed depends on its workspace. The explanation named the share of the whole rank. It now comes from the levels that decide, computed without counting a request. Tests of admission and node pass.

--- a/include/berylspring/admission/root_admission.h
+++ b/include/berylspring/admission/root_admission.h
@@ -86,8 +86,8 @@
     }
     /** @return Whether requests of the same first service that are more important than this one are shed. */
     [[nodiscard]] bool shedsMoreImportant(const RootClass &root, core::TimePoint now);
-    /** @return Probability with which admits() sheds such a request without a promise. Counts no demand. */
-    [[nodiscard]] double shedShare(const RootClass &root, core::TimePoint now) const;
+    /** @return Probability with which decide() sheds such a request without a promise. Counts no demand. */
+    [[nodiscard]] double shedShare(const RootRequest &request, core::TimePoint now) const;
     void recordResult(const RootClass &root, const RootResult &result, core::TimePoint now);
     /** @return Share of the demand for a first service that is shed, 0 to 1. */
     [[nodiscard]] double shedding(const core::ServiceId &service, core::TimePoint now) const;
--- a/include/berylspring/admission/workspace_shares.h
+++ b/include/berylspring/admission/workspace_shares.h
@@ -107,6 +107,9 @@
     /** @return Share of the workspace's requests to shed while this share of the rank's work is shed. */
     [[nodiscard]] SheddableShare
     shareOf(Rank rank, const WorkspaceDemand &demand, double shedShare, core::TimePoint now);
+    /** @return As above, for the next request of a workspace, without counting it. */
+    [[nodiscard]] SheddableShare
+    shareOf(Rank rank, const WorkspaceLoad &load, double shedShare, core::TimePoint now) const;
     /** @return The largest share of any workspace while this share of the rank's work is shed. */
     [[nodiscard]] double highestShare(Rank rank, double shedShare, core::TimePoint now) const;
     /** @return Number of workspaces with demand in the rank. */
@@ -132,6 +135,7 @@
     [[nodiscard]] Shard &shardOf(Rank rank) noexcept;
     [[nodiscard]] const Shard &shardOf(Rank rank) const noexcept;
     [[nodiscard]] static std::vector<WorkspaceDemand> recentDemands(const RankState &state, core::TimePoint now);
+    [[nodiscard]] std::vector<WorkspaceDemand> recentDemands(Rank rank, core::TimePoint now) const;
     [[nodiscard]] double levelFor(Rank rank, double shedShare, core::TimePoint now);
 
     std::array<Shard, ShardCount> m_shards;
--- a/include/berylspring/node/explain.h
+++ b/include/berylspring/node/explain.h
@@ -22,7 +22,7 @@
     std::function<std::shared_ptr<const config::Catalogue>()> catalogue; ///< Null without usable configuration.
     std::function<bool(const core::DataCentreId &)> isDeclared;
     /** Share of such root requests that this node sheds, 0 to 1. */
-    std::function<double(const CallPlan &, core::TimePoint now)> shedShare;
+    std::function<double(const CallPlan &, const std::string &method, core::TimePoint now)> shedShare;
     /** Routing of the plan, as if the node were in the data centre, if one is given. */
     std::function<routing::RouteExplanation(const CallPlan &,
                                             const std::string &method,
--- a/include/berylspring/node/root_control.h
+++ b/include/berylspring/node/root_control.h
@@ -16,6 +16,7 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <string_view>
 
 namespace berylspring::node {
 
@@ -32,7 +33,7 @@
 {
     std::function<double(const core::WorkspaceId &)> weightOf; ///< Default: 1.
     /** Expected work of a request, in a unit that is the same for all requests. Default: 1. Must be positive. */
-    std::function<double(const http::CallerRequest &, const CallPlan &)> costOf;
+    std::function<double(const CallPlan &, std::string_view method)> costOf;
 };
 
 /** @brief A refusal and whether the caller has a promise for the time to return that it names. */
@@ -92,7 +93,7 @@
         return m_rootAdmission.highestShedding(now);
     }
     /** @return Share of the root requests with this plan and without a promise that this node sheds, 0 to 1. */
-    [[nodiscard]] double shedShare(const CallPlan &plan, core::TimePoint now) const;
+    [[nodiscard]] double shedShare(const CallPlan &plan, std::string_view method, core::TimePoint now) const;
     /** @return The largest share that this node sheds of any workspace, 0 to 1; 0 while fair shares are off. */
     [[nodiscard]] double workspaceShedding(core::TimePoint now) const
     {
@@ -103,7 +104,7 @@
 private:
     [[nodiscard]] bool hasReturnTimes(core::TimePoint now) const;
     [[nodiscard]] bool hasWorkspaceShares(core::TimePoint now) const;
-    [[nodiscard]] admission::WorkspaceLoad loadOf(const http::CallerRequest &request, const CallPlan &plan) const;
+    [[nodiscard]] admission::WorkspaceLoad loadOf(const CallPlan &plan, std::string_view method) const;
 
     RootControlSettings m_settings;
     core::RandomSource m_random;
--- a/src/admission/root_admission.cpp
+++ b/src/admission/root_admission.cpp
@@ -213,8 +213,9 @@
     return {.isAdmitted = !isShed(shareOfNewcomers(own.shed, own.promised)), .workspaceShedShare = own.shed};
 }
 
-double RootAdmission::shedShare(const RootClass &root, core::TimePoint now) const
+double RootAdmission::shedShare(const RootRequest &request, core::TimePoint now) const
 {
+    const RootClass &root = request.root;
     const auto route = m_routes.find(root.route);
     const double sensitivity = route ? route->sensitivity : 0;
     const double shedding = this->shedding(root.service, now);
@@ -223,7 +224,14 @@
     }
     const auto recent = recentShares(now);
     const std::optional<RankDemand> demand = demandIn(recent ? *recent : *computeShares(now), rankOf(root));
-    return demand ? shareOf(*demand, shedding, sensitivity) : 0;
+    if (!demand || !request.load || demand->isExceededBy(shedding)) {
+        return demand ? shareOf(*demand, shedding, sensitivity) : 0;
+    }
+    WorkspaceLoad load = *request.load;
+    load.cost *= sensitivity;
+    const double share = sensitivity * demand->shareToShed(shedding);
+    const SheddableShare own = m_workspaces.shareOf(rankOf(root), load, share, now);
+    return shareOfNewcomers(own.shed, own.promised);
 }
 
 bool RootAdmission::shedsMoreImportant(const RootClass &root, core::TimePoint now)
--- a/src/admission/workspace_shares.cpp
+++ b/src/admission/workspace_shares.cpp
@@ -167,17 +167,33 @@
             .promised = demand.work > 0 ? demand.promised / demand.work : 0};
 }
 
-double WorkspaceShares::highestShare(Rank rank, double shedShare, core::TimePoint now) const
+std::vector<WorkspaceDemand> WorkspaceShares::recentDemands(Rank rank, core::TimePoint now) const
 {
-    std::vector<WorkspaceDemand> demands;
-    {
-        const Shard &shard = shardOf(rank);
-        const std::scoped_lock lock(shard.mutex);
-        const auto state = shard.ranks.find(rank);
-        if (state != shard.ranks.end()) {
-            demands = recentDemands(state->second, now);
-        }
+    const Shard &shard = shardOf(rank);
+    const std::scoped_lock lock(shard.mutex);
+    const auto state = shard.ranks.find(rank);
+    return state == shard.ranks.end() ? std::vector<WorkspaceDemand>() : recentDemands(state->second, now);
+}
+
+SheddableShare
+WorkspaceShares::shareOf(Rank rank, const WorkspaceLoad &load, double shedShare, core::TimePoint now) const
+{
+    const double level = FairLevels(recentDemands(rank, now)).levelFor(shedShare);
+    const Shard &shard = shardOf(rank);
+    const std::scoped_lock lock(shard.mutex);
+    const auto state = shard.ranks.find(rank);
+    if (state == shard.ranks.end() || !state->second.workspaces.contains(load.workspace)) {
+        return {};
     }
+    const WorkspaceDemand demand =
+        state->second.workspaces.at(load.workspace).withRequest(load.cost, load.weight, false, now);
+    return {.shed = FairLevels::shedShare(demand, level),
+            .promised = demand.work > 0 ? demand.promised / demand.work : 0};
+}
+
+double WorkspaceShares::highestShare(Rank rank, double shedShare, core::TimePoint now) const
+{
+    const std::vector<WorkspaceDemand> demands = recentDemands(rank, now);
     const double level = FairLevels(demands).levelFor(shedShare);
     double highest = 0;
     for (const WorkspaceDemand &demand : demands) {
--- a/src/node/explain.cpp
+++ b/src/node/explain.cpp
@@ -61,7 +61,7 @@
         plan.service = service.service;
         const CallPlan planned(plan);
         const double share = service.weight / sum;
-        const double shedShare = plan.isNested ? 0 : hooks.shedShare(planned, now);
+        const double shedShare = plan.isNested ? 0 : hooks.shedShare(planned, question.method, now);
         explanation.shedShare += share * shedShare;
         explanation.services.push_back({.share = share,
                                         .shedShare = shedShare,
--- a/src/node/node_hooks.cpp
+++ b/src/node/node_hooks.cpp
@@ -306,8 +306,8 @@
     };
     hooks.dispatch = [this](wire::CallRequest call) { return m_dispatcher.dispatch(std::move(call)); };
     hooks.runOnce = [this](wire::CallRequest call) { return m_idempotency.run(std::move(call)); };
-    hooks.roots.costOf = [this](const http::CallerRequest &request, const CallPlan &plan) {
-        return m_dispatcher.expectedCost(plan->service, plan->route, request->method);
+    hooks.roots.costOf = [this](const CallPlan &plan, std::string_view method) {
+        return m_dispatcher.expectedCost(plan->service, plan->route, method);
     };
     hooks.roots.weightOf = [this](const core::WorkspaceId &name) { return weightOf(name); };
     hooks.now = now;
@@ -345,8 +345,8 @@
     ExplainHooks hooks;
     hooks.catalogue = [this] { return isConfigurationUsable() ? m_config.catalogue() : nullptr; };
     hooks.isDeclared = [this](const core::DataCentreId &dataCentre) { return isDeclared(dataCentre); };
-    hooks.shedShare = [this](const CallPlan &plan, core::TimePoint time) {
-        return m_entry.rootControl().shedShare(plan, time);
+    hooks.shedShare = [this](const CallPlan &plan, const std::string &method, core::TimePoint time) {
+        return m_entry.rootControl().shedShare(plan, method, time);
     };
     hooks.route = [this](const CallPlan &plan,
                          const std::string &method,
--- a/src/node/root_control.cpp
+++ b/src/node/root_control.cpp
@@ -65,14 +65,14 @@
     return m_settings.areControlsOn && isOn(m_settings.workspaceShares, now, m_paceHoldsUntil);
 }
 
-admission::WorkspaceLoad RootControl::loadOf(const http::CallerRequest &request, const CallPlan &plan) const
+admission::WorkspaceLoad RootControl::loadOf(const CallPlan &plan, std::string_view method) const
 {
     admission::WorkspaceLoad load{.workspace = plan->workspace};
     if (m_hooks.weightOf) {
         load.weight = m_hooks.weightOf(plan->workspace);
     }
     if (m_hooks.costOf) {
-        load.cost = m_hooks.costOf(request, plan);
+        load.cost = m_hooks.costOf(plan, method);
     }
     return load;
 }
@@ -90,7 +90,7 @@
                           && m_schedule.takePromise(returningRequestOf(request, plan), now);
     }
     if (hasWorkspaceShares(now)) {
-        root.load = loadOf(request, plan);
+        root.load = loadOf(plan, request->method);
     }
     const admission::RootDecision decision = m_rootAdmission.decide(root, now);
     if (decision.isAdmitted) {
@@ -107,9 +107,16 @@
                        .workspaceShedShare = decision.workspaceShedShare};
 }
 
-double RootControl::shedShare(const CallPlan &plan, core::TimePoint now) const
+double RootControl::shedShare(const CallPlan &plan, std::string_view method, core::TimePoint now) const
 {
-    return m_settings.areControlsOn ? m_rootAdmission.shedShare(rootClassOf(plan), now) : 0;
+    if (!m_settings.areControlsOn) {
+        return 0;
+    }
+    admission::RootRequest root{.root = rootClassOf(plan)};
+    if (hasWorkspaceShares(now)) {
+        root.load = loadOf(plan, method);
+    }
+    return m_rootAdmission.shedShare(root, now);
 }
 
 RootRefusal RootControl::withReturnTime(const Refusal &refusal,
--- a/tests/node/an_operator_asks_for_a_route.cpp
+++ b/tests/node/an_operator_asks_for_a_route.cpp
@@ -77,8 +77,8 @@
         node::ExplainHooks hooks;
         hooks.catalogue = [this] { return catalogue; };
         hooks.isDeclared = [](const core::DataCentreId &name) { return name == north || name == south; };
-        hooks.shedShare = [this](const node::CallPlan &plan, core::TimePoint now) {
-            return roots.shedShare(plan, now);
+        hooks.shedShare = [this](const node::CallPlan &plan, const std::string &method, core::TimePoint now) {
+            return roots.shedShare(plan, method, now);
         };
         hooks.route = [this](const node::CallPlan &plan, const std::string &method, const auto &dataCentre, auto now) {
             const wire::CallRequest call({.service = plan->service,
--- a/tests/node/root_requests_that_return.cpp
+++ b/tests/node/root_requests_that_return.cpp
@@ -135,22 +135,22 @@
     const auto seeded = [] { return [generator = std::make_shared<std::mt19937_64>(7)] { return (*generator)(); }; };
     Overload asked(ReturnTimes::Off, seeded());
     Overload other(ReturnTimes::Off, seeded());
-    DOUBLES_EQUAL(0, asked.control.shedShare(Plan, asked.now), 0);
+    DOUBLES_EQUAL(0, asked.control.shedShare(Plan, "GET", asked.now), 0);
     asked.begin(0);
     other.begin(0);
-    const double share = asked.control.shedShare(Plan, asked.now);
+    const double share = asked.control.shedShare(Plan, "GET", asked.now);
     CHECK_TRUE(share > 0.2 && share < 1);
     int shed = 0;
     for (int i = 0; i < Requests; ++i) {
         const bool isShed = asked.control.admit(asked.request(), Plan, asked.now).has_value();
         shed += isShed ? 1 : 0;
-        DOUBLES_EQUAL(share, asked.control.shedShare(Plan, asked.now), 1e-9);
+        DOUBLES_EQUAL(share, asked.control.shedShare(Plan, "GET", asked.now), 1e-9);
         CHECK_TRUE(isShed == other.control.admit(other.request(), Plan, other.now).has_value());
     }
     // Five standard deviations of the number of shed requests are below 4 %.
     DOUBLES_EQUAL(share, static_cast<double>(shed) / Requests, 0.04);
     section("not at all with the controls off", [&] {
         RootControl off({.areControlsOn = false}, core::systemRandom());
-        DOUBLES_EQUAL(0, off.shedShare(Plan, asked.now), 0);
+        DOUBLES_EQUAL(0, off.shedShare(Plan, "GET", asked.now), 0);
     });
 }
--- a/tests/node/workspaces_that_share_an_entry.cpp
+++ b/tests/node/workspaces_that_share_an_entry.cpp
@@ -100,7 +100,7 @@
         DOUBLES_EQUAL(0, flood.control.workspaceShedding(flood.now), 0);
     });
     section("or the other one, if its requests cost more, or the flood has the greater weight", [] {
-        const auto costOf = [](const http::CallerRequest &, const node::CallPlan &plan) {
+        const auto costOf = [](const node::CallPlan &plan, std::string_view) {
             return plan->workspace.value() == "usual" ? 100.0 : 1.0;
         };
         const auto weightOf = [](const core::WorkspaceId &name) { return name.value() == "flood" ? 1000.0 : 1.0; };
