Try another node at no cost where no connection was made

Cause: a refused connection to the endpoint's node took a retry of the route and of the service's budget, like a request that had reached an endpoint. Two such nodes in a row used up the attempts of a request, and none was left for one that has no retries.

Ruled out: routing that never excludes such hosts. They are ejected after several failures, which is too late for the requests before.

No endpoint has received a byte, so no allowance is used.

--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -345,10 +345,12 @@
 
 bool Dispatcher::mayReroute(const wire::CallRequest &call, const Refusal &refusal, const Attempts &attempts)
 {
-    // A root request that finds no capacity is refused at once rather than sent on to other data centres.
-    const bool wasRejectedByNode = refusal.reason() == RefusalReason::Draining
-                                   || (refusal.reason() == RefusalReason::Overloaded && call->isNested);
-    return refusal.outcome() == Outcome::NotRun && wasRejectedByNode && attempts.reroutes < MaxReroutes;
+    // A root request that finds no capacity is refused at once rather than sent on to other data centres. Where no
+    // connection was made, nothing was sent, so that another node costs no retry.
+    const bool hasNotArrived = refusal.reason() == RefusalReason::Draining
+                               || refusal.reason() == RefusalReason::ConnectionLost
+                               || (refusal.reason() == RefusalReason::Overloaded && call->isNested);
+    return refusal.outcome() == Outcome::NotRun && hasNotArrived && attempts.reroutes < MaxReroutes;
 }
 
 bool Dispatcher::mayRetry(const wire::CallRequest &call, const Refusal &refusal, const Attempts &attempts)
