Leave the shares of the ranks as they are when metrics are read

highestWorkspaceShedding() refreshed the shares that decisions reuse for 200 ms, so that reading the metric moved the times of the updates and changed decisions. It now computes shares without keeping them, as shedShare() does; the members are no longer mutable. The metric is described as the upper estimate that it is.

--- a/include/berylspring/admission/root_admission.h
+++ b/include/berylspring/admission/root_admission.h
@@ -93,7 +93,10 @@
     [[nodiscard]] double shedding(const core::ServiceId &service, core::TimePoint now) const;
     /** @return The largest share that is shed for any first service. */
     [[nodiscard]] double highestShedding(core::TimePoint now) const;
-    /** @return The largest share that is shed of any workspace in a rank that is partly shed. */
+    /**
+     * @return The largest share that is shed of any workspace in a rank that is partly shed. An upper estimate for the
+     * first service that is shed most: it takes the highest sensitivity of all routes.
+     */
     [[nodiscard]] double highestWorkspaceShedding(core::TimePoint now) const;
 
 private:
@@ -140,9 +143,11 @@
     [[nodiscard]] static Service withPressure(Service service, double sample, core::TimePoint now) noexcept;
     [[nodiscard]] static double shareToShed(const Service &service, core::TimePoint now) noexcept;
     /** @return The shares, updated if they are old. */
-    [[nodiscard]] std::shared_ptr<const std::vector<RankDemand>> shares(core::TimePoint now) const;
+    [[nodiscard]] std::shared_ptr<const std::vector<RankDemand>> shares(core::TimePoint now);
     /** @return The shares that were last updated; null if they are old. */
     [[nodiscard]] std::shared_ptr<const std::vector<RankDemand>> recentShares(core::TimePoint now) const;
+    /** @return As shares(), without keeping an update, so that a reader does not move the times of the updates. */
+    [[nodiscard]] std::shared_ptr<const std::vector<RankDemand>> peekShares(core::TimePoint now) const;
     [[nodiscard]] std::shared_ptr<const std::vector<RankDemand>> computeShares(core::TimePoint now) const;
     [[nodiscard]] std::optional<RankDemand> demandOf(Rank rank, core::TimePoint now);
     [[nodiscard]] static std::optional<RankDemand> demandIn(const std::vector<RankDemand> &shares, Rank rank);
@@ -157,8 +162,8 @@
     core::ShardedMap<Rank, Demand> m_demands;
     WorkspaceShares m_workspaces;
     mutable std::mutex m_sharesMutex;
-    mutable std::shared_ptr<const std::vector<RankDemand>> m_shares; ///< In ascending order of rank.
-    mutable core::TimePoint m_sharesAt;
+    std::shared_ptr<const std::vector<RankDemand>> m_shares; ///< In ascending order of rank.
+    core::TimePoint m_sharesAt;
 };
 
 }
--- a/src/admission/root_admission.cpp
+++ b/src/admission/root_admission.cpp
@@ -64,7 +64,7 @@
     return Rank{root.level} * (Rank{core::MaxPriority} + 1) + root.routeLevel;
 }
 
-std::shared_ptr<const std::vector<RootAdmission::RankDemand>> RootAdmission::shares(core::TimePoint now) const
+std::shared_ptr<const std::vector<RootAdmission::RankDemand>> RootAdmission::shares(core::TimePoint now)
 {
     if (auto recent = recentShares(now)) {
         return recent;
@@ -82,6 +82,12 @@
     return m_shares && now - m_sharesAt < SharesUpdateInterval ? m_shares : nullptr;
 }
 
+std::shared_ptr<const std::vector<RootAdmission::RankDemand>> RootAdmission::peekShares(core::TimePoint now) const
+{
+    auto recent = recentShares(now);
+    return recent ? recent : computeShares(now);
+}
+
 std::shared_ptr<const std::vector<RootAdmission::RankDemand>> RootAdmission::computeShares(core::TimePoint now) const
 {
     std::map<Rank, Demand> demands;
@@ -222,8 +228,7 @@
     if (shedding <= 0 || sensitivity <= 0) {
         return 0;
     }
-    const auto recent = recentShares(now);
-    const std::optional<RankDemand> demand = demandIn(recent ? *recent : *computeShares(now), rankOf(root));
+    const std::optional<RankDemand> demand = demandIn(*peekShares(now), rankOf(root));
     if (!demand || !request.load || demand->isExceededBy(shedding)) {
         return demand ? shareOf(*demand, shedding, sensitivity) : 0;
     }
@@ -303,7 +308,7 @@
         [&](const core::RouteId &, const Route &route) { sensitivity = std::max(sensitivity, route.sensitivity); });
     double highest = 0;
     if (shedding > 0) {
-        const auto shares = this->shares(now);
+        const auto shares = peekShares(now);
         for (const RankDemand &demand : *shares) {
             if (!demand.isExceededBy(shedding)) {
                 highest = std::max(
--- a/tests/admission/a_workspace_floods_a_rank.cpp
+++ b/tests/admission/a_workspace_floods_a_rank.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -12,6 +13,7 @@
 using namespace berylspring;
 using namespace std::chrono_literals;
 using admission::FairLevels;
+using admission::RootAdmission;
 using admission::RootClass;
 using admission::WorkspaceDemand;
 using admission::WorkspaceShares;
@@ -69,6 +71,29 @@
     }
 };
 
+/** @brief An entry whose responses report a steady pressure. */
+struct Entry
+{
+    std::uint64_t drawn = 0;
+    RootAdmission admission{[this] { return ++drawn * 6364136223846793005ULL >> 7U; }};
+    core::TimePoint now{1h};
+
+    static admission::RootRequest requestOf(const char *workspace, core::PriorityLevel level, bool hasPromise = false)
+    {
+        return {.root = {.route = core::RouteId("visit"), .service = core::ServiceId("visits"), .level = level},
+                .hasPromise = hasPromise,
+                .load = admission::WorkspaceLoad{.workspace = core::WorkspaceId(workspace)}};
+    }
+    admission::RootDecision decide(const admission::RootRequest &request)
+    {
+        now += 5ms;
+        const core::Duration latency = now < core::TimePoint(1h + 50ms) ? 10ms : 200ms;
+        const admission::RootDecision decision = admission.decide(request, now);
+        admission.recordResult(request.root, {.pressure = 1.3, .latency = latency}, now);
+        return decision;
+    }
+};
+
 }
 
 TEST_GROUP(AWorkspaceFloodsARank){};
@@ -153,3 +178,17 @@
     DOUBLES_EQUAL(0, restarted.shedOfLast({100, 10}, 2s), 0.01);
     DOUBLES_EQUAL(0, restarted.shedOfLast({100, 10, 10}, 1s), 0.01);
 }
+
+// Load pattern: two ranks at an entry whose metrics are read. Guards against a reader that changes when the shares of
+// the ranks are computed, and with them the decisions.
+TEST(AWorkspaceFloodsARank, andIsShedAlikeWhileMetricsAreRead)
+{
+    Entry read;
+    Entry unread;
+    for (int i = 0; i < 2000; ++i) {
+        const auto request = Entry::requestOf(i % 3 == 0 ? "usual" : "flood", i % 700 < 300 ? 5 : 6);
+        (void)read.admission.highestWorkspaceShedding(read.now + 4ms);
+        CHECK_TRUE(read.decide(request) == unread.decide(request));
+    }
+    CHECK_TRUE(read.admission.highestWorkspaceShedding(read.now) > 0);
+}
