Remove idle workspaces of all ranks, and the oldest ones in batches

Only a rank that was being shed removed workspaces without recent requests; all others kept up to 1,024 for as long as the process ran. They are now removed in all ranks once in 10 s, and before room is made at the limit. At the limit, each request of a new workspace scanned 1,024 entries under the lock of the shard. Now 64 are removed at once, so that a scan serves 64 new workspaces.

The exact number of 1,024 after an overflow becomes the range 961 to 1,024, as follows from the batches.

--- a/include/berylspring/admission/workspace_shares.h
+++ b/include/berylspring/admission/workspace_shares.h
@@ -4,6 +4,7 @@
 #include "berylspring/core/time.h"
 
 #include <array>
+#include <atomic>
 #include <chrono>
 #include <compare>
 #include <cstddef>
@@ -89,8 +90,10 @@
 {
 public:
     using Rank = std::uint32_t;
-    /** Limits the memory; beyond it, the workspace without a request for the longest time is removed. */
+    /** Limits the memory; beyond it, the workspaces without a request for the longest time are removed. */
     static constexpr std::size_t MaxWorkspaces = 1024;
+    /** Number removed at once, so that not each request of a new workspace scans all others under the lock. */
+    static constexpr std::size_t RemovalBatch = MaxWorkspaces / 16;
     /** Five time constants of the demand, after which less than 1 % of it is left. */
     static constexpr core::Duration MaxAge = std::chrono::seconds(10);
     /** Age of the levels of a rank up to which they are reused, since computing them sorts all of its workspaces. */
@@ -137,8 +140,11 @@
     [[nodiscard]] static std::vector<WorkspaceDemand> recentDemands(const RankState &state, core::TimePoint now);
     [[nodiscard]] std::vector<WorkspaceDemand> recentDemands(Rank rank, core::TimePoint now) const;
     [[nodiscard]] double levelFor(Rank rank, double shedShare, core::TimePoint now);
+    /** @brief Removes, once per MaxAge, what a rank without requests would keep for as long as the process runs. */
+    void removeIdleRanks(core::TimePoint now);
 
     std::array<Shard, ShardCount> m_shards;
+    std::atomic<core::TimePoint> m_idleRemovedAt{core::TimePoint()};
 };
 
 }
--- a/src/admission/workspace_shares.cpp
+++ b/src/admission/workspace_shares.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstddef>
 #include <limits>
 #include <utility>
 
@@ -17,11 +18,35 @@
     return std::exp(-std::max(0.0, std::chrono::duration<double>(time).count()) / DemandTimeConstantSeconds);
 }
 
-void removeOldest(std::unordered_map<core::WorkspaceId, WorkspaceDemand> &workspaces)
+using Workspaces = std::unordered_map<core::WorkspaceId, WorkspaceDemand>;
+
+void removeIdle(Workspaces &workspaces, core::TimePoint now)
+{
+    std::erase_if(workspaces,
+                  [&](const auto &entry) { return now - entry.second.lastRequestAt > WorkspaceShares::MaxAge; });
+}
+
+void removeOldest(Workspaces &workspaces, std::size_t count)
+{
+    std::vector<Workspaces::const_iterator> entries;
+    entries.reserve(workspaces.size());
+    for (auto entry = workspaces.cbegin(); entry != workspaces.cend(); ++entry) {
+        entries.push_back(entry);
+    }
+    const auto end = entries.begin() + static_cast<std::ptrdiff_t>(std::min(count, entries.size()));
+    std::nth_element(entries.begin(), end, entries.end(), [](const auto &left, const auto &right) {
+        return left->second.lastRequestAt < right->second.lastRequestAt;
+    });
+    std::for_each(entries.begin(), end, [&](const auto &entry) { workspaces.erase(entry); });
+}
+
+void makeRoom(Workspaces &workspaces, core::TimePoint now)
 {
-    workspaces.erase(std::min_element(workspaces.begin(), workspaces.end(), [](const auto &left, const auto &right) {
-        return left.second.lastRequestAt < right.second.lastRequestAt;
-    }));
+    constexpr std::size_t Target = WorkspaceShares::MaxWorkspaces - WorkspaceShares::RemovalBatch;
+    removeIdle(workspaces, now);
+    if (workspaces.size() > Target) {
+        removeOldest(workspaces, workspaces.size() - Target);
+    }
 }
 
 }
@@ -108,15 +133,31 @@
     return m_shards[rank % ShardCount];
 }
 
+void WorkspaceShares::removeIdleRanks(core::TimePoint now)
+{
+    core::TimePoint last = m_idleRemovedAt;
+    if (now - last <= MaxAge || !m_idleRemovedAt.compare_exchange_strong(last, now)) {
+        return;
+    }
+    for (Shard &shard : m_shards) {
+        const std::scoped_lock lock(shard.mutex);
+        for (auto &[rank, state] : shard.ranks) {
+            removeIdle(state.workspaces, now);
+        }
+        std::erase_if(shard.ranks, [](const auto &entry) { return entry.second.workspaces.empty(); });
+    }
+}
+
 WorkspaceDemand
 WorkspaceShares::recordRequest(Rank rank, const WorkspaceLoad &load, double work, bool hasPromise, core::TimePoint now)
 {
+    removeIdleRanks(now);
     Shard &shard = shardOf(rank);
     const std::scoped_lock lock(shard.mutex);
     RankState &state = shard.ranks[rank];
     state.total = state.total.withRequest(work, 1, hasPromise, now);
     if (!state.workspaces.contains(load.workspace) && state.workspaces.size() >= MaxWorkspaces) {
-        removeOldest(state.workspaces);
+        makeRoom(state.workspaces, now);
     }
     WorkspaceDemand &demand = state.workspaces[load.workspace];
     demand = demand.withRequest(work, load.weight, hasPromise, now);
@@ -152,7 +193,7 @@
         // Other threads use the previous levels while this one computes the new ones.
         state.levelsAt = now;
         state.totalOfLevels = total;
-        std::erase_if(state.workspaces, [&](const auto &entry) { return now - entry.second.lastRequestAt > MaxAge; });
+        removeIdle(state.workspaces, now);
         demands = recentDemands(state, now);
     }
     levels = std::make_shared<const FairLevels>(demands);
