Compare unused fair shares with an admission without workspaces

The test compared two modes of the new code, both off. It now also compares the decisions and the number of random numbers drawn with RootAdmission::admits(). test-node (54 tests) passes.

--- a/tests/node/workspaces_that_share_an_entry.cpp
+++ b/tests/node/workspaces_that_share_an_entry.cpp
@@ -1,3 +1,4 @@
+#include "berylspring/admission/root_admission.h"
 #include "berylspring/node/root_control.h"
 #include "support/section.h"
 
@@ -35,6 +36,7 @@
     RootControl control;
     core::TimePoint now{1h};
     std::vector<RootRefusal> refusals;
+    std::vector<bool> decisions; ///< Whether each request was admitted.
 
     std::uint64_t random()
     {
@@ -53,6 +55,7 @@
                                        .workspace = core::WorkspaceId(name),
                                        .timeout = 9s});
             const auto refusal = control.admit(http::CallerRequest(), plan, now);
+            decisions.push_back(!refusal);
             if (refusal) {
                 refusals.push_back(*refusal);
             } else {
@@ -68,6 +71,22 @@
         }
         return shed;
     }
+    /** @return The decisions on the same requests of an admission that knows no workspaces. */
+    std::vector<bool> runWithoutWorkspaces()
+    {
+        admission::RootAdmission plain([this] { return random(); });
+        const admission::RootClass visit{.route = core::RouteId("visit"), .service = core::ServiceId("visits")};
+        for (int i = 0; i < 1000; ++i) {
+            now += 5ms;
+            decisions.push_back(plain.admits(visit, now));
+            if (decisions.back()) {
+                plain.recordResult(visit, {.pressure = 1.3, .latency = i < 10 ? 10ms : 200ms}, now);
+            } else {
+                (void)random(); // Jitter of the time to return.
+            }
+        }
+        return decisions;
+    }
 };
 
 }
@@ -84,6 +103,9 @@
     (void)unreported.run();
     CHECK_TRUE(off.refusals == unreported.refusals);
     LONGS_EQUAL(off.drawn, unreported.drawn);
+    Flood plain(WorkspaceSharesMode::Off, 0);
+    CHECK_TRUE(plain.runWithoutWorkspaces() == off.decisions);
+    LONGS_EQUAL(plain.drawn, off.drawn);
     DOUBLES_EQUAL(0, off.control.workspaceShedding(off.now), 0);
 }
 
