Send some requests of each workspace while its rank is shed

With more promised work than the rank is admitted, the level is 0 and all other requests of a workspace were shed, unlike those of a rank, of which 2 % are sent. Only responses show that the overload is over, so the share of a workspace has the same bound. decide(), shedShare() and the metric agree on it. shedShare() named 0 for a workspace without requests in the rank, which decide() sheds by its first request; it now counts that request for the levels, too.

--- a/include/berylspring/admission/root_admission.h
+++ b/include/berylspring/admission/root_admission.h
@@ -155,6 +155,11 @@
     [[nodiscard]] static double shareOf(const RankDemand &demand, double shedding, double sensitivity) noexcept;
     /** @return Share of the newcomers to shed so that they and the promised requests together keep the share. */
     [[nodiscard]] static double shareOfNewcomers(double share, double promised) noexcept;
+    /**
+     * @return The share of a workspace, less some requests that are sent even if promised ones take all of the rank's
+     * capacity, because only responses show that the overload is over.
+     */
+    [[nodiscard]] static SheddableShare withProbes(const SheddableShare &own) noexcept;
 
     core::RandomSource m_random;
     core::ShardedMap<core::ServiceId, Service> m_services;
--- a/src/admission/root_admission.cpp
+++ b/src/admission/root_admission.cpp
@@ -148,6 +148,11 @@
     return sensitivity * shareOfNewcomers(demand.shareToShed(shedding), demand.promised);
 }
 
+SheddableShare RootAdmission::withProbes(const SheddableShare &own) noexcept
+{
+    return {.shed = std::min(own.shed, MaxShedShare), .promised = own.promised};
+}
+
 RootAdmission::Service RootAdmission::withPressure(Service service, double sample, core::TimePoint now) noexcept
 {
     const double elapsed = std::min(MaxStepSeconds, secondsBetween(service.updatedAt, now));
@@ -215,7 +220,8 @@
         return {.isAdmitted = !isShed(shareOf(*demand, shedding, sensitivity))};
     }
     // The sensitivity lowers the share before it is divided; afterwards, it would spare the largest workspace.
-    const SheddableShare own = m_workspaces.shareOf(rank, *workspace, sensitivity * demand->shareToShed(shedding), now);
+    const double share = sensitivity * demand->shareToShed(shedding);
+    const SheddableShare own = withProbes(m_workspaces.shareOf(rank, *workspace, share, now));
     return {.isAdmitted = !isShed(shareOfNewcomers(own.shed, own.promised)), .workspaceShedShare = own.shed};
 }
 
@@ -235,7 +241,7 @@
     WorkspaceLoad load = *request.load;
     load.cost *= sensitivity;
     const double share = sensitivity * demand->shareToShed(shedding);
-    const SheddableShare own = m_workspaces.shareOf(rankOf(root), load, share, now);
+    const SheddableShare own = withProbes(m_workspaces.shareOf(rankOf(root), load, share, now));
     return shareOfNewcomers(own.shed, own.promised);
 }
 
@@ -316,7 +322,7 @@
             }
         }
     }
-    return highest;
+    return std::min(highest, MaxShedShare);
 }
 
 }
--- a/src/admission/workspace_shares.cpp
+++ b/src/admission/workspace_shares.cpp
@@ -219,16 +219,22 @@
 SheddableShare
 WorkspaceShares::shareOf(Rank rank, const WorkspaceLoad &load, double shedShare, core::TimePoint now) const
 {
-    const double level = FairLevels(recentDemands(rank, now)).levelFor(shedShare);
-    const Shard &shard = shardOf(rank);
-    const std::scoped_lock lock(shard.mutex);
-    const auto state = shard.ranks.find(rank);
-    if (state == shard.ranks.end() || !state->second.workspaces.contains(load.workspace)) {
-        return {};
+    std::vector<WorkspaceDemand> demands;
+    WorkspaceDemand before;
+    {
+        const Shard &shard = shardOf(rank);
+        const std::scoped_lock lock(shard.mutex);
+        if (const auto state = shard.ranks.find(rank); state != shard.ranks.end()) {
+            demands = recentDemands(state->second, now);
+            const auto known = state->second.workspaces.find(load.workspace);
+            before = known == state->second.workspaces.end() ? before : known->second;
+        }
+    }
+    const WorkspaceDemand demand = before.withRequest(load.cost, load.weight, false, now);
+    if (now - before.lastRequestAt > MaxAge) {
+        demands.push_back(demand);
     }
-    const WorkspaceDemand demand =
-        state->second.workspaces.at(load.workspace).withRequest(load.cost, load.weight, false, now);
-    return {.shed = FairLevels::shedShare(demand, level),
+    return {.shed = FairLevels::shedShare(demand, FairLevels(demands).levelFor(shedShare)),
             .promised = demand.work > 0 ? demand.promised / demand.work : 0};
 }
 
--- a/tests/admission/a_workspace_floods_a_rank.cpp
+++ b/tests/admission/a_workspace_floods_a_rank.cpp
@@ -205,3 +205,28 @@
     }
     CHECK_TRUE(read.admission.highestWorkspaceShedding(read.now) > 0);
 }
+
+// Load pattern: promised returns of one workspace ask for more than a rank is admitted. Guards against a workspace of
+// newcomers of which nothing is sent any more, and against an explanation that names another share.
+TEST(AWorkspaceFloodsARank, withPromisedReturnsOnly)
+{
+    Entry entry;
+    for (int i = 0; i < 1000; ++i) {
+        (void)entry.decide(Entry::requestOf("returning", 5, true));
+    }
+    const auto newcomer = Entry::requestOf("new", 5);
+    int sent = 0;
+    for (int i = 0; i < 5000; ++i) {
+        if (i % 10 > 0) {
+            (void)entry.decide(Entry::requestOf("returning", 5, true));
+            continue;
+        }
+        const double explained = entry.admission.shedShare(newcomer, entry.now);
+        const auto decision = entry.decide(newcomer);
+        CHECK_TRUE(explained > 0.9 && explained < 1);
+        DOUBLES_EQUAL(explained, decision.workspaceShedShare, 1e-9);
+        sent += decision.isAdmitted ? 1 : 0;
+    }
+    CHECK_TRUE(sent > 0);
+    CHECK_TRUE(entry.admission.highestWorkspaceShedding(entry.now) < 1);
+}
