--- a/src/admission/root_admission.cpp
+++ b/src/admission/root_admission.cpp
@@ -1,5 +1,7 @@
 #include "berylspring/admission/root_admission.h"
 
+#include "admission/decay.h"
+
 #include <algorithm>
 #include <cmath>
 #include <map>
@@ -113,7 +115,7 @@
 
 RootAdmission::Demand RootAdmission::decayed(const Demand &demand, core::TimePoint now) noexcept
 {
-    const double factor = std::exp(-secondsBetween(demand.at, now) / DemandTimeConstantSeconds);
+    const double factor = decayOver(now - demand.at, DemandTimeConstantSeconds);
     return {.requests = demand.requests * factor, .promised = demand.promised * factor, .at = now};
 }
 
--- a/src/admission/workspace_shares.cpp
+++ b/src/admission/workspace_shares.cpp
@@ -1,5 +1,7 @@
 #include "berylspring/admission/workspace_shares.h"
 
+#include "admission/decay.h"
+
 #include <algorithm>
 #include <cmath>
 #include <cstddef>
@@ -13,11 +15,6 @@
 /** As for the demand of the ranks: steady at a few requests per second, and shorter than most overloads. */
 constexpr double DemandTimeConstantSeconds = 2.0;
 
-double decayOver(core::Duration time) noexcept
-{
-    return std::exp(-std::max(0.0, std::chrono::duration<double>(time).count()) / DemandTimeConstantSeconds);
-}
-
 using Workspaces = std::unordered_map<core::WorkspaceId, WorkspaceDemand>;
 
 void removeIdle(Workspaces &workspaces, core::TimePoint now)
@@ -54,7 +51,7 @@
 WorkspaceDemand WorkspaceDemand::decayed(core::TimePoint now) const noexcept
 {
     WorkspaceDemand next = *this;
-    const double factor = decayOver(now - updatedAt);
+    const double factor = decayOver(now - updatedAt, DemandTimeConstantSeconds);
     next.work *= factor;
     next.promised *= factor;
     next.updatedAt = std::max(updatedAt, now);
