Name the share of a workspace as such

SheddableShare becomes WorkspaceShare, and WorkspaceDemand::atLastRequest becomes workAtLastRequest. test-admission (65 tests) and test-node (54 tests) pass.

--- a/include/berylspring/admission/root_admission.h
+++ b/include/berylspring/admission/root_admission.h
@@ -159,7 +159,7 @@
      * @return The share of a workspace, less some requests that are sent even if promised ones take all of the rank's
      * capacity, because only responses show that the overload is over.
      */
-    [[nodiscard]] static SheddableShare withProbes(const SheddableShare &own) noexcept;
+    [[nodiscard]] static WorkspaceShare withProbes(const WorkspaceShare &own) noexcept;
 
     core::RandomSource m_random;
     core::ShardedMap<core::ServiceId, Service> m_services;
--- a/include/berylspring/admission/workspace_shares.h
+++ b/include/berylspring/admission/workspace_shares.h
@@ -31,7 +31,7 @@
 {
     double work = 0;
     double promised = 0; ///< Part of the work that has a promised time to return.
-    double atLastRequest = 0; ///< The work just after the last request.
+    double workAtLastRequest = 0; ///< The work just after the last request.
     double weight = 1;
     core::TimePoint lastRequestAt;
     core::TimePoint updatedAt;
@@ -43,11 +43,11 @@
 };
 
 /** @brief Share of the work of a group of requests to shed, and the share of it that is promised. */
-struct SheddableShare
+struct WorkspaceShare
 {
     double shed = 0; ///< 0 to 1.
     double promised = 0; ///< 0 to 1.
-    [[nodiscard]] bool operator==(const SheddableShare &) const = default;
+    [[nodiscard]] bool operator==(const WorkspaceShare &) const = default;
 };
 
 /**
@@ -108,10 +108,10 @@
     WorkspaceDemand
     recordRequest(Rank rank, const WorkspaceLoad &load, double work, bool hasPromise, core::TimePoint now);
     /** @return Share of the workspace's requests to shed while this share of the rank's work is shed. */
-    [[nodiscard]] SheddableShare
+    [[nodiscard]] WorkspaceShare
     shareOf(Rank rank, const WorkspaceDemand &demand, double shedShare, core::TimePoint now);
     /** @return As above, for the next request of a workspace, without counting it. */
-    [[nodiscard]] SheddableShare
+    [[nodiscard]] WorkspaceShare
     shareOf(Rank rank, const WorkspaceLoad &load, double shedShare, core::TimePoint now) const;
     /** @return The largest share of any workspace while this share of the rank's work is shed. */
     [[nodiscard]] double highestShare(Rank rank, double shedShare, core::TimePoint now) const;
--- a/src/admission/root_admission.cpp
+++ b/src/admission/root_admission.cpp
@@ -150,7 +150,7 @@
     return sensitivity * shareOfNewcomers(demand.shareToShed(shedding), demand.promised);
 }
 
-SheddableShare RootAdmission::withProbes(const SheddableShare &own) noexcept
+WorkspaceShare RootAdmission::withProbes(const WorkspaceShare &own) noexcept
 {
     return {.shed = std::min(own.shed, MaxShedShare), .promised = own.promised};
 }
@@ -223,7 +223,7 @@
     }
     // The sensitivity lowers the share before it is divided; afterwards, it would spare the largest workspace.
     const double share = sensitivity * demand->shareToShed(shedding);
-    const SheddableShare own = withProbes(m_workspaces.shareOf(rank, *workspace, share, now));
+    const WorkspaceShare own = withProbes(m_workspaces.shareOf(rank, *workspace, share, now));
     return {.isAdmitted = !isShed(shareOfNewcomers(own.shed, own.promised)), .workspaceShedShare = own.shed};
 }
 
@@ -243,7 +243,7 @@
     WorkspaceLoad load = *request.load;
     load.cost *= sensitivity;
     const double share = sensitivity * demand->shareToShed(shedding);
-    const SheddableShare own = withProbes(m_workspaces.shareOf(rankOf(root), load, share, now));
+    const WorkspaceShare own = withProbes(m_workspaces.shareOf(rankOf(root), load, share, now));
     return shareOfNewcomers(own.shed, own.promised);
 }
 
--- a/src/admission/workspace_shares.cpp
+++ b/src/admission/workspace_shares.cpp
@@ -66,7 +66,7 @@
     WorkspaceDemand next = decayed(now);
     next.work += requestWork;
     next.promised += hasPromise ? requestWork : 0;
-    next.atLastRequest = next.work;
+    next.workAtLastRequest = next.work;
     next.weight = requestWeight > 0 ? requestWeight : 1;
     next.lastRequestAt = next.updatedAt;
     return next;
@@ -81,7 +81,7 @@
         if (demand.work <= 0) {
             continue;
         }
-        const double fullLevel = std::max(demand.atLastRequest, demand.work) / demand.weight;
+        const double fullLevel = std::max(demand.workAtLastRequest, demand.work) / demand.weight;
         const double slope = demand.work / fullLevel;
         slopeChanges.emplace_back(fullLevel * demand.promised / demand.work, slope);
         slopeChanges.emplace_back(fullLevel, -slope);
@@ -199,7 +199,7 @@
     return levels->levelFor(shedShare);
 }
 
-SheddableShare WorkspaceShares::shareOf(Rank rank, const WorkspaceDemand &demand, double shedShare, core::TimePoint now)
+WorkspaceShare WorkspaceShares::shareOf(Rank rank, const WorkspaceDemand &demand, double shedShare, core::TimePoint now)
 {
     return {.shed = FairLevels::shedShare(demand, levelFor(rank, shedShare, now)),
             .promised = demand.work > 0 ? demand.promised / demand.work : 0};
@@ -213,7 +213,7 @@
     return state == shard.ranks.end() ? std::vector<WorkspaceDemand>() : recentDemands(state->second, now);
 }
 
-SheddableShare
+WorkspaceShare
 WorkspaceShares::shareOf(Rank rank, const WorkspaceLoad &load, double shedShare, core::TimePoint now) const
 {
     std::vector<WorkspaceDemand> demands;
--- a/tests/admission/a_workspace_floods_a_rank.cpp
+++ b/tests/admission/a_workspace_floods_a_rank.cpp
@@ -37,7 +37,7 @@
 
 WorkspaceDemand demandOf(double work, double promised = 0, double weight = 1)
 {
-    return {.work = work, .promised = promised, .atLastRequest = work, .weight = weight};
+    return {.work = work, .promised = promised, .workAtLastRequest = work, .weight = weight};
 }
 
 /** @brief The shares of an entry at which each of some workspaces sends requests at its own rate. */
