--- a/src/admission/admitted_rate.cpp
+++ b/src/admission/admitted_rate.cpp
@@ -31,7 +31,8 @@
     }
     const auto minAge = std::chrono::duration_cast<core::Duration>(std::chrono::duration<double>(MinAgeSeconds));
     const core::Duration age = std::max<core::Duration>(now - m_startedAt, minAge);
-    return m_requests * decayOver(now - m_updatedAt, TimeConstantSeconds) / (TimeConstantSeconds * (1 - decayOver(age, TimeConstantSeconds)));
+    return m_requests * decayOver(now - m_updatedAt, TimeConstantSeconds)
+           / (TimeConstantSeconds * (1 - decayOver(age, TimeConstantSeconds)));
 }
 
 }
