--- a/include/berylspring/admission/workspace_shares.h
+++ b/include/berylspring/admission/workspace_shares.h
@@ -4,6 +4,7 @@
 #include "berylspring/core/time.h"
 
 #include <array>
+#include <atomic>
 #include <chrono>
 #include <compare>
 #include <cstddef>
@@ -30,7 +31,7 @@
 {
     double work = 0;
     double promised = 0; ///< Part of the work that has a promised time to return.
-    double atLastRequest = 0; ///< The work just after the last request.
+    double workAtLastRequest = 0; ///< The work just after the last request.
     double weight = 1;
     core::TimePoint lastRequestAt;
     core::TimePoint updatedAt;
@@ -42,11 +43,11 @@
 };
 
 /** @brief Share of the work of a group of requests to shed, and the share of it that is promised. */
-struct SheddableShare
+struct WorkspaceShare
 {
     double shed = 0; ///< 0 to 1.
     double promised = 0; ///< 0 to 1.
-    [[nodiscard]] bool operator==(const SheddableShare &) const = default;
+    [[nodiscard]] bool operator==(const WorkspaceShare &) const = default;
 };
 
 /**
@@ -89,8 +90,10 @@
 {
 public:
     using Rank = std::uint32_t;
-    /** Limits the memory; beyond it, the workspace without a request for the longest time is removed. */
+    /** Limits the memory; beyond it, the workspaces without a request for the longest time are removed. */
     static constexpr std::size_t MaxWorkspaces = 1024;
+    /** Number removed at once, so that not each request of a new workspace scans all others under the lock. */
+    static constexpr std::size_t RemovalBatch = MaxWorkspaces / 16;
     /** Five time constants of the demand, after which less than 1 % of it is left. */
     static constexpr core::Duration MaxAge = std::chrono::seconds(10);
     /** Age of the levels of a rank up to which they are reused, since computing them sorts all of its workspaces. */
@@ -105,10 +108,10 @@
     WorkspaceDemand
     recordRequest(Rank rank, const WorkspaceLoad &load, double work, bool hasPromise, core::TimePoint now);
     /** @return Share of the workspace's requests to shed while this share of the rank's work is shed. */
-    [[nodiscard]] SheddableShare
+    [[nodiscard]] WorkspaceShare
     shareOf(Rank rank, const WorkspaceDemand &demand, double shedShare, core::TimePoint now);
     /** @return As above, for the next request of a workspace, without counting it. */
-    [[nodiscard]] SheddableShare
+    [[nodiscard]] WorkspaceShare
     shareOf(Rank rank, const WorkspaceLoad &load, double shedShare, core::TimePoint now) const;
     /** @return The largest share of any workspace while this share of the rank's work is shed. */
     [[nodiscard]] double highestShare(Rank rank, double shedShare, core::TimePoint now) const;
@@ -137,8 +140,11 @@
     [[nodiscard]] static std::vector<WorkspaceDemand> recentDemands(const RankState &state, core::TimePoint now);
     [[nodiscard]] std::vector<WorkspaceDemand> recentDemands(Rank rank, core::TimePoint now) const;
     [[nodiscard]] double levelFor(Rank rank, double shedShare, core::TimePoint now);
+    /** @brief Removes, once per MaxAge, what a rank without requests would keep for as long as the process runs. */
+    void removeIdleRanks(core::TimePoint now);
 
     std::array<Shard, ShardCount> m_shards;
+    std::atomic<core::TimePoint> m_idleRemovedAt{core::TimePoint()};
 };
 
 }
--- a/src/admission/root_admission.cpp
+++ b/src/admission/root_admission.cpp
@@ -1,5 +1,7 @@
 #include "berylspring/admission/root_admission.h"
 
+#include "admission/decay.h"
+
 #include <algorithm>
 #include <cmath>
 #include <map>
@@ -64,7 +66,7 @@
     return Rank{root.level} * (Rank{core::MaxPriority} + 1) + root.routeLevel;
 }
 
-std::shared_ptr<const std::vector<RootAdmission::RankDemand>> RootAdmission::shares(core::TimePoint now) const
+std::shared_ptr<const std::vector<RootAdmission::RankDemand>> RootAdmission::shares(core::TimePoint now)
 {
     if (auto recent = recentShares(now)) {
         return recent;
@@ -82,6 +84,12 @@
     return m_shares && now - m_sharesAt < SharesUpdateInterval ? m_shares : nullptr;
 }
 
+std::shared_ptr<const std::vector<RootAdmission::RankDemand>> RootAdmission::peekShares(core::TimePoint now) const
+{
+    auto recent = recentShares(now);
+    return recent ? recent : computeShares(now);
+}
+
 std::shared_ptr<const std::vector<RootAdmission::RankDemand>> RootAdmission::computeShares(core::TimePoint now) const
 {
     std::map<Rank, Demand> demands;
@@ -107,7 +115,7 @@
 
 RootAdmission::Demand RootAdmission::decayed(const Demand &demand, core::TimePoint now) noexcept
 {
-    const double factor = std::exp(-secondsBetween(demand.at, now) / DemandTimeConstantSeconds);
+    const double factor = decayOver(now - demand.at, DemandTimeConstantSeconds);
     return {.requests = demand.requests * factor, .promised = demand.promised * factor, .at = now};
 }
 
@@ -142,6 +150,11 @@
     return sensitivity * shareOfNewcomers(demand.shareToShed(shedding), demand.promised);
 }
 
+WorkspaceShare RootAdmission::withProbes(const WorkspaceShare &own) noexcept
+{
+    return {.shed = std::min(own.shed, MaxShedShare), .promised = own.promised};
+}
+
 RootAdmission::Service RootAdmission::withPressure(Service service, double sample, core::TimePoint now) noexcept
 {
     const double elapsed = std::min(MaxStepSeconds, secondsBetween(service.updatedAt, now));
@@ -209,7 +222,8 @@
         return {.isAdmitted = !isShed(shareOf(*demand, shedding, sensitivity))};
     }
     // The sensitivity lowers the share before it is divided; afterwards, it would spare the largest workspace.
-    const SheddableShare own = m_workspaces.shareOf(rank, *workspace, sensitivity * demand->shareToShed(shedding), now);
+    const double share = sensitivity * demand->shareToShed(shedding);
+    const WorkspaceShare own = withProbes(m_workspaces.shareOf(rank, *workspace, share, now));
     return {.isAdmitted = !isShed(shareOfNewcomers(own.shed, own.promised)), .workspaceShedShare = own.shed};
 }
 
@@ -222,15 +236,14 @@
     if (shedding <= 0 || sensitivity <= 0) {
         return 0;
     }
-    const auto recent = recentShares(now);
-    const std::optional<RankDemand> demand = demandIn(recent ? *recent : *computeShares(now), rankOf(root));
+    const std::optional<RankDemand> demand = demandIn(*peekShares(now), rankOf(root));
     if (!demand || !request.load || demand->isExceededBy(shedding)) {
         return demand ? shareOf(*demand, shedding, sensitivity) : 0;
     }
     WorkspaceLoad load = *request.load;
     load.cost *= sensitivity;
     const double share = sensitivity * demand->shareToShed(shedding);
-    const SheddableShare own = m_workspaces.shareOf(rankOf(root), load, share, now);
+    const WorkspaceShare own = withProbes(m_workspaces.shareOf(rankOf(root), load, share, now));
     return shareOfNewcomers(own.shed, own.promised);
 }
 
@@ -303,7 +316,7 @@
         [&](const core::RouteId &, const Route &route) { sensitivity = std::max(sensitivity, route.sensitivity); });
     double highest = 0;
     if (shedding > 0) {
-        const auto shares = this->shares(now);
+        const auto shares = peekShares(now);
         for (const RankDemand &demand : *shares) {
             if (!demand.isExceededBy(shedding)) {
                 highest = std::max(
@@ -311,7 +324,7 @@
             }
         }
     }
-    return highest;
+    return std::min(highest, MaxShedShare);
 }
 
 }
--- a/src/admission/workspace_shares.cpp
+++ b/src/admission/workspace_shares.cpp
@@ -1,7 +1,10 @@
 #include "berylspring/admission/workspace_shares.h"
 
+#include "admission/decay.h"
+
 #include <algorithm>
 #include <cmath>
+#include <cstddef>
 #include <limits>
 #include <utility>
 
@@ -12,16 +15,35 @@
 /** As for the demand of the ranks: steady at a few requests per second, and shorter than most overloads. */
 constexpr double DemandTimeConstantSeconds = 2.0;
 
-double decayOver(core::Duration time) noexcept
+using Workspaces = std::unordered_map<core::WorkspaceId, WorkspaceDemand>;
+
+void removeIdle(Workspaces &workspaces, core::TimePoint now)
 {
-    return std::exp(-std::max(0.0, std::chrono::duration<double>(time).count()) / DemandTimeConstantSeconds);
+    std::erase_if(workspaces,
+                  [&](const auto &entry) { return now - entry.second.lastRequestAt > WorkspaceShares::MaxAge; });
 }
 
-void removeOldest(std::unordered_map<core::WorkspaceId, WorkspaceDemand> &workspaces)
+void removeOldest(Workspaces &workspaces, std::size_t count)
 {
-    workspaces.erase(std::min_element(workspaces.begin(), workspaces.end(), [](const auto &left, const auto &right) {
-        return left.second.lastRequestAt < right.second.lastRequestAt;
-    }));
+    std::vector<Workspaces::const_iterator> entries;
+    entries.reserve(workspaces.size());
+    for (auto entry = workspaces.cbegin(); entry != workspaces.cend(); ++entry) {
+        entries.push_back(entry);
+    }
+    const auto end = entries.begin() + static_cast<std::ptrdiff_t>(std::min(count, entries.size()));
+    std::nth_element(entries.begin(), end, entries.end(), [](const auto &left, const auto &right) {
+        return left->second.lastRequestAt < right->second.lastRequestAt;
+    });
+    std::for_each(entries.begin(), end, [&](const auto &entry) { workspaces.erase(entry); });
+}
+
+void makeRoom(Workspaces &workspaces, core::TimePoint now)
+{
+    constexpr std::size_t Target = WorkspaceShares::MaxWorkspaces - WorkspaceShares::RemovalBatch;
+    removeIdle(workspaces, now);
+    if (workspaces.size() > Target) {
+        removeOldest(workspaces, workspaces.size() - Target);
+    }
 }
 
 }
@@ -29,7 +51,7 @@
 WorkspaceDemand WorkspaceDemand::decayed(core::TimePoint now) const noexcept
 {
     WorkspaceDemand next = *this;
-    const double factor = decayOver(now - updatedAt);
+    const double factor = decayOver(now - updatedAt, DemandTimeConstantSeconds);
     next.work *= factor;
     next.promised *= factor;
     next.updatedAt = std::max(updatedAt, now);
@@ -44,7 +66,7 @@
     WorkspaceDemand next = decayed(now);
     next.work += requestWork;
     next.promised += hasPromise ? requestWork : 0;
-    next.atLastRequest = next.work;
+    next.workAtLastRequest = next.work;
     next.weight = requestWeight > 0 ? requestWeight : 1;
     next.lastRequestAt = next.updatedAt;
     return next;
@@ -59,7 +81,7 @@
         if (demand.work <= 0) {
             continue;
         }
-        const double fullLevel = std::max(demand.atLastRequest, demand.work) / demand.weight;
+        const double fullLevel = std::max(demand.workAtLastRequest, demand.work) / demand.weight;
         const double slope = demand.work / fullLevel;
         slopeChanges.emplace_back(fullLevel * demand.promised / demand.work, slope);
         slopeChanges.emplace_back(fullLevel, -slope);
@@ -108,15 +130,31 @@
     return m_shards[rank % ShardCount];
 }
 
+void WorkspaceShares::removeIdleRanks(core::TimePoint now)
+{
+    core::TimePoint last = m_idleRemovedAt;
+    if (now - last <= MaxAge || !m_idleRemovedAt.compare_exchange_strong(last, now)) {
+        return;
+    }
+    for (Shard &shard : m_shards) {
+        const std::scoped_lock lock(shard.mutex);
+        for (auto &[rank, state] : shard.ranks) {
+            removeIdle(state.workspaces, now);
+        }
+        std::erase_if(shard.ranks, [](const auto &entry) { return entry.second.workspaces.empty(); });
+    }
+}
+
 WorkspaceDemand
 WorkspaceShares::recordRequest(Rank rank, const WorkspaceLoad &load, double work, bool hasPromise, core::TimePoint now)
 {
+    removeIdleRanks(now);
     Shard &shard = shardOf(rank);
     const std::scoped_lock lock(shard.mutex);
     RankState &state = shard.ranks[rank];
     state.total = state.total.withRequest(work, 1, hasPromise, now);
     if (!state.workspaces.contains(load.workspace) && state.workspaces.size() >= MaxWorkspaces) {
-        removeOldest(state.workspaces);
+        makeRoom(state.workspaces, now);
     }
     WorkspaceDemand &demand = state.workspaces[load.workspace];
     demand = demand.withRequest(work, load.weight, hasPromise, now);
@@ -152,7 +190,7 @@
         // Other threads use the previous levels while this one computes the new ones.
         state.levelsAt = now;
         state.totalOfLevels = total;
-        std::erase_if(state.workspaces, [&](const auto &entry) { return now - entry.second.lastRequestAt > MaxAge; });
+        removeIdle(state.workspaces, now);
         demands = recentDemands(state, now);
     }
     levels = std::make_shared<const FairLevels>(demands);
@@ -161,7 +199,7 @@
     return levels->levelFor(shedShare);
 }
 
-SheddableShare WorkspaceShares::shareOf(Rank rank, const WorkspaceDemand &demand, double shedShare, core::TimePoint now)
+WorkspaceShare WorkspaceShares::shareOf(Rank rank, const WorkspaceDemand &demand, double shedShare, core::TimePoint now)
 {
     return {.shed = FairLevels::shedShare(demand, levelFor(rank, shedShare, now)),
             .promised = demand.work > 0 ? demand.promised / demand.work : 0};
@@ -175,19 +213,25 @@
     return state == shard.ranks.end() ? std::vector<WorkspaceDemand>() : recentDemands(state->second, now);
 }
 
-SheddableShare
+WorkspaceShare
 WorkspaceShares::shareOf(Rank rank, const WorkspaceLoad &load, double shedShare, core::TimePoint now) const
 {
-    const double level = FairLevels(recentDemands(rank, now)).levelFor(shedShare);
-    const Shard &shard = shardOf(rank);
-    const std::scoped_lock lock(shard.mutex);
-    const auto state = shard.ranks.find(rank);
-    if (state == shard.ranks.end() || !state->second.workspaces.contains(load.workspace)) {
-        return {};
+    std::vector<WorkspaceDemand> demands;
+    WorkspaceDemand before;
+    {
+        const Shard &shard = shardOf(rank);
+        const std::scoped_lock lock(shard.mutex);
+        if (const auto state = shard.ranks.find(rank); state != shard.ranks.end()) {
+            demands = recentDemands(state->second, now);
+            const auto known = state->second.workspaces.find(load.workspace);
+            before = known == state->second.workspaces.end() ? before : known->second;
+        }
+    }
+    const WorkspaceDemand demand = before.withRequest(load.cost, load.weight, false, now);
+    if (now - before.lastRequestAt > MaxAge) {
+        demands.push_back(demand);
     }
-    const WorkspaceDemand demand =
-        state->second.workspaces.at(load.workspace).withRequest(load.cost, load.weight, false, now);
-    return {.shed = FairLevels::shedShare(demand, level),
+    return {.shed = FairLevels::shedShare(demand, FairLevels(demands).levelFor(shedShare)),
             .promised = demand.work > 0 ? demand.promised / demand.work : 0};
 }
 
