Pass the root's deadline on from the second nested hop

An endpoint passes the remaining time of its own request on. For a nested request this is the time of its route, so from the second hop on the calls of a chain were ordered by that instead of the time of the root. The in-flight table now keeps the deadline of the root, and the entry takes it for calls with a context token. A caller without a token keeps its own timeout.

--- a/include/berylspring/node/in_flight_table.h
+++ b/include/berylspring/node/in_flight_table.h
@@ -21,6 +21,7 @@
     std::optional<core::Digest> keyDigest;
     core::PriorityLevel priority = 0;
     core::TimePoint deadline;
+    core::TimePoint rootDeadline; ///< Of the root request; that of this request if the root's is not known.
     std::uint32_t retryAllowance = 0; ///< Retries left for this request and its nested calls.
     std::uint32_t retriesSpent = 0; ///< Retries that its nested calls have used.
     telemetry::TraceContext trace;
--- a/src/node/entry.cpp
+++ b/src/node/entry.cpp
@@ -200,12 +200,19 @@
 core::Duration
 Entry::rootRemaining(const http::CallerRequest &request, const CallPlan &plan, core::TimePoint startedAt) const
 {
-    // An endpoint passes the remaining time of its own request on, which is longer than the time of the call's route.
     const core::TimePoint now = m_hooks.now();
-    if (!plan->isNested || !request->timeout || !m_rootControl.isPaceReported(now)) {
+    if (!plan->isNested || !m_rootControl.isPaceReported(now)) {
         return core::Duration::zero();
     }
-    return std::max(core::Duration::zero(), *request->timeout - (now - startedAt));
+    if (request->contextToken) {
+        // The timeout of the caller ends with its own request. From the second hop on, the root has more time than
+        // that.
+        const std::optional<InFlight> parent = m_inFlight.find(*request->contextToken);
+        return parent ? std::max(core::Duration::zero(), (*parent)->rootDeadline - now) : core::Duration::zero();
+    }
+    // Without a token, the root is not known to this node, and the timeout of the caller is the closest to its time.
+    const core::Duration timeout = request->timeout.value_or(core::Duration::zero());
+    return std::max(core::Duration::zero(), timeout - (now - startedAt));
 }
 
 core::Duration Entry::expectedNestedTime(const CallPlan &plan) const
--- a/src/node/local_endpoint.cpp
+++ b/src/node/local_endpoint.cpp
@@ -336,11 +336,14 @@
     const auto parent = telemetry::TraceContext::fromTraceParent(request->traceParent);
     const telemetry::TraceContext trace = parent ? parent->child(m_random) : telemetry::TraceContext::root(m_random, 0);
     const core::WallTime start = std::chrono::system_clock::now();
+    const core::TimePoint now = core::bootTime();
+    const bool isRootKnown = request->isNested && request->rootRemaining > core::Duration::zero();
     InFlightEntry entry(m_inFlight,
                         InFlight({.workspace = request->workspace,
                                   .keyDigest = request->keyDigest,
                                   .priority = request->priority,
-                                  .deadline = core::bootTime() + request->remaining,
+                                  .deadline = now + request->remaining,
+                                  .rootDeadline = now + (isRootKnown ? request->rootRemaining : request->remaining),
                                   .retryAllowance = request->retryAllowance,
                                   .trace = trace}));
     const http::Request message =
