Lower the time of the root wherever a call is sent on

The entry and the home of an idempotent request replaced the remaining time of the call and left the time of its root as it was at the entry, so such calls queued as if their roots were younger. Both and the dispatcher now use one function. It takes the elapsed time as an argument, because the deadline of a send contains an answer margin that is not elapsed time, and it keeps a known time positive, because 0 means unknown. The tests of idempotency, node and wire pass.

--- a/src/idempotency/entry_run.cpp
+++ b/src/idempotency/entry_run.cpp
@@ -1,5 +1,6 @@
 #include "idempotency/entry_run.h"
 
+#include "berylspring/wire/call_time.h"
 #include "idempotency/home_run.h"
 
 #include <algorithm>
@@ -57,8 +58,9 @@
     {
         ++m_sent;
         wire::HomeRequestFields fields;
-        fields.call = m_call.with(&wire::CallRequestFields::remaining, m_deadline - now);
         fields.age = now - m_arrived;
+        // The answer margin in the deadline is not elapsed time, so it does not shorten the time of the root.
+        fields.call = wire::withTimes(m_call, m_deadline - now, fields.age);
         fields.challenge = m_challenger == home ? std::exchange(m_challenge, 0U) : 0U;
         return wire::HomeRequest(std::move(fields));
     }
--- a/src/idempotency/home_run.cpp
+++ b/src/idempotency/home_run.cpp
@@ -2,6 +2,7 @@
 
 #include "berylspring/core/request_digest.h"
 #include "berylspring/idempotency/claim_name.h"
+#include "berylspring/wire/call_time.h"
 #include "idempotency/replication.h"
 
 #include <algorithm>
@@ -161,9 +162,10 @@
 
 asio::awaitable<wire::Message> dispatch(StatePtr state, AttemptPtr attempt, std::vector<core::HostId> holders)
 {
-    const core::Duration remaining = attempt->deadline - state->hooks.now();
+    const core::TimePoint dispatchedAt = state->hooks.now();
     state->counts.dispatched.fetch_add(1);
-    wire::CallRequest call = attempt->call.with(&wire::CallRequestFields::remaining, remaining);
+    wire::CallRequest call =
+        wire::withTimes(attempt->call, attempt->deadline - dispatchedAt, dispatchedAt - attempt->started);
     wire::CallResponse response = co_await state->hooks.dispatch(std::move(call));
     const bool isRefused = response->refusal.has_value();
     if (isRefused && response->refusal->outcome() == Outcome::NotRun) {
--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -2,6 +2,7 @@
 
 #include "berylspring/retry/failure.h"
 #include "berylspring/routing/eligibility.h"
+#include "berylspring/wire/call_time.h"
 #include "node/departed_endpoints.h"
 
 #include <algorithm>
@@ -91,12 +92,6 @@
     report.pace = response->pace;
 }
 
-/** @return Time left to the root of a nested call when the call itself has `remaining` left. */
-core::Duration rootRemaining(const wire::CallRequest &call, core::Duration remaining)
-{
-    return std::max(core::Duration::zero(), call->rootRemaining - (call->remaining - remaining));
-}
-
 Refusal refusalOf(const wire::Error &error)
 {
     const Outcome outcome = error.maybeSent() ? Outcome::Unknown : Outcome::NotRun;
@@ -149,8 +144,7 @@
         } else if (remaining > core::Duration::zero()) {
             attempts.hosts.push_back(*decision.host);
             const wire::CallRequest sent =
-                call.with(&wire::CallRequestFields::remaining, remaining)
-                    .with(&wire::CallRequestFields::rootRemaining, rootRemaining(call, remaining))
+                wire::withTimes(call, remaining, call->remaining - remaining)
                     .with(&wire::CallRequestFields::isSuspect, call->isSuspect || attempts.isSuspect)
                     .with(&wire::CallRequestFields::retryAllowance,
                           call->retryAllowance - std::min(call->retryAllowance, attempts.retries));
