Test calls of known and unknown roots in one queue

A call with a root deadline displaces an unknown call whose own deadline is later; the comment of the test said the opposite. The comment of the queue's order names the fallback.

--- a/include/berylspring/admission/admission_queue.h
+++ b/include/berylspring/admission/admission_queue.h
@@ -100,7 +100,7 @@
     [[nodiscard]] std::optional<core::PriorityLevel> lowestPriority() const noexcept;
 
 private:
-    /** The time is that of orderOf(). */
+    /** The time is that of orderOf(): the deadline of the root, or the entry's own one if that is not known. */
     using ByDeadline = std::set<std::pair<core::TimePoint, std::uint64_t>>;
 
     /** Waiting entries of one workspace in one lane. */
--- a/tests/admission/chains_of_calls_under_overload.cpp
+++ b/tests/admission/chains_of_calls_under_overload.cpp
@@ -12,7 +12,6 @@
 using namespace std::chrono_literals;
 using admission::AdmissionQueue;
 using admission::QueueEntry;
-using admission::QueueEntryFields;
 using test::section;
 
 namespace {
@@ -150,7 +149,8 @@
     });
 }
 
-// Guards against calls of unknown roots, of an older node for example, that are pushed out by others.
+// Guards against calls of unknown roots, of an older node for example, that are ordered among themselves by anything
+// but their own deadlines, or that keep their places against the call of a root that ends earlier.
 TEST(ChainsOfCallsUnderOverload, keepTheirOrderIfTheRootIsNotKnown)
 {
     AdmissionQueue queue;
@@ -162,6 +162,11 @@
         LONGS_EQUAL(1, (*queue.take(startTime, 0ns).next)->id);
         LONGS_EQUAL(2, (*queue.take(startTime, 0ns).next)->id);
     });
+    section("a call with a root deadline displaces an unknown one only if that has the later deadline", [&] {
+        CHECK(queue.offer(call(4, startTime, std::nullopt), 1).isAccepted);
+        CHECK_FALSE(queue.offer(call(5, startTime, startTime + CallTimeout + 1ms), 1).isAccepted);
+        CHECK(queue.offer(call(6, startTime, startTime + CallTimeout - 1ms), 1).displaced == 4U);
+    });
 }
 
 // Guards against an eviction of the chain that has used most work.
