Test the way of a root's time from the entry to the queue

Nothing failed if the entry, the dispatcher or the admission service lost the time of the root. The fixture of the refusals at the entry moves to entry_harness.h, with a pace and the root's time of the last request; its tests are unchanged.

--- a/tests/admission/a_call_through_the_service.cpp
+++ b/tests/admission/a_call_through_the_service.cpp
@@ -263,3 +263,39 @@
         DOUBLES_EQUAL(0, (*second->response)->outstandingWork, 0);
     });
 }
+
+// Guards against the time of a root that is lost on its way to the queue, and against displaced calls that are not
+// counted.
+TEST(ACallThroughTheService, givesItsPlaceToACallOfAnOlderRoot)
+{
+    auto settings = test::settingsWithoutRealTimers();
+    settings.maxQueueLength = 1;
+    Harness harness(settings);
+    harness.service().setSlots(1);
+    const auto send = [&](const std::string &name, core::Duration rootRemaining) {
+        return harness.send(callNamed(name)
+                                .with(&wire::CallRequestFields::isNested, true)
+                                .with(&wire::CallRequestFields::rootRemaining, rootRemaining));
+    };
+    send("running", 2h);
+    constexpr int NestedPlaces = 5; // Of EndpointGate, for each place of a new request.
+    std::shared_ptr<test::SentCall> last;
+    for (int i = 0; i < NestedPlaces; ++i) {
+        last = send("waiting", 2h + i * 1min);
+    }
+    CHECK_FALSE(last->response.has_value());
+    section("the call of the youngest root is refused when it arrives at the full queue", [&] {
+        checkRefused(send("youngest", 3h), core::RefusalReason::Overloaded, core::Outcome::NotRun);
+        LONGS_EQUAL(0, harness.service().state()->counters.displaced);
+    });
+    const auto oldest = send("oldest", 1h);
+    section("the youngest one that waits gives its place to an older root", [&] {
+        CHECK_FALSE(oldest->response.has_value());
+        checkRefused(last, core::RefusalReason::Overloaded, core::Outcome::NotRun);
+        LONGS_EQUAL(1, harness.service().state()->counters.displaced);
+    });
+    section("the oldest root goes first", [&] {
+        harness.finish("running");
+        CHECK(harness.running() == Names{"oldest"});
+    });
+}
--- a/tests/node/a_nested_call_inherits.cpp
+++ b/tests/node/a_nested_call_inherits.cpp
@@ -1,13 +1,18 @@
 #include "berylspring/core/types.h"
 #include "berylspring/node/in_flight_table.h"
+#include "node/entry_harness.h"
 #include "support/section.h"
 
+#include <chrono>
 #include <numeric>
+#include <optional>
+#include <string>
 #include <vector>
 
 #include <CppUTest/TestHarness.h>
 
 using namespace berylspring;
+using namespace std::chrono_literals;
 using test::checkProperty;
 using test::section;
 
@@ -55,3 +60,39 @@
                       RC_ASSERT((*request)->retryAllowance + spent == allowance);
                   });
 }
+
+// Guards against calls of a long chain that are ordered by the time of a route instead of that of their root, and
+// against a changed order in a fleet whose endpoints report no pace.
+TEST(ANestedCallInherits, theTimeOfItsRootWhereThePaceIsReported)
+{
+    test::EntryHarness entry(test::catalogueWithRoutes());
+    entry.callTime = 1ms;
+    const std::string parent = entry.inFlight.add(
+        node::InFlight({.deadline = entry.now + 1min, .rootDeadline = entry.now + 1h}));
+    const auto rootTimeOf = [&](const std::string &target, const std::optional<std::string> &token = std::nullopt) {
+        const http::CallerRequest request(
+            {.method = "GET", .target = target, .contextToken = token, .timeout = std::optional<core::Duration>(2s)});
+        LONGS_EQUAL(200, entry.call(request)->status);
+        return entry.lastRootRemaining;
+    };
+    section("it is not passed on before a report of the pace", [&] {
+        CHECK(rootTimeOf("/ledger") == 0s);
+        CHECK(rootTimeOf("/ledger", parent) == 0s);
+    });
+    entry.pace = 1;
+    rootTimeOf("/ledger");
+    section("a caller without a token passes its own timeout on", [&] { CHECK(rootTimeOf("/ledger") == 2s); });
+    section("with a token, the time left to the root counts, which is longer than that of the parent", [&] {
+        const core::Duration left = core::TimePoint(1h) - entry.now;
+        CHECK(rootTimeOf("/ledger", parent) == left);
+    });
+    section("a root request brings none", [&] { CHECK(rootTimeOf("/prices") == 0s); });
+    section("it is not passed on when the last report is too old", [&] {
+        entry.pace = 0;
+        entry.now += 9s;
+        CHECK(rootTimeOf("/ledger", parent) > 0s);
+        entry.now += 1s;
+        CHECK(rootTimeOf("/ledger", parent) == 0s);
+        CHECK(rootTimeOf("/ledger") == 0s);
+    });
+}
--- a/tests/node/a_refusal_at_the_entry.cpp
+++ b/tests/node/a_refusal_at_the_entry.cpp
@@ -1,114 +1,25 @@
-#include "berylspring/config/log_record.h"
-#include "berylspring/core/types.h"
-#include "berylspring/node/entry.h"
 #include "berylspring/node/stop_schedule.h"
+#include "node/entry_harness.h"
 #include "support/section.h"
 
-#include <memory>
+#include <chrono>
 #include <optional>
 #include <string>
-
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/use_future.hpp>
+#include <utility>
 
 #include <CppUTest/TestHarness.h>
 
 using namespace berylspring;
+using test::DenialStaleness;
+using test::EntryHarness;
 using test::section;
+using test::Withdrawn;
 
 namespace {
 
-namespace asio = boost::asio;
 using core::Outcome;
 using core::RefusalReason;
 
-constexpr const char *Withdrawn = "withdrawn-key";
-constexpr core::Duration DenialStaleness = std::chrono::seconds(3);
-
-config::Catalogue catalogueWithRoute()
-{
-    config::Catalogue catalogue;
-    const auto add =
-        [&](core::Offset offset, config::ResourceType type, const std::string &name, const std::string &body) {
-            const config::LogRecord record(
-                {.operationId = "op-" + std::to_string(offset), .type = type, .name = name, .body = body});
-            catalogue = catalogue.withRecord(offset, config::toJson(record)).catalogue;
-        };
-    add(1, config::ResourceType::Priority, "normal", R"({"level":3})");
-    add(2, config::ResourceType::Route, "visits", R"({"prefix":"/visits","service":"visits","priority":"normal"})");
-    add(3,
-        config::ResourceType::Route,
-        "prices",
-        R"({"prefix":"/prices","service":"prices","priority":"normal","is_open":true})");
-    add(4,
-        config::ResourceType::Route,
-        "ledger",
-        R"({"prefix":"/ledger","service":"ledger","priority":"normal","is_open":true,"is_internal":true})");
-    return catalogue;
-}
-
-/** @brief An entry without hooks beyond planning; every request is refused before the rate limit. */
-class EntryThatRefuses
-{
-public:
-    explicit EntryThatRefuses(std::optional<config::Catalogue> catalogue)
-        : m_entry(m_inFlight, m_metrics, {.denialStaleness = DenialStaleness}, hooks(std::move(catalogue)))
-    {
-    }
-
-    core::Duration configurationAge{};
-    core::TimePoint now{};
-    std::optional<node::StopSchedule> stopSchedule;
-    core::Duration callTime{}; ///< Time after which the endpoint answers; zero: there is no endpoint.
-    core::Duration lastRemaining{}; ///< Time that was left for the last request that was passed on.
-    core::Duration lastAnswerGrace{}; ///< Its time for an answer after that.
-
-    wire::CallResponse call(const http::CallerRequest &request)
-    {
-        auto response = asio::co_spawn(m_context, m_entry.call(request), asio::use_future);
-        m_context.restart();
-        m_context.run();
-        return response.get();
-    }
-    core::Refusal refusalOf(const http::CallerRequest &request)
-    {
-        return call(request)->refusal.value();
-    }
-
-private:
-    node::EntryHooks hooks(std::optional<config::Catalogue> catalogue)
-    {
-        node::EntryHooks hooks;
-        std::shared_ptr<const config::Catalogue> shared;
-        if (catalogue) {
-            shared = std::make_shared<const config::Catalogue>(std::move(*catalogue));
-        }
-        hooks.catalogue = [shared] { return shared; };
-        hooks.isKeyWithdrawn = [](const core::Digest &digest) { return digest == core::sha256(Withdrawn); };
-        hooks.configurationAge = [this] { return configurationAge; };
-        hooks.stopSchedule = [this] { return stopSchedule; };
-        hooks.now = [this] { return now; };
-        hooks.dispatch = [this](wire::CallRequest call) -> asio::awaitable<wire::CallResponse> {
-            lastRemaining = call->remaining;
-            lastAnswerGrace = call->answerGrace;
-            if (callTime > core::Duration::zero()) {
-                now += callTime;
-                co_return wire::CallResponse({.status = 200});
-            }
-            co_return wire::CallResponse({.refusal = core::Refusal(RefusalReason::NoEndpoint, Outcome::NotRun)});
-        };
-        hooks.random = core::systemRandom();
-        hooks.spans = [](const telemetry::Span &) {};
-        return hooks;
-    }
-
-    node::InFlightTable m_inFlight{core::systemRandom()};
-    telemetry::Metrics m_metrics;
-    asio::io_context m_context;
-    node::Entry m_entry;
-};
-
 http::CallerRequest booking(const std::string &target, std::optional<std::string> key, std::optional<std::string> name)
 {
     return http::CallerRequest(
@@ -122,7 +33,7 @@
 // Guards against not-run for a resend although another node has run an earlier send with the same idempotency key.
 TEST(ARefusalAtTheEntry, saysNotRunOnlyIfNoSendOfTheNameCanHaveRun)
 {
-    EntryThatRefuses entry(catalogueWithRoute());
+    EntryHarness entry(test::catalogueWithRoutes());
     section("a key that was withdrawn after an earlier send", [&] {
         const auto refusal = entry.refusalOf(booking("/visits", Withdrawn, "b-1"));
         CHECK(refusal.reason() == RefusalReason::KeyInvalid);
@@ -131,7 +42,7 @@
     section("a route that was removed",
             [&] { CHECK(entry.refusalOf(booking("/gone", "key", "b-1")).outcome() == Outcome::Unknown); });
     section("a node without configuration", [&] {
-        EntryThatRefuses fresh(std::nullopt);
+        EntryHarness fresh(std::nullopt);
         CHECK(fresh.refusalOf(booking("/visits", "key", "b-1")).outcome() == Outcome::Unknown);
         CHECK(fresh.refusalOf(booking("/visits", "key", std::nullopt)).outcome() == Outcome::NotRun);
     });
@@ -147,7 +58,7 @@
 // route.
 TEST(ARefusalAtTheEntry, isNoDenialIfTheConfigurationIsOld)
 {
-    EntryThatRefuses entry(catalogueWithRoute());
+    EntryHarness entry(test::catalogueWithRoutes());
     const auto reasonOf = [&](const std::string &target, std::optional<std::string> key) {
         return entry.refusalOf(booking(target, std::move(key), std::nullopt)).reason();
     };
@@ -174,7 +85,7 @@
 TEST(ARefusalAtTheEntry, turnsAwayWhatCannotEndBeforeTheStop)
 {
     using namespace std::chrono_literals;
-    EntryThatRefuses entry(catalogueWithRoute());
+    EntryHarness entry(test::catalogueWithRoutes());
     const auto refusalAt = [&](core::Duration sinceStop, core::Duration timeout) {
         entry.now = core::TimePoint() + sinceStop;
         return entry.refusalOf(booking("/prices", std::nullopt, std::nullopt)
@@ -204,7 +115,7 @@
 TEST(ARefusalAtTheEntry, turnsAwayNestedCallsThatCannotEndBeforeTheStop)
 {
     using namespace std::chrono_literals;
-    EntryThatRefuses entry(catalogueWithRoute());
+    EntryHarness entry(test::catalogueWithRoutes());
     const auto callAt = [&](core::Duration sinceStop) {
         entry.now = core::TimePoint() + sinceStop;
         return entry.call(booking("/ledger", std::nullopt, std::nullopt)
--- a/tests/node/a_retry_after_a_crash.cpp
+++ b/tests/node/a_retry_after_a_crash.cpp
@@ -21,6 +21,7 @@
 const core::HostId Self("h1");
 const core::DataCentreId DataCentre("a");
 const core::ServiceId Service("visits");
+constexpr core::Duration AttemptTime = 100ms;
 
 }
 
@@ -30,11 +31,14 @@
     core::TimePoint now{1h};
     bool doesCrash = true;
     std::vector<bool> suspicions; ///< CallRequest::isSuspect of the attempts.
+    std::vector<core::Duration> rootTimes; ///< CallRequest::rootRemaining of the attempts.
     node::Dispatcher dispatcher{Self, DataCentre, false, hooks()};
 
     asio::awaitable<wire::CallResponse> attempt(wire::CallRequest call)
     {
         suspicions.push_back(call->isSuspect);
+        rootTimes.push_back(call->rootRemaining);
+        now += AttemptTime;
         const core::Refusal refusal(core::RefusalReason::ConnectionLost, core::Outcome::Unknown);
         co_return wire::CallResponse({.refusal = refusal, .hasEndpointCrashed = doesCrash});
     }
@@ -60,11 +64,15 @@
                 .random = core::systemRandom(),
                 .retried = [] {}};
     }
-    void dispatch(bool isSuspect = false)
+    void dispatch(bool isSuspect = false, core::Duration rootRemaining = {})
     {
         suspicions.clear();
-        const wire::CallRequest call(
-            {.service = Service, .remaining = 10s, .retryAllowance = 2, .isSuspect = isSuspect});
+        rootTimes.clear();
+        const wire::CallRequest call({.service = Service,
+                                      .remaining = 10s,
+                                      .retryAllowance = 2,
+                                      .isSuspect = isSuspect,
+                                      .rootRemaining = rootRemaining});
         asio::co_spawn(context, dispatcher.dispatch(call), asio::detached);
         context.run();
         context.restart();
@@ -90,3 +98,18 @@
         CHECK((suspicions == Suspicions{false, false, false}));
     });
 }
+
+using Times = std::vector<core::Duration>;
+
+// Guards against a retry that waits as if its root were younger than it is, or as if an unknown root were known.
+TEST(ARetryAfterACrash, carriesTheTimeThatItsRootHasLeft)
+{
+    section("each attempt carries less, and what is over is not reported as unknown", [&] {
+        dispatch(false, 150ms);
+        CHECK((rootTimes == Times{150ms, 50ms, 1ns}));
+    });
+    section("an unknown time stays unknown", [&] {
+        dispatch();
+        CHECK((rootTimes == Times{0ns, 0ns, 0ns}));
+    });
+}
