Test the root's time at the endpoint and through an idempotent request

The deadline of the root in the in-flight table, and the time that the entry and the home of a name send on, had no tests.

--- a/tests/idempotency/one_name_in_a_small_fleet.cpp
+++ b/tests/idempotency/one_name_in_a_small_fleet.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -57,6 +58,7 @@
         fields.body = "body";
         fields.claimName = nameOf(key);
         fields.remaining = 30s;
+        fields.rootRemaining = 1h;
         return wire::CallRequest(std::move(fields));
     }
 
@@ -84,6 +86,7 @@
     std::vector<std::unique_ptr<asio::cancellation_signal>> signals;
     std::shared_ptr<asio::steady_timer> gate; ///< If set, requests wait at the endpoint until it is cancelled.
     std::atomic<int> effects{0};
+    std::function<void(const wire::CallRequest &)> dispatching; ///< If set, is called with each request.
 
 private:
     static idempotency::IdempotencySettings settings(const core::HostId &host)
@@ -124,6 +127,9 @@
             boost::system::error_code ignored;
             co_await gate->async_wait(asio::redirect_error(asio::use_awaitable, ignored));
         }
+        if (dispatching) {
+            dispatching(call);
+        }
         wire::CallResponseFields answer;
         answer.status = 200;
         answer.body = call->claimName + " " + std::to_string(++effects);
@@ -162,6 +168,22 @@
     });
 }
 
+// Guards against a call that queues as if its root were as young as at the entry, or older by the margin of the answer.
+TEST(OneNameInASmallFleet, lowersTheTimeOfItsRootByWhatHasElapsed)
+{
+    Fleet fleet;
+    wire::CallRequest dispatched;
+    fleet.dispatching = [&](const wire::CallRequest &call) { dispatched = call; };
+    fleet.send(core::HostId("h0"), "east/t");
+    fleet.context.poll();
+    LONGS_EQUAL(1, fleet.effects);
+    const wire::CallRequest sent = Fleet::request("east/t");
+    const core::Duration elapsed = sent->rootRemaining - dispatched->rootRemaining;
+    CHECK(elapsed > 0s);
+    section("the time of the call itself is also shorter by the margin",
+            [&] { CHECK(sent->remaining - dispatched->remaining == elapsed + 20ms); });
+}
+
 // Guards against a planned stop that loses stored responses or interrupts a running request.
 TEST(OneNameInASmallFleet, movesToItsNextHomeAtAPlannedStop)
 {
--- a/tests/node/a_nested_call_inherits.cpp
+++ b/tests/node/a_nested_call_inherits.cpp
@@ -1,5 +1,8 @@
+#include "berylspring/core/clock.h"
 #include "berylspring/core/types.h"
 #include "berylspring/node/in_flight_table.h"
+#include "berylspring/node/local_endpoint.h"
+#include "berylspring/node/protocols.h"
 #include "node/entry_harness.h"
 #include "support/section.h"
 
@@ -7,8 +10,13 @@
 #include <numeric>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/use_future.hpp>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace berylspring;
@@ -67,8 +75,8 @@
 {
     test::EntryHarness entry(test::catalogueWithRoutes());
     entry.callTime = 1ms;
-    const std::string parent = entry.inFlight.add(
-        node::InFlight({.deadline = entry.now + 1min, .rootDeadline = entry.now + 1h}));
+    const std::string parent =
+        entry.inFlight.add(node::InFlight({.deadline = entry.now + 1min, .rootDeadline = entry.now + 1h}));
     const auto rootTimeOf = [&](const std::string &target, const std::optional<std::string> &token = std::nullopt) {
         const http::CallerRequest request(
             {.method = "GET", .target = target, .contextToken = token, .timeout = std::optional<core::Duration>(2s)});
@@ -96,3 +104,30 @@
         CHECK(rootTimeOf("/ledger") == 0s);
     });
 }
+
+// Guards against a chain whose endpoints each start the time of the root anew.
+TEST(ANestedCallInherits, theTimeOfItsRootFromTheCallOfItsParent)
+{
+    boost::asio::io_context context;
+    std::optional<node::InFlight> running;
+    node::Protocols protocols = node::nativeProtocols();
+    protocols.encodeEndpointCall = [&](const node::EndpointCall &call) {
+        running = table.find(call.contextToken);
+        return http::Request();
+    };
+    node::LocalEndpoint endpoint(context.get_executor(), 1024, protocols, table, core::systemRandom(), {});
+    // Nothing listens at the address; the request is in the table before the connection is made.
+    endpoint.heartbeat({.announcement = {.service = core::ServiceId("visits"), .address = "127.0.0.1:1", .slots = 1}},
+                       core::bootTime());
+    const auto rootTimeBeyondOwn = [&](bool isNested, core::Duration rootRemaining) {
+        const wire::CallRequest call({.isNested = isNested, .remaining = 2s, .rootRemaining = rootRemaining});
+        auto result = boost::asio::co_spawn(context, endpoint.call(call), boost::asio::use_future);
+        context.restart();
+        context.run();
+        CHECK(result.get().response->refusal.has_value());
+        return running.value()->rootDeadline - running.value()->deadline;
+    };
+    section("a nested request has the time that it brought", [&] { CHECK(rootTimeBeyondOwn(true, 9s) == 7s); });
+    section("its own time counts if it brought none", [&] { CHECK(rootTimeBeyondOwn(true, 0s) == 0s); });
+    section("a root request is its own root", [&] { CHECK(rootTimeBeyondOwn(false, 9s) == 0s); });
+}
