Explain a route outside of the shard lock and in linear time

Router::explain() searched the exclusions and the compared hosts for each endpoint while it held the lock of the shard, so that a question about a large service delayed its requests. It now copies the state of the service under the lock, and looks endpoints up in hash tables after its release.

--- a/include/berylspring/routing/explanation.h
+++ b/include/berylspring/routing/explanation.h
@@ -48,11 +48,11 @@
     [[nodiscard]] bool operator==(const RouteExplanation &) const = default;
 };
 
-/** @brief State of a service by which its requests are routed. Not owned. */
+/** @brief Copy of the state of a service by which its requests are routed. */
 struct RoutingState
 {
-    const ServiceWork &work;
-    const ColdShares *coldShares = nullptr; ///< Null if no endpoint was cold.
+    ServiceWork work;
+    ColdShares coldShares; ///< Empty if no endpoint was cold.
     bool isByCost = false;
 };
 
--- a/include/berylspring/routing/router.h
+++ b/include/berylspring/routing/router.h
@@ -124,9 +124,11 @@
         std::unordered_map<core::ServiceId, ColdShares> coldShares; ///< Of services with an endpoint that was cold.
     };
 
-    /** @return The endpoints with their traffic. Valid while the shard is locked. */
-    [[nodiscard]] static std::vector<Candidate>
-    candidatesOf(const Shard &shard, const core::ServiceId &service, std::span<const EndpointView> endpoints);
+    /** @return Traffic of the endpoints of the service. Valid while the shard is locked. */
+    [[nodiscard]] static const TrafficByHost &trafficOf(const Shard &shard, const core::ServiceId &service);
+    /** @return The endpoints with their traffic, which is not copied. */
+    [[nodiscard]] static std::vector<Candidate> candidatesOf(const TrafficByHost &traffic,
+                                                             std::span<const EndpointView> endpoints);
     [[nodiscard]] Shard &shardOf(const core::ServiceId &service) noexcept;
     [[nodiscard]] const Shard &shardOf(const core::ServiceId &service) const noexcept;
 
--- a/src/routing/explanation.cpp
+++ b/src/routing/explanation.cpp
@@ -4,15 +4,17 @@
 #include "berylspring/routing/expected_time.h"
 
 #include <algorithm>
+#include <unordered_map>
+#include <unordered_set>
 
 namespace berylspring::routing {
 
 namespace {
 
-/** @return The endpoints that are compared. Works on a copy of the shares, so that none is used or begun. */
+/** @return The endpoints that are compared. Takes a copy of the shares, so that none is used or begun. */
 std::vector<Candidate> withinColdShares(const std::vector<Candidate> &eligible,
                                         const RoutingRequest &request,
-                                        const ColdShares *known,
+                                        ColdShares shares,
                                         core::TimePoint now)
 {
     const bool hasCold = std::any_of(
@@ -20,18 +22,10 @@
     if (!hasCold) {
         return eligible;
     }
-    ColdShares shares = known != nullptr ? *known : ColdShares();
     // A share that has not begun is full only later, whatever moment is drawn. Any number serves for that.
     return shares.withinShare(eligible, request.liveNodes, 0, now);
 }
 
-bool holds(const std::vector<Candidate> &candidates, const core::HostId &host)
-{
-    return std::any_of(candidates.begin(), candidates.end(), [&](const Candidate &candidate) {
-        return (*candidate.view)->host == host;
-    });
-}
-
 std::optional<core::HostId> hostOf(const Candidate *candidate)
 {
     return candidate == nullptr ? std::nullopt : std::optional((*candidate->view)->host);
@@ -56,21 +50,27 @@
                                  .bestLocal = hostOf(ranking.bestLocal),
                                  .bestRemote = hostOf(ranking.bestRemote),
                                  .chosen = hostOf(ranking.chosen)};
+    std::unordered_map<core::HostId, ExclusionReason> exclusions;
+    for (const Exclusion &exclusion : result.exclusions) {
+        exclusions.emplace(exclusion.host, exclusion.reason);
+    }
+    std::unordered_set<core::HostId> comparedHosts;
+    for (const Candidate &candidate : compared) {
+        comparedHosts.insert((*candidate.view)->host);
+    }
     for (const Candidate &candidate : candidates) {
         const EndpointView &view = *candidate.view;
         if (view->service != request.service) {
             continue;
         }
-        const auto excluded = std::find_if(result.exclusions.begin(),
-                                           result.exclusions.end(),
-                                           [&](const Exclusion &exclusion) { return exclusion.host == view->host; });
-        const bool isEligible = excluded == result.exclusions.end();
+        const auto excluded = exclusions.find(view->host);
+        const bool isEligible = excluded == exclusions.end();
         const TimeEstimate estimate = estimateTime(candidate, explanation.cost, state.work, settings, now);
         explanation.endpoints.push_back(
             {.host = view->host,
              .dataCentre = view->dataCentre,
-             .exclusion = isEligible ? std::nullopt : std::optional(excluded->reason),
-             .isBeyondColdShare = isEligible && !holds(compared, view->host),
+             .exclusion = isEligible ? std::nullopt : std::optional(excluded->second),
+             .isBeyondColdShare = isEligible && !comparedHosts.contains(view->host),
              .slots = view->slots,
              .slowness = estimate.slowness,
              .outstanding = estimate.outstanding,
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -24,19 +24,20 @@
     return m_shards[std::hash<core::ServiceId>{}(service) % ShardCount];
 }
 
-std::vector<Candidate>
-Router::candidatesOf(const Shard &shard, const core::ServiceId &service, std::span<const EndpointView> endpoints)
+const Router::TrafficByHost &Router::trafficOf(const Shard &shard, const core::ServiceId &service)
+{
+    static const TrafficByHost none;
+    const auto known = shard.services.find(service);
+    return known == shard.services.end() ? none : known->second;
+}
+
+std::vector<Candidate> Router::candidatesOf(const TrafficByHost &traffic, std::span<const EndpointView> endpoints)
 {
     std::vector<Candidate> candidates;
     candidates.reserve(endpoints.size());
-    const auto known = shard.services.find(service);
     for (const EndpointView &view : endpoints) {
-        const EndpointTraffic *traffic = nullptr;
-        if (known != shard.services.end()) {
-            const auto found = known->second.find(view->host);
-            traffic = found == known->second.end() ? nullptr : &found->second;
-        }
-        candidates.push_back(Candidate{&view, traffic});
+        const auto found = traffic.find(view->host);
+        candidates.push_back(Candidate{&view, found == traffic.end() ? nullptr : &found->second});
     }
     return candidates;
 }
@@ -55,7 +56,7 @@
     {
         Shard &shard = shardOf(request.service);
         const std::scoped_lock lock(shard.mutex);
-        result = checkEligibility(request, candidatesOf(shard, request.service, endpoints), now);
+        result = checkEligibility(request, candidatesOf(trafficOf(shard, request.service), endpoints), now);
         if (hasCold) {
             ColdShares &shares = shard.coldShares[request.service];
             result.eligible = shares.withinShare(result.eligible, request.liveNodes, shareRandom, now);
@@ -87,16 +88,22 @@
 RouteExplanation
 Router::explain(const RoutingRequest &request, std::span<const EndpointView> endpoints, core::TimePoint now) const
 {
-    const Shard &shard = shardOf(request.service);
-    const std::scoped_lock lock(shard.mutex);
-    const auto known = shard.works.find(request.service);
-    const ServiceWork unknown;
-    const ServiceWork &work = known == shard.works.end() ? unknown : known->second.work;
-    const auto shares = shard.coldShares.find(request.service);
-    const RoutingState state{.work = work,
-                             .coldShares = shares == shard.coldShares.end() ? nullptr : &shares->second,
-                             .isByCost = work.isByCost(m_settings.policy, now)};
-    return explainRoute(request, candidatesOf(shard, request.service, endpoints), state, m_settings, now);
+    RoutingState state;
+    TrafficByHost traffic;
+    {
+        const Shard &shard = shardOf(request.service);
+        const std::scoped_lock lock(shard.mutex);
+        traffic = trafficOf(shard, request.service);
+        if (const auto known = shard.works.find(request.service); known != shard.works.end()) {
+            state.work = known->second.work;
+        }
+        if (const auto shares = shard.coldShares.find(request.service); shares != shard.coldShares.end()) {
+            state.coldShares = shares->second;
+        }
+    }
+    // Requests are not held up while the explanation is computed.
+    state.isByCost = state.work.isByCost(m_settings.policy, now);
+    return explainRoute(request, candidatesOf(traffic, endpoints), state, m_settings, now);
 }
 
 double Router::started(const core::ServiceId &service, const core::HostId &host, core::TimePoint, CostClass costClass)
