Explain the limit that is in force

The explanation showed the limit as configured, also for a node whose controls are off, without the tolerance of the burst, and for nested calls, which pass no limit. The hook of the limits and the explanation now use limitInForce().

Ran test-node -g AnOperatorAsksForARoute: 2 tests passed.

--- a/include/berylspring/http/explanation.h
+++ b/include/berylspring/http/explanation.h
@@ -40,11 +40,11 @@
     [[nodiscard]] bool operator==(const ExplainError &) const = default;
 };
 
-/** @brief Limit of the workspace as configured. */
+/** @brief Limit of the workspace that is in force. */
 struct LimitExplanation
 {
     double rate = 0; ///< Tokens per second.
-    double burst = 0; ///< Tokens.
+    double burst = 0; ///< Tokens, with the tolerance of the node.
     [[nodiscard]] bool operator==(const LimitExplanation &) const = default;
 };
 
@@ -66,7 +66,7 @@
     bool isKeyNeeded = false; ///< A root request without a key is refused.
     bool isNested = false;
     double shedShare = 0; ///< Mean over the services, weighted by their shares.
-    std::optional<LimitExplanation> limit; ///< No value: no workspace, or it is not limited.
+    std::optional<LimitExplanation> limit; ///< No value: the request is not limited.
     std::vector<ServiceExplanation> services; ///< In the order of the route.
     [[nodiscard]] bool operator==(const RequestExplanation &) const = default;
 };
--- a/include/berylspring/node/explain.h
+++ b/include/berylspring/node/explain.h
@@ -5,6 +5,7 @@
 #include "berylspring/core/time.h"
 #include "berylspring/http/explanation.h"
 #include "berylspring/node/call_plan.h"
+#include "berylspring/node/limit_in_force.h"
 #include "berylspring/routing/explanation.h"
 
 #include <functional>
@@ -21,6 +22,7 @@
 {
     std::function<std::shared_ptr<const config::Catalogue>()> catalogue; ///< Null without usable configuration.
     std::function<bool(const core::DataCentreId &)> isDeclared;
+    std::function<LimitSettings()> limitSettings;
     /** Share of such root requests that this node sheds, 0 to 1. */
     std::function<double(const CallPlan &, const std::string &method, core::TimePoint now)> shedShare;
     /** Routing of the plan, as if the node were in the data centre, if one is given. */
--- a/src/node/explain.cpp
+++ b/src/node/explain.cpp
@@ -9,11 +9,12 @@
 using http::ExplainError;
 using http::ExplainErrorCode;
 
-std::optional<http::LimitExplanation> limitOf(const config::Catalogue &catalogue, const core::WorkspaceId &workspace)
+/** @return The limit that the request has to pass. Nested calls pass none. */
+std::optional<http::LimitExplanation>
+limitOf(const config::Catalogue &catalogue, const CallPlanFields &plan, const LimitSettings &settings)
 {
-    const config::Limit *limit = workspace.isEmpty() ? nullptr : catalogue.findLimit(workspace);
-    return limit == nullptr ? std::nullopt
-                            : std::optional(http::LimitExplanation{.rate = (*limit)->rate, .burst = (*limit)->burst});
+    const auto limit = plan.isNested ? std::nullopt : limitInForce(catalogue, plan.workspace, settings);
+    return limit ? std::optional(http::LimitExplanation{.rate = limit->rate(), .burst = limit->burst()}) : std::nullopt;
 }
 
 CallPlanFields
@@ -52,7 +53,7 @@
                                          .timeout = plan.timeout,
                                          .isKeyNeeded = !(*route)->isOpen,
                                          .isNested = plan.isNested,
-                                         .limit = limitOf(*catalogue, question.workspace)};
+                                         .limit = limitOf(*catalogue, plan, hooks.limitSettings())};
     const auto &services = (*route)->services;
     const double sum = std::accumulate(services.begin(), services.end(), 0.0, [](double total, const auto &service) {
         return total + service.weight;
--- a/src/node/node_hooks.cpp
+++ b/src/node/node_hooks.cpp
@@ -3,6 +3,7 @@
 
 #include "berylspring/core/rendezvous.h"
 #include "berylspring/node/cold_rule.h"
+#include "berylspring/node/limit_in_force.h"
 #include "berylspring/telemetry/log.h"
 
 #include <algorithm>
@@ -161,21 +162,18 @@
     return hooks;
 }
 
+LimitSettings Node::Implementation::limitSettings() const
+{
+    return {.areControlsOn = m_settings->areControlsOn, .burstTolerance = m_settings->burstTolerance};
+}
+
 limit::LimitHooks Node::Implementation::limitHooks()
 {
     limit::LimitHooks hooks;
     hooks.call = m_peers.asPeerCall();
     hooks.liveHosts = [this](const core::DataCentreId &dataCentre) { return claimHosts(dataCentre); };
-    hooks.limitOf = [this](const core::WorkspaceId &workspace) -> std::optional<limit::WorkspaceLimit> {
-        if (!m_settings->areControlsOn) {
-            return std::nullopt;
-        }
-        const std::shared_ptr<const config::Catalogue> catalogue = m_config.catalogue();
-        const config::Limit *limit = catalogue->findLimit(workspace);
-        if (limit == nullptr) {
-            return std::nullopt;
-        }
-        return limit::WorkspaceLimit((*limit)->rate, (*limit)->burst + m_settings->burstTolerance);
+    hooks.limitOf = [this](const core::WorkspaceId &workspace) {
+        return limitInForce(*m_config.catalogue(), workspace, limitSettings());
     };
     hooks.limitedWorkspaces = [this] {
         std::vector<core::WorkspaceId> names;
@@ -345,6 +343,7 @@
     ExplainHooks hooks;
     hooks.catalogue = [this] { return isConfigurationUsable() ? m_config.catalogue() : nullptr; };
     hooks.isDeclared = [this](const core::DataCentreId &dataCentre) { return isDeclared(dataCentre); };
+    hooks.limitSettings = [this] { return limitSettings(); };
     hooks.shedShare = [this](const CallPlan &plan, const std::string &method, core::TimePoint time) {
         return m_entry.rootControl().shedShare(plan, method, time);
     };
--- a/src/node/node_implementation.h
+++ b/src/node/node_implementation.h
@@ -50,6 +50,7 @@
     membership::MembershipSettings membershipSettings() const;
     membership::MembershipHooks membershipHooks();
     config::ConfigHooks configHooks();
+    [[nodiscard]] LimitSettings limitSettings() const;
     limit::LimitHooks limitHooks();
     idempotency::IdempotencyHooks idempotencyHooks();
     admission::AdmissionHooks admissionHooks();
--- a/tests/node/an_operator_asks_for_a_route.cpp
+++ b/tests/node/an_operator_asks_for_a_route.cpp
@@ -68,6 +68,7 @@
 {
     int drawn = 0;
     std::shared_ptr<const config::Catalogue> catalogue;
+    node::LimitSettings limitSettings{.burstTolerance = 2};
     node::Dispatcher dispatcher{core::HostId("entry"), north, true, dispatcherHooks(drawn)};
     node::RootControl roots{{}, [this] { return static_cast<std::uint64_t>(++drawn); }};
     http::OperatorApi api{operatorHooks()};
@@ -77,6 +78,7 @@
         node::ExplainHooks hooks;
         hooks.catalogue = [this] { return catalogue; };
         hooks.isDeclared = [](const core::DataCentreId &name) { return name == north || name == south; };
+        hooks.limitSettings = [this] { return limitSettings; };
         hooks.shedShare = [this](const node::CallPlan &plan, const std::string &method, core::TimePoint now) {
             return roots.shedShare(plan, method, now);
         };
@@ -177,11 +179,14 @@
         CHECK_TRUE(next.at("best_local").is_null());
         STRCMP_EQUAL("new-south", next.at("chosen").as_string().c_str());
     });
-    section("of a workspace, with its limit and its priority", [&] {
+    section("of a workspace, with the limit in force and its priority", [&] {
         const boost::json::value answer = explained("path=/visits&workspace=w");
         LONGS_EQUAL(6, answer.at("priority").as_int64());
         DOUBLES_EQUAL(50, answer.at("limit").at("rate").to_number<double>(), 0);
-        DOUBLES_EQUAL(25, answer.at("limit").at("burst").to_number<double>(), 0);
+        DOUBLES_EQUAL(27, answer.at("limit").at("burst").to_number<double>(), 0);
+        CHECK_TRUE(explained("path=/visits&workspace=w&nested=true").at("limit").is_null());
+        limitSettings.areControlsOn = false;
+        CHECK_TRUE(explained("path=/visits&workspace=w").at("limit").is_null());
     });
     section("with another priority, as a nested call and in another data centre", [&] {
         const boost::json::value answer = explained("path=/visits&priority=1&nested=true&data_centre=south");
