Check the names in a question about a route

A workspace or data centre that is no valid name is 400 invalid; before, the workspace was reported as unknown, with its characters in the error. The error repeats an unknown parameter only if it is printable ASCII.

--- a/src/http/explain_json.cpp
+++ b/src/http/explain_json.cpp
@@ -22,6 +22,11 @@
     return tl::unexpected(ExplainError{ExplainErrorCode::Invalid, std::move(detail)});
 }
 
+bool isPrintable(std::string_view text)
+{
+    return std::all_of(text.begin(), text.end(), [](char character) { return character >= ' ' && character <= '~'; });
+}
+
 /** @return The decoded parameters. An unknown name is an error, so that a mistyped one does not change the question. */
 tl::expected<Parameters, ExplainError> parametersOf(std::string_view target)
 {
@@ -34,7 +39,9 @@
     Parameters parameters;
     for (const auto &parameter : parsed->params()) {
         if (!names.contains(parameter.key)) {
-            return invalid("there is no parameter " + parameter.key);
+            // Other characters could break a log line or a terminal that shows the error.
+            return invalid(isPrintable(parameter.key) ? "there is no parameter " + parameter.key
+                                                      : "a parameter is unknown");
         }
         if (!parameters.emplace(parameter.key, parameter.value).second) {
             return invalid(parameter.key + " is given twice");
@@ -127,6 +134,9 @@
     if (!question.path.starts_with('/')) {
         return invalid("path is missing or does not begin with /");
     }
+    if (!question.workspace.isEmpty() && !core::isValidName(question.workspace.value())) {
+        return invalid("workspace is not a valid name");
+    }
     if (const std::string method = valueOf("method"); !method.empty()) {
         if (!isMethod(method)) {
             return invalid("method is not a method in capitals");
@@ -140,6 +150,9 @@
         }
     }
     if (const std::string dataCentre = valueOf("data_centre"); !dataCentre.empty()) {
+        if (!core::isValidName(dataCentre)) {
+            return invalid("data_centre is not a valid name");
+        }
         question.dataCentre = core::DataCentreId(dataCentre);
     }
     const std::string nested = valueOf("nested");
--- a/tests/node/an_operator_asks_for_a_route.cpp
+++ b/tests/node/an_operator_asks_for_a_route.cpp
@@ -148,10 +148,14 @@
                                         "path=/visits&nested=yes",
                                         "path=/visits&method=G%20T",
                                         "path=/visits&data_centre=east",
+                                        "path=/visits&data_centre=No%0Arth",
+                                        "path=/visits&workspace=W%0A",
                                         "path=/visits&path=/other",
                                         "path=/visits&datacentre=north"}) {
             checkProblem(query, 400, "invalid");
         }
+        STRCMP_CONTAINS("no parameter datacentre", ask("path=/visits&datacentre=north")->body.c_str());
+        STRCMP_CONTAINS("a parameter is unknown", ask("path=/visits&x%1B%5B2J=1")->body.c_str());
     });
     section("without the token", [&] { LONGS_EQUAL(401, ask("path=/visits", "other")->status); });
 }
