Keep a plus sign in the path that is asked about

berylspringctl explain sent '+' unencoded, which the node decodes as a space, so that it explained another path. The values are now encoded except for unreserved characters. The test passes the tool's target through the node's parser; without the change it failed with '/a b c%2F#d?e=f&g' for '/a+b c%2F#d?e=f&g'.

Ran test-ctl: 4 tests passed.

--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -303,7 +303,9 @@
     boost::urls::url target("/v1/explain");
     for (const auto &[name, value] : parameters) {
         if (!value.empty()) {
-            target.params().append({name, value});
+            // params() would leave '+' as it is, which the node decodes as a space.
+            const std::string encoded = boost::urls::encode(value, boost::urls::unreserved_chars);
+            target.encoded_params().append({name, encoded});
         }
     }
     return target.buffer();
--- a/tests/ctl/an_operator_types_a_command.cpp
+++ b/tests/ctl/an_operator_types_a_command.cpp
@@ -1,6 +1,7 @@
 #include "berylspring/ctl/commands.h"
 #include "berylspring/ctl/options.h"
 #include "berylspring/ctl/table.h"
+#include "berylspring/http/explain_json.h"
 #include "berylspring/http/messages.h"
 #include "support/section.h"
 
@@ -68,6 +69,13 @@
     STRCMP_EQUAL("w", http::queryParameter(target, "workspace").c_str());
     STRCMP_EQUAL("north", http::queryParameter(target, "data_centre").c_str());
     STRCMP_EQUAL("true", http::queryParameter(target, "nested").c_str());
+    section("the node reads each character of the path as it was typed", [] {
+        const std::string path = "/a+b c%2F#d?e=f&g";
+        const auto typed = ctl::parseOptions({"explain", "--path", path});
+        const auto question = http::parseExplainQuestion(ctl::explainTarget(typed.value()));
+        CHECK_TRUE(question.has_value());
+        STRCMP_EQUAL(path.c_str(), question->path.c_str());
+    });
     section("the endpoints of each service are a table of their own", [] {
         const std::string table = ctl::explanationTable(
             R"({"route":"r","limit":{"rate":1.23456E5},"services":[{"service":"s","endpoints":[{"eligible":true,"host":"a","score":4.9768530669E-1}]},)"
