Build the call of an explanation in one place

The node's hook and the test each converted the plan to the call that is routed, so that the test did not cover the node's conversion. explainRequest() now does it. Dispatcher::explain() copies a view only if the learned level is higher. New tests: a learned level above the priority, the weighted share over two services, 0 for a nested call, 405 for another method than GET.

--- a/include/berylspring/node/explain.h
+++ b/include/berylspring/node/explain.h
@@ -7,6 +7,7 @@
 #include "berylspring/node/call_plan.h"
 #include "berylspring/node/limit_in_force.h"
 #include "berylspring/routing/explanation.h"
+#include "berylspring/wire/messages.h"
 
 #include <functional>
 #include <memory>
@@ -25,11 +26,9 @@
     std::function<LimitSettings()> limitSettings;
     /** Share of such root requests that this node sheds, 0 to 1. */
     std::function<double(const CallPlan &, const std::string &method, core::TimePoint now)> shedShare;
-    /** Routing of the plan, as if the node were in the data centre, if one is given. */
-    std::function<routing::RouteExplanation(const CallPlan &,
-                                            const std::string &method,
-                                            const std::optional<core::DataCentreId> &dataCentre,
-                                            core::TimePoint now)>
+    /** Routing of the call, as if the node were in the data centre, if one is given. See Dispatcher::explain(). */
+    std::function<routing::RouteExplanation(
+        const wire::CallRequest &, const std::optional<core::DataCentreId> &dataCentre, core::TimePoint now)>
         route;
 };
 
--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -209,8 +209,9 @@
     if (m_areControlsOn && !call->isNested) {
         for (routing::EndpointView &endpoint : endpoints) {
             const core::PriorityLevel level = m_shedding.level({endpoint->host, call->service}, now);
-            endpoint =
-                endpoint.with(&routing::EndpointViewFields::admittedLevel, std::max(endpoint->admittedLevel, level));
+            if (level > endpoint->admittedLevel) {
+                endpoint = endpoint.with(&routing::EndpointViewFields::admittedLevel, level);
+            }
         }
     }
     return m_router.explain(request, endpoints, now);
--- a/src/node/explain.cpp
+++ b/src/node/explain.cpp
@@ -26,6 +26,16 @@
     return plan;
 }
 
+/** @return The properties of the planned request by which it is routed. */
+wire::CallRequest routingCallOf(const CallPlan &plan, const std::string &method)
+{
+    return wire::CallRequest({.service = plan->service,
+                              .route = plan->route,
+                              .method = method,
+                              .priority = plan->priority,
+                              .isNested = plan->isNested});
+}
+
 }
 
 tl::expected<http::RequestExplanation, ExplainError>
@@ -64,9 +74,10 @@
         const double share = service.weight / sum;
         const double shedShare = plan.isNested ? 0 : hooks.shedShare(planned, question.method, now);
         explanation.shedShare += share * shedShare;
-        explanation.services.push_back({.share = share,
-                                        .shedShare = shedShare,
-                                        .routing = hooks.route(planned, question.method, question.dataCentre, now)});
+        explanation.services.push_back(
+            {.share = share,
+             .shedShare = shedShare,
+             .routing = hooks.route(routingCallOf(planned, question.method), question.dataCentre, now)});
     }
     return explanation;
 }
--- a/src/node/node_hooks.cpp
+++ b/src/node/node_hooks.cpp
@@ -347,15 +347,9 @@
     hooks.shedShare = [this](const CallPlan &plan, const std::string &method, core::TimePoint time) {
         return m_entry.rootControl().shedShare(plan, method, time);
     };
-    hooks.route = [this](const CallPlan &plan,
-                         const std::string &method,
+    hooks.route = [this](const wire::CallRequest &call,
                          const std::optional<core::DataCentreId> &dataCentre,
                          core::TimePoint time) {
-        const wire::CallRequest call({.service = plan->service,
-                                      .route = plan->route,
-                                      .method = method,
-                                      .priority = plan->priority,
-                                      .isNested = plan->isNested});
         return m_dispatcher.explain(call, dataCentre.value_or(m_settings->dataCentre), time);
     };
     return hooks;
--- a/tests/node/an_operator_asks_for_a_route.cpp
+++ b/tests/node/an_operator_asks_for_a_route.cpp
@@ -5,11 +5,13 @@
 #include "berylspring/node/root_control.h"
 #include "support/section.h"
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/json.hpp>
 
@@ -58,6 +60,12 @@
         }
         return std::make_shared<const node::EndpointViews>(views);
     };
+    hooks.call = [](const core::HostId &,
+                    const wire::Message &,
+                    core::Duration) -> asio::awaitable<wire::Result<wire::Message>> {
+        co_return wire::Message(wire::CallResponse({.status = 200, .admittedLevel = 5}));
+    };
+    hooks.now = [] { return startTime; };
     hooks.random = [&drawn] { return static_cast<std::uint64_t>(++drawn); };
     return hooks;
 }
@@ -69,6 +77,7 @@
     int drawn = 0;
     std::shared_ptr<const config::Catalogue> catalogue;
     node::LimitSettings limitSettings{.burstTolerance = 2};
+    std::map<std::string, double> shedShares; ///< By service, in place of those of the root control.
     node::Dispatcher dispatcher{core::HostId("entry"), north, true, dispatcherHooks(drawn)};
     node::RootControl roots{{}, [this] { return static_cast<std::uint64_t>(++drawn); }};
     http::OperatorApi api{operatorHooks()};
@@ -80,14 +89,10 @@
         hooks.isDeclared = [](const core::DataCentreId &name) { return name == north || name == south; };
         hooks.limitSettings = [this] { return limitSettings; };
         hooks.shedShare = [this](const node::CallPlan &plan, const std::string &method, core::TimePoint now) {
-            return roots.shedShare(plan, method, now);
+            const auto share = shedShares.find(plan->service.value());
+            return share == shedShares.end() ? roots.shedShare(plan, method, now) : share->second;
         };
-        hooks.route = [this](const node::CallPlan &plan, const std::string &method, const auto &dataCentre, auto now) {
-            const wire::CallRequest call({.service = plan->service,
-                                          .route = plan->route,
-                                          .method = method,
-                                          .priority = plan->priority,
-                                          .isNested = plan->isNested});
+        hooks.route = [this](const wire::CallRequest &call, const auto &dataCentre, core::TimePoint now) {
             return dispatcher.explain(call, dataCentre.value_or(north), now);
         };
         return hooks;
@@ -103,12 +108,12 @@
         return hooks;
     }
 
-    http::Response ask(const std::string &query, const std::string &token = "token")
+    http::Response ask(const std::string &query, const std::string &token = "token", const std::string &method = "GET")
     {
         asio::io_context context;
         std::optional<http::Reply> reply;
         asio::co_spawn(context,
-                       api.handle(http::Request({.method = "GET",
+                       api.handle(http::Request({.method = method,
                                                  .target = "/v1/explain?" + query,
                                                  .headers = {{"Authorization", "Bearer " + token}}})),
                        [&](const std::exception_ptr &, http::Reply value) { reply = std::move(value); });
@@ -157,6 +162,7 @@
         STRCMP_CONTAINS("no parameter datacentre", ask("path=/visits&datacentre=north")->body.c_str());
         STRCMP_CONTAINS("a parameter is unknown", ask("path=/visits&x%1B%5B2J=1")->body.c_str());
     });
+    section("with another method than GET", [&] { LONGS_EQUAL(405, ask("path=/visits", "token", "POST")->status); });
     section("without the token", [&] { LONGS_EQUAL(401, ask("path=/visits", "other")->status); });
 }
 
@@ -198,5 +204,29 @@
         CHECK_TRUE(answer.at("nested").as_bool());
         STRCMP_EQUAL("old-south", answer.at("services").at(0).at("chosen").as_string().c_str());
     });
+    section("with the share that is shed over all services, and none of a nested call", [&] {
+        shedShares = {{"old", 0.4}, {"new", 0.8}};
+        const boost::json::value answer = explained("path=/visits");
+        DOUBLES_EQUAL(0.8, answer.at("services").at(1).at("shed_share").to_number<double>(), 1e-9);
+        DOUBLES_EQUAL(0.75 * 0.4 + 0.25 * 0.8, answer.at("shed_share").to_number<double>(), 1e-9);
+        DOUBLES_EQUAL(0, explained("path=/visits&nested=true").at("shed_share").to_number<double>(), 0);
+    });
     LONGS_EQUAL(0, drawn);
 }
+
+// Guards against an answer that leaves out what the dispatcher alone has learned from responses.
+TEST(AnOperatorAsksForARoute, andSeesTheLevelThatAnEndpointHasReported)
+{
+    catalogue = std::make_shared<const config::Catalogue>(configuration());
+    asio::io_context context;
+    const wire::CallRequest call({.service = core::ServiceId("old"), .priority = 3, .remaining = 1s});
+    asio::co_spawn(context, dispatcher.dispatch(call), asio::detached);
+    context.run();
+    const auto formerOf = [&](const std::string &query) { return explained(query).at("services").at(0); };
+    const boost::json::value former = formerOf("path=/visits");
+    STRCMP_EQUAL("level-not-admitted", former.at("endpoints").at(0).at("reason").as_string().c_str());
+    STRCMP_EQUAL("old-south", former.at("chosen").as_string().c_str());
+    for (const std::string query : {"path=/visits&priority=5", "path=/visits&nested=true"}) {
+        STRCMP_EQUAL("old-north", formerOf(query).at("chosen").as_string().c_str());
+    }
+}
