--- a/src/node/explain.cpp
+++ b/src/node/explain.cpp
@@ -9,11 +9,12 @@
 using http::ExplainError;
 using http::ExplainErrorCode;
 
-std::optional<http::LimitExplanation> limitOf(const config::Catalogue &catalogue, const core::WorkspaceId &workspace)
+/** @return The limit that the request has to pass. Nested calls pass none. */
+std::optional<http::LimitExplanation>
+limitOf(const config::Catalogue &catalogue, const CallPlanFields &plan, const LimitSettings &settings)
 {
-    const config::Limit *limit = workspace.isEmpty() ? nullptr : catalogue.findLimit(workspace);
-    return limit == nullptr ? std::nullopt
-                            : std::optional(http::LimitExplanation{.rate = (*limit)->rate, .burst = (*limit)->burst});
+    const auto limit = plan.isNested ? std::nullopt : limitInForce(catalogue, plan.workspace, settings);
+    return limit ? std::optional(http::LimitExplanation{.rate = limit->rate(), .burst = limit->burst()}) : std::nullopt;
 }
 
 CallPlanFields
@@ -25,6 +26,16 @@
     return plan;
 }
 
+/** @return The properties of the planned request by which it is routed. */
+wire::CallRequest routingCallOf(const CallPlan &plan, const std::string &method)
+{
+    return wire::CallRequest({.service = plan->service,
+                              .route = plan->route,
+                              .method = method,
+                              .priority = plan->priority,
+                              .isNested = plan->isNested});
+}
+
 }
 
 tl::expected<http::RequestExplanation, ExplainError>
@@ -52,7 +63,7 @@
                                          .timeout = plan.timeout,
                                          .isKeyNeeded = !(*route)->isOpen,
                                          .isNested = plan.isNested,
-                                         .limit = limitOf(*catalogue, question.workspace)};
+                                         .limit = limitOf(*catalogue, plan, hooks.limitSettings())};
     const auto &services = (*route)->services;
     const double sum = std::accumulate(services.begin(), services.end(), 0.0, [](double total, const auto &service) {
         return total + service.weight;
@@ -63,9 +74,10 @@
         const double share = service.weight / sum;
         const double shedShare = plan.isNested ? 0 : hooks.shedShare(planned, question.method, now);
         explanation.shedShare += share * shedShare;
-        explanation.services.push_back({.share = share,
-                                        .shedShare = shedShare,
-                                        .routing = hooks.route(planned, question.method, question.dataCentre, now)});
+        explanation.services.push_back(
+            {.share = share,
+             .shedShare = shedShare,
+             .routing = hooks.route(routingCallOf(planned, question.method), question.dataCentre, now)});
     }
     return explanation;
 }
