--- a/include/berylspring/http/body_budget.h
+++ b/include/berylspring/http/body_budget.h
@@ -9,8 +9,8 @@
  * @brief Limits the memory of response bodies that are being read at the same time; shared by the clients of one owner.
  *
  * What counts is the memory that is allocated for a body, which may be more than it holds so far. Each body may take as
- * many bytes as are left (a dynamic threshold): one body alone may take half of the limit, and of
- * n endless bodies each fails at 1/(n + 1) of it, which always leaves room for shorter ones.
+ * many bytes as are left (a dynamic threshold): one body alone may take half of the limit, and of n endless bodies each
+ * fails at 1/(n + 1) of it, which always leaves room for shorter ones.
  */
 class BodyBudget
 {
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -3,6 +3,7 @@
 #include "berylspring/async/await_on.h"
 #include "http/address.h"
 #include "http/beast_convert.h"
+#include "http/body_share.h"
 #include "http/read_buffer.h"
 
 #include <charconv>
@@ -42,8 +43,6 @@
 constexpr int MaxInformationalResponses = 32;
 /** Time in which a process that has closed one connection closes its listening socket, if it ends. */
 constexpr std::chrono::milliseconds ListenerCloseTime(20);
-/** First size of the memory of a body whose length is not announced; takes what one read can deliver. */
-constexpr std::uint64_t FirstBodyBytes = detail::ReadBufferBytes;
 /** Connections of one probe that a running server may close at once. */
 constexpr int MaxProbeConnections = 3;
 
@@ -123,74 +122,6 @@
 
 }
 
-namespace {
-
-/** @brief Share of the memory of one body in a budget; returned on destruction. */
-class BodyShare
-{
-public:
-    BodyShare(std::shared_ptr<BodyBudget> budget, std::uint64_t limitBytes)
-        : m_budget(std::move(budget))
-        , m_limitBytes(limitBytes)
-    {
-    }
-    ~BodyShare()
-    {
-        if (m_budget) {
-            m_budget->release(m_heldBytes);
-        }
-    }
-    BodyShare(const BodyShare &) = delete;
-    BodyShare &operator=(const BodyShare &) = delete;
-
-    /** @return Whether the memory that the body has fits into the budget. */
-    [[nodiscard]] bool cover(const std::string &body)
-    {
-        // A short string is stored within the object.
-        return body.capacity() <= std::string().capacity() || growTo(body.capacity());
-    }
-
-    /**
-     * Makes room for what one read can deliver, so that the parser never enlarges the string: a string doubles its
-     * memory without regard to the limit, and before it can be reserved.
-     * @return Whether the memory fits into the budget; if not, the body is unchanged.
-     */
-    [[nodiscard]] bool makeRoom(std::string &body)
-    {
-        const std::uint64_t wanted = std::max(body.size() + FirstBodyBytes, std::uint64_t{2} * body.size());
-        const std::uint64_t capacity = std::min(wanted, std::max<std::uint64_t>(m_limitBytes, body.size()));
-        if (body.capacity() - body.size() >= FirstBodyBytes || body.capacity() >= capacity) {
-            return true;
-        }
-        if (!growTo(capacity)) {
-            return false;
-        }
-        std::string enlarged;
-        enlarged.reserve(capacity);
-        enlarged.append(body);
-        body = std::move(enlarged);
-        return true;
-    }
-
-private:
-    [[nodiscard]] bool growTo(std::uint64_t bytes)
-    {
-        if (m_budget && bytes > m_heldBytes) {
-            if (!m_budget->reserve(m_heldBytes, bytes - m_heldBytes)) {
-                return false;
-            }
-            m_heldBytes = bytes;
-        }
-        return true;
-    }
-
-    std::shared_ptr<BodyBudget> m_budget;
-    std::uint64_t m_limitBytes;
-    std::uint64_t m_heldBytes = 0;
-};
-
-}
-
 class Client::Implementation : public std::enable_shared_from_this<Client::Implementation>
 {
 public:
@@ -358,7 +289,7 @@
         parser.body_limit(m_options.bodyLimitBytes);
         parser.skip(isHeadRequest);
         parser.eager(true);
-        BodyShare share(m_options.bodyBudget, m_options.bodyLimitBytes);
+        detail::BodyShare share(m_options.bodyBudget, m_options.bodyLimitBytes);
         while (!parser.is_done()) {
             co_await beast::http::async_read_some(
                 connection.stream, connection.buffer, parser, asio::redirect_error(asio::use_awaitable, error));
