Leave fair shares of workspaces off unless a deployment asks for them

Cause: not traced. An entry of this fleet sees one or two requests of each workspace within the memory of the shares. The part stays, with its tests, as [admission] workspace_shares = auto or on.

--- a/include/berylspring/node/root_control.h
+++ b/include/berylspring/node/root_control.h
@@ -24,7 +24,7 @@
 {
     bool areControlsOn = true; ///< False: no request is shed.
     ReturnTimes returnTimes = ReturnTimes::Auto;
-    WorkspaceSharesMode workspaceShares = WorkspaceSharesMode::Auto;
+    WorkspaceSharesMode workspaceShares = WorkspaceSharesMode::Off;
     [[nodiscard]] bool operator==(const RootControlSettings &) const = default;
 };
 
--- a/include/berylspring/node/settings.h
+++ b/include/berylspring/node/settings.h
@@ -71,7 +71,7 @@
     telemetry::Severity logLevel = telemetry::Severity::Info;
     bool isFirstStart = false; ///< Initial start of the whole fleet.
     ReturnTimes returnTimes = ReturnTimes::Auto;
-    WorkspaceSharesMode workspaceShares = WorkspaceSharesMode::Auto;
+    WorkspaceSharesMode workspaceShares = WorkspaceSharesMode::Off;
     bool areControlsOn = true; ///< False: no limits, queues, shedding or retry budgets, for comparison runs.
     [[nodiscard]] bool operator==(const SettingsFields &) const = default;
 };
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -169,9 +169,9 @@
 
 /** @brief Reads the mode of a part that may follow the reported pace. */
 template<typename Mode>
-Mode readMode(SettingsReader &reader, const std::string &name)
+Mode readMode(SettingsReader &reader, const std::string &name, const std::string &fallback)
 {
-    const std::string value = reader.text(name, "auto");
+    const std::string value = reader.text(name, fallback);
     if (value != "auto" && value != "on" && value != "off") {
         reject(name, value, "auto, on or off");
     }
@@ -254,8 +254,8 @@
         readFleet(reader, fields);
         readPlatform(reader, fields);
         readLimits(reader, fields);
-        fields.returnTimes = readMode<ReturnTimes>(reader, "admission.return_times");
-        fields.workspaceShares = readMode<WorkspaceSharesMode>(reader, "admission.workspace_shares");
+        fields.returnTimes = readMode<ReturnTimes>(reader, "admission.return_times", "auto");
+        fields.workspaceShares = readMode<WorkspaceSharesMode>(reader, "admission.workspace_shares", "off");
         readRouting(reader, fields);
         readTelemetry(reader, fields);
         reader.rejectUnknown();
--- a/tests/node/settings_that_are_checked.cpp
+++ b/tests/node/settings_that_are_checked.cpp
@@ -35,6 +35,8 @@
     LONGS_EQUAL(2, (*settings)->threads);
     LONGS_EQUAL(2, (*settings)->dataCentres.size());
     CHECK((*settings)->areControlsOn);
+    // On where an entry sees few requests of each workspace, they shed more than needed.
+    CHECK((*settings)->workspaceShares == node::WorkspaceSharesMode::Off);
 }
 
 TEST(SettingsThatAreChecked, nameTheWrongSettingInsteadOfStartingWithIt)
