--- a/tests/http/a_server_that_never_stops.cpp
+++ b/tests/http/a_server_that_never_stops.cpp
@@ -404,7 +404,7 @@
 // Guards against memory that is allocated for bodies beyond the budget, because only the bytes that have arrived count.
 TEST(AServerThatNeverStops, reservesTheMemoryOfABodyThatArrivesSlowly)
 {
-    constexpr std::uint64_t ArrivedBytes = 1024 * 1024;
+    constexpr std::uint64_t ArrivedBytes = 1024ULL * 1024;
     constexpr std::uint64_t AnnouncedBytes = 8 * ArrivedBytes;
     const std::string arrived(ArrivedBytes, 'x');
     const auto checkReserved = [&](const std::string &head, std::uint64_t least, std::uint64_t most) {
