--- a/src/node/root_control.cpp
+++ b/src/node/root_control.cpp
@@ -33,9 +33,9 @@
 
 /** @return Whether a part is on that may be set to follow the reported pace. */
 template<typename Mode>
-bool isOn(Mode mode, core::TimePoint now, core::TimePoint paceHoldsUntil) noexcept
+bool isOn(Mode mode, bool isPaceReported) noexcept
 {
-    return mode == Mode::On || (mode == Mode::Auto && now < paceHoldsUntil);
+    return mode == Mode::On || (mode == Mode::Auto && isPaceReported);
 }
 
 bool isServerError(std::uint16_t status) noexcept
@@ -57,12 +57,12 @@
 
 bool RootControl::hasReturnTimes(core::TimePoint now) const
 {
-    return m_settings.areControlsOn && isOn(m_settings.returnTimes, now, m_paceHoldsUntil);
+    return m_settings.areControlsOn && isOn(m_settings.returnTimes, isPaceReported(now));
 }
 
 bool RootControl::hasWorkspaceShares(core::TimePoint now) const
 {
-    return m_settings.areControlsOn && isOn(m_settings.workspaceShares, now, m_paceHoldsUntil);
+    return m_settings.areControlsOn && isOn(m_settings.workspaceShares, isPaceReported(now));
 }
 
 admission::WorkspaceLoad RootControl::loadOf(const CallPlan &plan, std::string_view method) const
