Add metrics of processor time, event loop delay and nested calls

What could not be told apart: whether a node that serves too little is bound by its processor, by the learned limit of a service on the way, or by calls whose root requests fail anyway.

Added: processor time of the process, mean and longest lateness of a timer since the last status line, requests started and answered at the endpoint beside, and finished nested calls by service and result. Decisions are unchanged. Tests: test-telemetry and test-node pass.

--- a/include/berylspring/core/clock.h
+++ b/include/berylspring/core/clock.h
@@ -11,4 +11,7 @@
  */
 [[nodiscard]] TimePoint bootTime() noexcept;
 
+/** @return Processor time that all threads of this process have used. */
+[[nodiscard]] Duration processorTime() noexcept;
+
 }
--- a/include/berylspring/node/dispatcher.h
+++ b/include/berylspring/node/dispatcher.h
@@ -14,6 +14,7 @@
 #include <atomic>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string_view>
 #include <vector>
@@ -41,6 +42,15 @@
     telemetry::SpanSink spans; ///< Receives one span for each attempt of a sampled trace.
 };
 
+/** @brief Nested calls of the endpoint of this host to one service, by their results. */
+struct NestedCallCounts
+{
+    std::uint64_t answered = 0;
+    std::uint64_t notRun = 0; ///< Refused before they ran.
+    std::uint64_t unknown = 0; ///< Failed, and may have run.
+    [[nodiscard]] bool operator==(const NestedCallCounts &) const = default;
+};
+
 /** @brief Sends requests to the nodes of endpoints and retries failures that are safe to retry. Thread-safe. */
 class Dispatcher
 {
@@ -70,6 +80,8 @@
 
     /** @return Highest pressure among the services that the endpoint of this host calls. */
     [[nodiscard]] double nestedPressure(core::TimePoint now) const;
+    /** @return Finished nested calls by service, in order of the service; without those that were given up. */
+    [[nodiscard]] std::map<core::ServiceId, NestedCallCounts> nestedCalls() const;
     /** @return Number of requests for which no endpoint was left because of an evacuation. */
     [[nodiscard]] std::uint64_t evacuatedRefusals() const noexcept
     {
@@ -107,6 +119,7 @@
                               std::optional<double> reported,
                               bool hasTimedOut,
                               core::TimePoint now);
+    void countNestedCall(const wire::CallRequest &call, core::Outcome outcome);
     [[nodiscard]] boost::asio::awaitable<void> backOffBeforeRetry(const Attempts &attempts);
 
     core::HostId m_self;
@@ -119,6 +132,7 @@
     admission::EntryShedding m_shedding;
     std::atomic<std::uint64_t> m_evacuatedRefusals{0};
     core::ShardedMap<core::ServiceId, admission::Pressure> m_nestedPressure; ///< By target of nested calls.
+    core::ShardedMap<core::ServiceId, NestedCallCounts> m_nestedCalls;
 };
 
 }
--- a/src/core/clock.cpp
+++ b/src/core/clock.cpp
@@ -11,4 +11,11 @@
     return TimePoint(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
 }
 
+Duration processorTime() noexcept
+{
+    timespec time{};
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &time);
+    return std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
+}
+
 }
--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -154,6 +154,7 @@
             attempts.isSuspect = attempts.isSuspect || response->hasEndpointCrashed;
             if (!response->refusal) {
                 m_budgets.onSuccess(call->service);
+                countNestedCall(call, Outcome::Answered);
                 co_return response.with(&wire::CallResponseFields::retriesSpent, attempts.retries);
             }
             refusal = *response->refusal;
@@ -170,6 +171,7 @@
             }
         }
         const Outcome outcome = attempts.mayHaveRun ? Outcome::Unknown : refusal.outcome();
+        countNestedCall(call, outcome);
         wire::CallResponseFields fields;
         fields.refusal = refusal.withOutcome(outcome);
         fields.retriesSpent = attempts.retries;
@@ -304,6 +306,28 @@
     });
 }
 
+void Dispatcher::countNestedCall(const wire::CallRequest &call, Outcome outcome)
+{
+    if (!call->isNested) {
+        return;
+    }
+    m_nestedCalls.update(call->service, [&](std::optional<NestedCallCounts> &known) {
+        NestedCallCounts counts = known.value_or(NestedCallCounts());
+        counts.answered += outcome == Outcome::Answered ? 1 : 0;
+        counts.notRun += outcome == Outcome::NotRun ? 1 : 0;
+        counts.unknown += outcome == Outcome::Unknown ? 1 : 0;
+        known = counts;
+    });
+}
+
+std::map<core::ServiceId, NestedCallCounts> Dispatcher::nestedCalls() const
+{
+    std::map<core::ServiceId, NestedCallCounts> calls;
+    m_nestedCalls.forEach(
+        [&](const core::ServiceId &service, const NestedCallCounts &counts) { calls.emplace(service, counts); });
+    return calls;
+}
+
 void Dispatcher::forgetDeparted(const membership::MemberSnapshot &members)
 {
     for (const routing::KnownEndpoint &endpoint : detail::departedEndpoints(m_router.knownEndpoints(), members)) {
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -3,6 +3,7 @@
 #include "berylspring/telemetry/log.h"
 #include "node/announcer.h"
 #include "node/background.h"
+#include "node/milliseconds.h"
 #include "node/node_implementation.h"
 #include "node/span_export.h"
 
@@ -78,6 +79,8 @@
             {"berylspring_admission_queued", static_cast<double>(state->queued), {}},
             {"berylspring_admission_limit", static_cast<double>(state->limit), {}},
             {"berylspring_admission_level", static_cast<double>(state->admittedLevel), {}},
+            {"berylspring_admission_started", static_cast<double>(state->counters.started), {}},
+            {"berylspring_admission_answered", static_cast<double>(state->counters.answered), {}},
             {"berylspring_admission_overloaded", static_cast<double>(state->counters.overloaded), {}},
             {"berylspring_admission_displaced", static_cast<double>(state->counters.displaced), {}},
             {"berylspring_admission_too_late", static_cast<double>(state->counters.tooLate), {}},
@@ -87,6 +90,20 @@
             {"berylspring_cold_refused", static_cast<double>(state->counters.coldRefused), {}}};
 }
 
+void addNestedCallSamples(std::vector<telemetry::Sample> &samples,
+                          const std::map<core::ServiceId, NestedCallCounts> &calls)
+{
+    for (const auto &[service, counts] : calls) {
+        const auto add = [&samples, &name = service.value()](const char *result, std::uint64_t count) {
+            samples.push_back(
+                {"berylspring_nested_calls", static_cast<double>(count), {{"result", result}, {"service", name}}});
+        };
+        add("answered", counts.answered);
+        add("not-run", counts.notRun);
+        add("unknown", counts.unknown);
+    }
+}
+
 void addWorkSamples(std::vector<telemetry::Sample> &samples, const std::vector<routing::EndpointWorkState> &states)
 {
     std::map<std::string, double> costs;
@@ -290,6 +307,12 @@
     co_await (m_callerServer.waitUntilDrained() || timer.async_wait(asio::use_awaitable));
 }
 
+telemetry::LoopDelay Node::Implementation::loopDelay() const
+{
+    const std::scoped_lock lock(m_loopMutex);
+    return m_loopDelay;
+}
+
 std::optional<StopSchedule> Node::Implementation::stopSchedule() const
 {
     if (!m_isStopping) {
@@ -358,6 +381,11 @@
         m_admissionHistory->totals.evacuated.load() + m_dispatcher.evacuatedRefusals());
     add("berylspring_requests_in_flight", m_inFlight.size());
     add("berylspring_spans_dropped", m_spans->dropped());
+    addNestedCallSamples(samples, m_dispatcher.nestedCalls());
+    add("berylspring_processor_seconds", std::chrono::duration<double>(core::processorTime()).count());
+    const telemetry::LoopDelay loopDelay = this->loopDelay();
+    add("berylspring_loop_delay_ms", detail::milliseconds(loopDelay.mean()));
+    add("berylspring_loop_delay_max_ms", detail::milliseconds(loopDelay.longest()));
     addWorkSamples(samples, m_dispatcher.workStates(now()));
     for (std::size_t i = 0; i < wire::TrafficClassCount; ++i) {
         const auto trafficClass = static_cast<wire::TrafficClass>(i);
--- a/src/node/node_handlers.cpp
+++ b/src/node/node_handlers.cpp
@@ -304,6 +304,8 @@
         if (now() - lastStatus >= StatusInterval) {
             lastStatus = now();
             logStatus();
+            const std::scoped_lock lock(m_loopMutex);
+            m_loopDelay = {};
         }
         if (now() - lastDepartureCheck >= DepartureCheckInterval) {
             lastDepartureCheck = now();
@@ -311,6 +313,8 @@
         }
         timer.expires_after(PublishInterval);
         co_await timer.async_wait(asio::use_awaitable);
+        const std::scoped_lock lock(m_loopMutex);
+        m_loopDelay = m_loopDelay.withTimer(timer.expiry(), std::chrono::steady_clock::now());
     }
 }
 
--- a/src/node/node_implementation.h
+++ b/src/node/node_implementation.h
@@ -18,6 +18,7 @@
 #include "berylspring/node/node.h"
 #include "berylspring/node/protocols.h"
 #include "berylspring/node/stop_schedule.h"
+#include "berylspring/telemetry/loop_delay.h"
 #include "berylspring/telemetry/metrics.h"
 #include "berylspring/telemetry/span_buffer.h"
 #include "berylspring/wire/datagram_codec.h"
@@ -91,6 +92,8 @@
     /** @brief Logs that the endpoint has become cold or warm. */
     void logColdChange(const admission::ColdLimit &cold, core::TimePoint time);
     void logStatus() const;
+    /** @return Delays of timers since the last status line. */
+    [[nodiscard]] telemetry::LoopDelay loopDelay() const;
     boost::asio::awaitable<void> publishLoop();
     boost::asio::awaitable<void> linger(StopSchedule schedule);
     boost::asio::awaitable<void> abortRequests();
@@ -133,6 +136,8 @@
     mutable std::mutex m_stopMutex;
     std::optional<StopSchedule> m_stopSchedule; ///< Set when a graceful stop begins.
 
+    mutable std::mutex m_loopMutex;
+    telemetry::LoopDelay m_loopDelay;
     telemetry::Metrics m_metrics;
     std::shared_ptr<telemetry::SpanBuffer> m_spans;
     std::shared_ptr<wire::TrafficMeter> m_traffic = std::make_shared<wire::TrafficMeter>();
