Share the fields of messages instead of copying them

Cause: the node, not the endpoint, was the limit. A call was copied as a whole, with each header and its body, at about ten places on its way through a node, and moved through as many coroutine frames; a quarter of the samples of a profile was in malloc and free.

Change: call requests and responses, and HTTP messages, hold their fields in core::SharedImmutable. A copy or a move of the record is a pointer; with() on the only owner changes the fields in place. The codecs take messages by value and move their parts.

--- a/include/berylspring/http/caller_request.h
+++ b/include/berylspring/http/caller_request.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "berylspring/core/immutable.h"
 #include "berylspring/core/refusal.h"
+#include "berylspring/core/shared_immutable.h"
 #include "berylspring/core/time.h"
 #include "berylspring/http/messages.h"
 #include "berylspring/wire/messages.h"
@@ -29,12 +29,12 @@
     std::string traceParent;
     [[nodiscard]] bool operator==(const CallerRequestFields &) const = default;
 };
-using CallerRequest = core::Immutable<CallerRequestFields>;
+using CallerRequest = core::SharedImmutable<CallerRequestFields>;
 
 /** @return The request, or a refusal: KeyInvalid for another scheme than Bearer, else BadRequest. */
 [[nodiscard]] tl::expected<CallerRequest, core::Refusal> parseCallerRequest(Request request);
 
 /** @return The endpoint's response, or the problem document if the request was refused. */
-[[nodiscard]] Response callerResponse(const wire::CallResponse &response);
+[[nodiscard]] Response callerResponse(wire::CallResponse response);
 
 }
--- a/include/berylspring/http/messages.h
+++ b/include/berylspring/http/messages.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "berylspring/core/immutable.h"
+#include "berylspring/core/shared_immutable.h"
 #include "berylspring/core/time.h"
 #include "berylspring/wire/messages.h"
 
@@ -21,7 +21,7 @@
     std::string body;
     [[nodiscard]] bool operator==(const RequestFields &) const = default;
 };
-using Request = core::Immutable<RequestFields>;
+using Request = core::SharedImmutable<RequestFields>;
 
 /** @brief A complete HTTP response. */
 struct ResponseFields
@@ -31,7 +31,7 @@
     std::string body;
     [[nodiscard]] bool operator==(const ResponseFields &) const = default;
 };
-using Response = core::Immutable<ResponseFields>;
+using Response = core::SharedImmutable<ResponseFields>;
 
 /** @return The value of the first field with the name (case-insensitive), or an empty text. */
 [[nodiscard]] std::string_view headerValue(const wire::Headers &headers, std::string_view name) noexcept;
--- a/include/berylspring/node/local_endpoint.h
+++ b/include/berylspring/node/local_endpoint.h
@@ -101,7 +101,7 @@
     [[nodiscard]] bool hasLeft(const http::EndpointAnnouncement &announcement) const;
     [[nodiscard]] Registration makeRegistration(const http::EndpointHeartbeat &heartbeat, core::TimePoint now) const;
     [[nodiscard]] boost::asio::awaitable<admission::EndpointResult>
-    failedCall(const wire::CallRequest &request, const http::Error &error, const Target &target);
+    failedCall(const std::string &requestId, const http::Error &error, const Target &target);
     /** @brief Records a failed connection, unless another endpoint has replaced the target since. */
     void recordConnectionFailure(const Target &target);
 
--- a/include/berylspring/node/protocols.h
+++ b/include/berylspring/node/protocols.h
@@ -35,10 +35,10 @@
 {
     std::function<tl::expected<http::CallerRequest, core::Refusal>(http::Request)> decodeCall;
     /** The second argument is the request of the caller. */
-    std::function<http::Response(const wire::CallResponse &, const http::Request &)> encodeResponse;
-    std::function<http::Request(const EndpointCall &)> encodeEndpointCall;
+    std::function<http::Response(wire::CallResponse, const http::Request &)> encodeResponse;
+    std::function<http::Request(EndpointCall)> encodeEndpointCall;
     /** The endpoint's response, or the refusal that it signals; the outcome tells whether the request has run. */
-    std::function<tl::expected<wire::CallResponse, core::Refusal>(const http::Response &)> decodeEndpointResponse;
+    std::function<tl::expected<wire::CallResponse, core::Refusal>(http::Response)> decodeEndpointResponse;
     /** Whether a response on an endpoint's connection belongs to the request. */
     std::function<bool(const http::Request &, const http::Response &)> isAnswerTo;
     /** Whether an endpoint's connection may carry another request after the response. */
--- a/include/berylspring/wire/call_time.h
+++ b/include/berylspring/wire/call_time.h
@@ -12,6 +12,6 @@
  * @return The call with the times of a message that is sent now. A known time of the root stays known: it is at least
  * 1 ns, because 0 means unknown.
  */
-[[nodiscard]] CallRequest withTimes(const CallRequest &call, core::Duration remaining, core::Duration elapsed);
+[[nodiscard]] CallRequest withTimes(CallRequest call, core::Duration remaining, core::Duration elapsed);
 
 }
--- a/include/berylspring/wire/messages.h
+++ b/include/berylspring/wire/messages.h
@@ -4,6 +4,7 @@
 #include "berylspring/core/immutable.h"
 #include "berylspring/core/name.h"
 #include "berylspring/core/refusal.h"
+#include "berylspring/core/shared_immutable.h"
 #include "berylspring/core/time.h"
 #include "berylspring/core/types.h"
 
@@ -50,7 +51,7 @@
     core::Duration rootRemaining{};
     [[nodiscard]] bool operator==(const CallRequestFields &) const = default;
 };
-using CallRequest = core::Immutable<CallRequestFields>;
+using CallRequest = core::SharedImmutable<CallRequestFields>;
 
 /** @brief Response of the endpoint or a refusal, with load feedback for the sender. */
 struct CallResponseFields
@@ -75,7 +76,7 @@
     double pace = 0;
     [[nodiscard]] bool operator==(const CallResponseFields &) const = default;
 };
-using CallResponse = core::Immutable<CallResponseFields>;
+using CallResponse = core::SharedImmutable<CallResponseFields>;
 
 /**
  * @brief Forwards a non-idempotent request to the home of its name.
--- a/src/admission/service_core.cpp
+++ b/src/admission/service_core.cpp
@@ -109,7 +109,8 @@
         co_return self->refuse(core::RefusalReason::Quarantined, core::Outcome::NotRun, arrived);
     }
     OutstandingWork::Share work(self->m_work, routing::costClassOf(request->route, request->method));
-    const auto decision = co_await waitForStart(self, arrived, request, known == QuarantineState::Suspect);
+    const auto decision =
+        co_await waitForStart(self, self->entryOf(arrived, request), known == QuarantineState::Suspect);
     if (!decision.isStart()) {
         work.release();
         co_return self->refuseStart(decision, arrived);
@@ -132,29 +133,26 @@
                          startedAt);
     ++self->m_history->totals.started;
     self->m_history->totals.coldStarted += decision.coldWait ? 1 : 0;
-    wire::CallRequest forwarded = request.with(&wire::CallRequestFields::remaining, context.deadline - startedAt);
-    EndpointResult result = co_await callEndpoint(self, std::move(forwarded));
+    request = std::move(request).with(&wire::CallRequestFields::remaining, context.deadline - startedAt);
+    EndpointResult result = co_await callEndpoint(self, std::move(request));
     const core::TimePoint endedAt = self->m_hooks.now();
     guard.ended(result, endedAt - startedAt);
     work.release();
     if (isCostSample(result)) {
         work.learn(endedAt - startedAt, endedAt);
     }
-    co_return self->processResult(context, request, ranAlone, result);
+    co_return self->processResult(context, ranAlone, std::move(result));
 }
 
-asio::awaitable<AdmissionDecision> AdmissionService::Core::waitForStart(std::shared_ptr<Core> self,
-                                                                        RequestContext context,
-                                                                        wire::CallRequest request,
-                                                                        bool isSuspect)
+asio::awaitable<AdmissionDecision>
+AdmissionService::Core::waitForStart(std::shared_ptr<Core> self, QueueEntry entry, bool isSuspect)
 {
-    const QueueEntry entry = self->entryOf(context, request);
     const auto event = std::make_shared<detail::AsyncEvent>(self->m_executor);
-    self->m_waiting.insertOrAssign(context.id, event);
-    const auto arrival = self->m_gate.arrive(entry, isSuspect, context.arrivedAt);
+    self->m_waiting.insertOrAssign(entry->id, event);
+    const auto arrival = self->m_gate.arrive(entry, isSuspect, entry->arrivedAt);
     self->wake(arrival.decided);
     if (arrival.decision.kind != AdmissionDecision::Kind::Wait) {
-        self->m_waiting.erase(context.id);
+        self->m_waiting.erase(entry->id);
         co_return arrival.decision;
     }
     self->armStartTimer();
@@ -163,8 +161,8 @@
     } catch (const boost::system::system_error &) {
         // Cancelled before the wait began; leave() below removes the request.
     }
-    self->m_waiting.erase(context.id);
-    const auto left = self->m_gate.leave(context.id, self->m_hooks.now());
+    self->m_waiting.erase(entry->id);
+    const auto left = self->m_gate.leave(entry->id, self->m_hooks.now());
     self->wake(left.decided);
     self->armStartTimer();
     self->wakeIdleWaiters();
@@ -192,16 +190,14 @@
     }
 }
 
-wire::CallResponse AdmissionService::Core::processResult(const RequestContext &context,
-                                                         const wire::CallRequest &request,
-                                                         bool ranAlone,
-                                                         const EndpointResult &result)
+wire::CallResponse
+AdmissionService::Core::processResult(const RequestContext &context, bool ranAlone, EndpointResult &&result)
 {
     const auto outcome = result.maybeSent ? core::Outcome::Unknown : core::Outcome::NotRun;
     if (result.connectionLost) {
         ++m_history->totals.connectionsLost;
         if (result.maybeSent && m_settings.areControlsOn) {
-            recordCrash(context.digest, request, ranAlone);
+            recordCrash(context, ranAlone);
         }
         return refuse(core::RefusalReason::ConnectionLost, outcome, context)
             .with(&wire::CallResponseFields::hasEndpointCrashed, result.maybeSent);
@@ -211,25 +207,26 @@
         if (result.maybeSent && refusal->outcome() == core::Outcome::NotRun) {
             refusal = refusal->withOutcome(core::Outcome::Unknown);
         }
-        return withFeedback(result.response.with(&wire::CallResponseFields::refusal, refusal), context);
+        return withFeedback(std::move(result.response).with(&wire::CallResponseFields::refusal, std::move(refusal)),
+                            context);
     }
     ++m_history->totals.answered;
     if (m_settings.areControlsOn) {
         m_history->quarantine.answered(context.digest, m_hooks.now());
     }
-    return withFeedback(result.response, context);
+    return withFeedback(std::move(result.response), context);
 }
 
-void AdmissionService::Core::recordCrash(const core::Digest &digest, const wire::CallRequest &request, bool ranAlone)
+void AdmissionService::Core::recordCrash(const RequestContext &context, bool ranAlone)
 {
     const core::TimePoint now = m_hooks.now();
-    const QuarantineState state = m_history->quarantine.crashed(digest, ranAlone, now);
-    m_hooks.crashed(CrashReport({.requestId = request->requestId,
-                                 .requestDigest = digest,
-                                 .service = request->service,
+    const QuarantineState state = m_history->quarantine.crashed(context.digest, ranAlone, now);
+    m_hooks.crashed(CrashReport({.requestId = context.requestId,
+                                 .requestDigest = context.digest,
+                                 .service = context.service,
                                  .ranAlone = ranAlone,
                                  .state = state,
-                                 .remaining = m_history->quarantine.remaining(digest, now)}));
+                                 .remaining = m_history->quarantine.remaining(context.digest, now)}));
 }
 
 asio::awaitable<void> AdmissionService::Core::idle(std::shared_ptr<Core> self)
@@ -285,6 +282,8 @@
     }
     context.arrivedAt = now;
     context.deadline = now + request->remaining;
+    context.requestId = request->requestId;
+    context.service = request->service;
     return context;
 }
 
--- a/src/admission/service_core.h
+++ b/src/admission/service_core.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace berylspring::admission {
@@ -47,21 +48,21 @@
         core::TimePoint arrivedAt;
         core::TimePoint deadline;
         std::optional<core::TimePoint> startedAt;
+        std::string requestId; ///< As CallRequestFields::requestId.
+        core::ServiceId service;
     };
     class RunGuard;
 
     static boost::asio::awaitable<AdmissionDecision>
-    waitForStart(std::shared_ptr<Core> self, RequestContext context, wire::CallRequest request, bool isSuspect);
+    waitForStart(std::shared_ptr<Core> self, QueueEntry entry, bool isSuspect);
     static boost::asio::awaitable<EndpointResult> callEndpoint(std::shared_ptr<Core> self, wire::CallRequest request);
 
     [[nodiscard]] RequestContext contextOf(const wire::CallRequest &request);
     [[nodiscard]] QueueEntry entryOf(const RequestContext &context, const wire::CallRequest &request) const;
     [[nodiscard]] bool isKeyWithdrawn(const wire::CallRequest &request) const;
-    [[nodiscard]] wire::CallResponse processResult(const RequestContext &context,
-                                                   const wire::CallRequest &request,
-                                                   bool ranAlone,
-                                                   const EndpointResult &result);
-    void recordCrash(const core::Digest &digest, const wire::CallRequest &request, bool ranAlone);
+    [[nodiscard]] wire::CallResponse
+    processResult(const RequestContext &context, bool ranAlone, EndpointResult &&result);
+    void recordCrash(const RequestContext &context, bool ranAlone);
     void release(const RunReport &report);
     void wake(const std::vector<std::uint64_t> &ids);
     /** @brief Sets the timer for the next start at a cold endpoint, if a request waits for it. */
@@ -72,8 +73,7 @@
     [[nodiscard]] wire::CallResponse
     refuse(core::RefusalReason reason, core::Outcome outcome, const RequestContext &context);
     [[nodiscard]] wire::CallResponse refuseStart(const AdmissionDecision &decision, const RequestContext &context);
-    [[nodiscard]] wire::CallResponse withFeedback(const wire::CallResponse &response,
-                                                  const RequestContext &context) const;
+    [[nodiscard]] wire::CallResponse withFeedback(wire::CallResponse response, const RequestContext &context) const;
 
     boost::asio::any_io_executor m_executor;
     AdmissionSettings m_settings;
--- a/src/admission/service_responses.cpp
+++ b/src/admission/service_responses.cpp
@@ -71,22 +71,22 @@
     return withFeedback(wire::CallResponse(std::move(fields)), context);
 }
 
-wire::CallResponse AdmissionService::Core::withFeedback(const wire::CallResponse &response,
+wire::CallResponse AdmissionService::Core::withFeedback(wire::CallResponse response,
                                                         const RequestContext &context) const
 {
     const core::TimePoint now = m_hooks.now();
     const auto state = m_gate.state(now);
-    wire::CallResponseFields fields = *response;
-    fields.admittedLevel = state.admittedLevel;
-    fields.inFlight = state.running;
-    fields.outstandingWork = m_work.seconds();
-    {
-        const std::scoped_lock lock(m_pressureMutex);
-        fields.pressure = std::max(fields.pressure, m_pressure.value(now));
-    }
-    fields.queueTime = context.startedAt.value_or(now) - context.arrivedAt;
-    fields.serviceTime = now - context.startedAt.value_or(now);
-    return wire::CallResponse(std::move(fields));
+    return std::move(response).modified([&](wire::CallResponseFields &fields) {
+        fields.admittedLevel = state.admittedLevel;
+        fields.inFlight = state.running;
+        fields.outstandingWork = m_work.seconds();
+        {
+            const std::scoped_lock lock(m_pressureMutex);
+            fields.pressure = std::max(fields.pressure, m_pressure.value(now));
+        }
+        fields.queueTime = context.startedAt.value_or(now) - context.arrivedAt;
+        fields.serviceTime = now - context.startedAt.value_or(now);
+    });
 }
 
 }
--- a/src/http/caller_request.cpp
+++ b/src/http/caller_request.cpp
@@ -105,12 +105,13 @@
                           .traceParent = std::string(headerValue(headers, "traceparent"))});
 }
 
-Response callerResponse(const wire::CallResponse &response)
+Response callerResponse(wire::CallResponse response)
 {
     if (response->refusal) {
         return problemResponse(*response->refusal);
     }
-    return Response({.status = response->status, .headers = response->headers, .body = response->body});
+    wire::CallResponseFields fields = std::move(response).release();
+    return Response({.status = fields.status, .headers = std::move(fields.headers), .body = std::move(fields.body)});
 }
 
 }
--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -148,14 +148,14 @@
                     .with(&wire::CallRequestFields::isSuspect, call->isSuspect || attempts.isSuspect)
                     .with(&wire::CallRequestFields::retryAllowance,
                           call->retryAllowance - std::min(call->retryAllowance, attempts.retries));
-            const wire::CallResponse response = co_await attempt(sent, *decision.host);
+            wire::CallResponse response = co_await attempt(sent, *decision.host);
             attempts.retries += response->retriesSpent;
             attempts.pressure = response->pressure;
             attempts.isSuspect = attempts.isSuspect || response->hasEndpointCrashed;
             if (!response->refusal) {
                 m_budgets.onSuccess(call->service);
                 countNestedCall(call, Outcome::Answered);
-                co_return response.with(&wire::CallResponseFields::retriesSpent, attempts.retries);
+                co_return std::move(response).with(&wire::CallResponseFields::retriesSpent, attempts.retries);
             }
             refusal = *response->refusal;
             attempts.mayHaveRun = attempts.mayHaveRun || refusal.outcome() == Outcome::Unknown;
@@ -351,12 +351,12 @@
     }
     const core::Duration timeout = call->remaining + call->answerGrace + ResponseMargin;
     wire::Message message(std::move(call));
-    const wire::Result<wire::Message> answer = co_await m_hooks.call(std::move(host), std::move(message), timeout);
+    wire::Result<wire::Message> answer = co_await m_hooks.call(std::move(host), std::move(message), timeout);
     if (!answer) {
         co_return refused(refusalOf(answer.error()));
     }
-    if (const auto *response = std::get_if<wire::CallResponse>(&*answer)) {
-        co_return *response;
+    if (auto *response = std::get_if<wire::CallResponse>(&*answer)) {
+        co_return std::move(*response);
     }
     co_return refused(
         Refusal(RefusalReason::ConnectionLost, Outcome::Unknown, "unexpected answer of the endpoint's node"));
--- a/src/node/entry.cpp
+++ b/src/node/entry.cpp
@@ -105,7 +105,7 @@
     const core::WallTime start = std::chrono::system_clock::now();
     const telemetry::TraceContext trace = traceOf(request);
     Summary summary;
-    const wire::CallResponse response = co_await run(request, trace, summary);
+    wire::CallResponse response = co_await run(request, trace, summary);
     finish(request, response, summary, m_hooks.now() - startedAt);
     if (trace.isSampled()) {
         const auto parent = telemetry::TraceContext::fromTraceParent(request->traceParent);
@@ -142,25 +142,25 @@
     }
     RetryReservation allowance(m_inFlight, request, (*plan)->retries);
     const core::Duration remaining = (*plan)->timeout - (m_hooks.now() - startedAt);
-    const wire::CallRequest call({.service = (*plan)->service,
-                                  .route = (*plan)->route,
-                                  .method = request->method,
-                                  .target = request->target,
-                                  .headers = request->headers,
-                                  .body = request->body,
-                                  .workspace = (*plan)->workspace,
-                                  .keyDigest = (*plan)->keyDigest,
-                                  .priority = (*plan)->priority,
-                                  .isNested = (*plan)->isNested,
-                                  .isIdempotent = (*plan)->isIdempotent,
-                                  .remaining = remaining,
-                                  .retryAllowance = allowance.amount(),
-                                  .traceParent = trace.traceParent(),
-                                  .requestId = request->requestId,
-                                  .answerGrace = (*plan)->answerGrace,
-                                  .rootRemaining = rootRemaining(request, *plan, startedAt)});
+    wire::CallRequest call({.service = (*plan)->service,
+                            .route = (*plan)->route,
+                            .method = request->method,
+                            .target = request->target,
+                            .headers = request->headers,
+                            .body = request->body,
+                            .workspace = (*plan)->workspace,
+                            .keyDigest = (*plan)->keyDigest,
+                            .priority = (*plan)->priority,
+                            .isNested = (*plan)->isNested,
+                            .isIdempotent = (*plan)->isIdempotent,
+                            .remaining = remaining,
+                            .retryAllowance = allowance.amount(),
+                            .traceParent = trace.traceParent(),
+                            .requestId = request->requestId,
+                            .answerGrace = (*plan)->answerGrace,
+                            .rootRemaining = rootRemaining(request, *plan, startedAt)});
     const core::TimePoint sentAt = m_hooks.now();
-    const wire::CallResponse response = co_await forward(call, request, *plan);
+    wire::CallResponse response = co_await forward(std::move(call), request, *plan);
     const core::TimePoint endedAt = m_hooks.now();
     allowance.setSpent(response->retriesSpent);
     m_rootControl.recordPace(response, endedAt);
@@ -175,7 +175,7 @@
     const core::Duration left = (*plan)->timeout - (endedAt - startedAt);
     const RootRefusal refusal = m_rootControl.withReturnTime(*response->refusal, request, *plan, left, endedAt);
     summary.isPromised = refusal.isPromised;
-    co_return response.with(&wire::CallResponseFields::refusal, refusal.refusal);
+    co_return std::move(response).with(&wire::CallResponseFields::refusal, refusal.refusal);
 }
 
 tl::expected<CallPlan, Refusal> Entry::planWithinStop(const CallPlan &plan, core::TimePoint now) const
@@ -254,8 +254,7 @@
         co_return co_await m_hooks.dispatch(std::move(call));
     }
     const std::string name = idempotency::claimName(plan->workspace, plan->route, *request->idempotencyKey);
-    const wire::CallRequest named = call.with(&wire::CallRequestFields::claimName, name);
-    co_return co_await m_hooks.runOnce(named);
+    co_return co_await m_hooks.runOnce(std::move(call).with(&wire::CallRequestFields::claimName, name));
 }
 
 tl::expected<CallPlan, Refusal> Entry::plan(const http::CallerRequest &request, core::TimePoint now)
--- a/src/node/local_endpoint.cpp
+++ b/src/node/local_endpoint.cpp
@@ -306,7 +306,7 @@
 }
 
 asio::awaitable<admission::EndpointResult>
-LocalEndpoint::failedCall(const wire::CallRequest &request, const http::Error &error, const Target &target)
+LocalEndpoint::failedCall(const std::string &requestId, const http::Error &error, const Target &target)
 {
     admission::EndpointResult result = resultOf(error);
     if (result.connectionLost) {
@@ -317,7 +317,7 @@
         recordConnectionFailure(target);
     }
     telemetry::logRequestEvent("endpoint gave no answer",
-                               {{"request", request->requestId},
+                               {{"request", requestId},
                                 {"endpoint", target.id},
                                 {"error", error.detail()},
                                 {"maybe_sent", error.maybeSent()},
@@ -346,46 +346,49 @@
                                   .rootDeadline = now + (isRootKnown ? request->rootRemaining : request->remaining),
                                   .retryAllowance = request->retryAllowance,
                                   .trace = trace}));
-    const http::Request message =
-        m_protocols.encodeEndpointCall({request, target.id, entry.token(), trace.traceParent()});
-    const http::Result<http::Response> answer =
-        co_await target.client->send(message, request->remaining + request->answerGrace);
+    const core::Duration timeout = request->remaining + request->answerGrace;
+    const std::string requestId = request->requestId;
+    const core::ServiceId service = request->service;
+    const core::RouteId route = request->route;
+    http::Request message =
+        m_protocols.encodeEndpointCall({std::move(request), target.id, entry.token(), trace.traceParent()});
+    http::Result<http::Response> answer = co_await target.client->send(std::move(message), timeout);
     if (trace.isSampled()) {
-        m_spans(telemetry::Span(
-            {.context = trace,
-             .parentSpanId = parent->spanId(),
-             .name = "endpoint",
-             .start = start,
-             .end = std::chrono::system_clock::now(),
-             .isError = !answer,
-             .attributes = {{"service", request->service.value()}, {"route", request->route.value()}}}));
+        m_spans(telemetry::Span({.context = trace,
+                                 .parentSpanId = parent->spanId(),
+                                 .name = "endpoint",
+                                 .start = start,
+                                 .end = std::chrono::system_clock::now(),
+                                 .isError = !answer,
+                                 .attributes = {{"service", service.value()}, {"route", route.value()}}}));
     }
     if (!answer) {
-        admission::EndpointResult result = co_await failedCall(request, answer.error(), target);
-        result.response = result.response.with(&wire::CallResponseFields::retriesSpent, entry.retriesSpent());
+        admission::EndpointResult result = co_await failedCall(requestId, answer.error(), target);
+        result.response =
+            std::move(result.response).with(&wire::CallResponseFields::retriesSpent, entry.retriesSpent());
         co_return result;
     }
-    auto response = m_protocols.decodeEndpointResponse(*answer);
+    const std::uint16_t status = (*answer)->status;
+    auto response = m_protocols.decodeEndpointResponse(std::move(*answer));
     if (!response) {
         const Refusal &refusal = response.error();
         telemetry::logRequestEvent("endpoint did not run a request",
-                                   {{"request", request->requestId},
+                                   {{"request", requestId},
                                     {"endpoint", target.id},
-                                    {"status", std::int64_t{(*answer)->status}},
+                                    {"status", std::int64_t{status}},
                                     {"outcome", std::string(core::toString(refusal.outcome()))},
                                     {"detail", refusal.detail()}},
                                    core::bootTime());
         co_return failed(refusal, false);
     }
     constexpr std::uint16_t FirstRedirection = 300;
-    if ((*response)->status >= FirstRedirection) {
-        telemetry::logRequestEvent(
-            "endpoint answered with a failure",
-            {{"request", request->requestId}, {"endpoint", target.id}, {"status", std::int64_t{(*response)->status}}},
-            core::bootTime());
+    if (status >= FirstRedirection) {
+        telemetry::logRequestEvent("endpoint answered with a failure",
+                                   {{"request", requestId}, {"endpoint", target.id}, {"status", std::int64_t{status}}},
+                                   core::bootTime());
     }
     co_return admission::EndpointResult{
-        .response = response->with(&wire::CallResponseFields::retriesSpent, entry.retriesSpent())};
+        .response = std::move(*response).with(&wire::CallResponseFields::retriesSpent, entry.retriesSpent())};
 }
 
 }
--- a/src/node/node_handlers.cpp
+++ b/src/node/node_handlers.cpp
@@ -97,7 +97,7 @@
     // the pressure of the services behind it.
     const double own = isNested ? response->pressure : 0;
     const double pressure = std::max(own, m_dispatcher.nestedPressure(now()));
-    response = response.with(&wire::CallResponseFields::pressure, pressure);
+    response = std::move(response).with(&wire::CallResponseFields::pressure, pressure);
     m_metrics.observe(telemetry::Hop::Queue, response->queueTime);
     m_metrics.observe(telemetry::Hop::Endpoint, response->serviceTime);
     if (parent && parent->isSampled()) {
@@ -132,7 +132,7 @@
             core::RefusalReason::Cancelled, core::Outcome::Unknown, "the node stopped before the endpoint answered");
         response = wire::CallResponse({.refusal = refusal});
     }
-    co_return m_protocols.encodeResponse(response, request);
+    co_return m_protocols.encodeResponse(std::move(response), request);
 }
 
 void Node::Implementation::recordRejection(const http::RejectedRequest &request)
--- a/src/node/protocols.cpp
+++ b/src/node/protocols.cpp
@@ -7,16 +7,24 @@
 
 namespace {
 
-http::Request endpointRequest(const EndpointCall &call)
+http::Request endpointRequest(EndpointCall call)
 {
-    const wire::CallRequest &request = call.request;
-    wire::Headers headers = request->headers;
-    const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(request->remaining).count();
-    headers.push_back({"Berylspring-Context", call.contextToken});
-    headers.push_back({"Berylspring-Timeout-Ms", std::to_string(milliseconds)});
-    headers.push_back({"traceparent", call.traceParent});
-    return http::Request(
-        {.method = request->method, .target = request->target, .headers = std::move(headers), .body = request->body});
+    wire::CallRequestFields request = std::move(call.request).release();
+    const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(request.remaining).count();
+    request.headers.push_back({"Berylspring-Context", std::move(call.contextToken)});
+    request.headers.push_back({"Berylspring-Timeout-Ms", std::to_string(milliseconds)});
+    request.headers.push_back({"traceparent", std::move(call.traceParent)});
+    return http::Request({.method = std::move(request.method),
+                          .target = std::move(request.target),
+                          .headers = std::move(request.headers),
+                          .body = std::move(request.body)});
+}
+
+wire::CallResponse endpointResponse(http::Response response)
+{
+    http::ResponseFields fields = std::move(response).release();
+    return wire::CallResponse(
+        {.status = fields.status, .headers = std::move(fields.headers), .body = std::move(fields.body)});
 }
 
 eventlog::LogHooks makeLog(const boost::asio::any_io_executor &executor, const Settings &settings)
@@ -31,14 +39,10 @@
 Protocols nativeProtocols()
 {
     return {.decodeCall = [](http::Request request) { return http::parseCallerRequest(std::move(request)); },
-            .encodeResponse = [](const wire::CallResponse &response,
-                                 const http::Request &) { return http::callerResponse(response); },
+            .encodeResponse = [](wire::CallResponse response,
+                                 const http::Request &) { return http::callerResponse(std::move(response)); },
             .encodeEndpointCall = endpointRequest,
-            .decodeEndpointResponse =
-                [](const http::Response &response) {
-                    return wire::CallResponse(
-                        {.status = response->status, .headers = response->headers, .body = response->body});
-                },
+            .decodeEndpointResponse = endpointResponse,
             .isAnswerTo = [](const http::Request &, const http::Response &) { return true; },
             .allowsReuse = [](const http::Response &) { return true; },
             .handleEndpoint = handleEndpointRequest,
