--- a/src/core/digest.cpp
+++ b/src/core/digest.cpp
@@ -1,5 +1,7 @@
 #include "berylspring/core/digest.h"
 
+#include <memory>
+
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
 #include <openssl/hmac.h>
@@ -62,8 +64,17 @@
 
 Digest sha256(std::string_view bytes)
 {
+    // The one-shot functions of OpenSSL look the algorithm up and allocate a context in each call.
+    static const EVP_MD *const algorithm = EVP_MD_fetch(nullptr, "SHA256", nullptr);
+    thread_local const std::unique_ptr<EVP_MD_CTX, decltype(&EVP_MD_CTX_free)> context(EVP_MD_CTX_new(),
+                                                                                       &EVP_MD_CTX_free);
     Digest::Bytes result{};
-    SHA256(asBytes(bytes), bytes.size(), result.data());
+    const bool isComputed = EVP_DigestInit_ex2(context.get(), algorithm, nullptr) == 1
+                            && EVP_DigestUpdate(context.get(), bytes.data(), bytes.size()) == 1
+                            && EVP_DigestFinal_ex(context.get(), result.data(), nullptr) == 1;
+    if (!isComputed) {
+        SHA256(asBytes(bytes), bytes.size(), result.data());
+    }
     return Digest(result);
 }
 
--- a/src/http/beast_convert.cpp
+++ b/src/http/beast_convert.cpp
@@ -43,15 +43,48 @@
     return headers;
 }
 
-void insertHeaders(beast::http::fields &fields, const wire::Headers &headers)
+void appendField(std::string &text, std::string_view name, std::string_view value)
+{
+    text.append(name).append(": ").append(value).append("\r\n");
+}
+
+void appendFields(std::string &text, const wire::Headers &headers)
 {
     for (const wire::Header &header : headers) {
         if (!isNonForwardedField(beast::http::string_to_field(header.name))) {
-            fields.insert(header.name, header.value);
+            appendField(text, header.name, header.value);
         }
     }
 }
 
+void appendEnd(std::string &text, const std::string &body, bool hasLength)
+{
+    if (hasLength) {
+        appendField(text, "Content-Length", std::to_string(body.size()));
+    }
+    text.append("\r\n");
+}
+
+/** @return Upper estimate of the size of a head with these fields, so that the text does not grow. */
+std::size_t reservedBytes(const wire::Headers &headers, std::size_t targetBytes)
+{
+    constexpr std::size_t BaseBytes = 256;
+    constexpr std::size_t SeparatorBytes = 4;
+    std::size_t bytes = BaseBytes + targetBytes;
+    for (const wire::Header &header : headers) {
+        bytes += header.name.size() + header.value.size() + SeparatorBytes;
+    }
+    return bytes;
+}
+
+bool allowsBody(std::uint16_t status) noexcept
+{
+    constexpr std::uint16_t FirstSuccess = 200;
+    constexpr std::uint16_t NoContent = 204;
+    constexpr std::uint16_t NotModified = 304;
+    return status >= FirstSuccess && status != NoContent && status != NotModified;
+}
+
 }
 
 Request fromBeast(BeastRequest &&message)
@@ -70,29 +103,36 @@
                      .body = std::move(message.body())});
 }
 
-BeastRequest toBeast(const Request &request, const std::string &host)
+std::string serializeHead(const Request &request, const std::string &host)
 {
-    constexpr unsigned Http11 = 11;
-    BeastRequest message;
-    message.version(Http11);
-    message.method_string(request->method);
-    message.target(request->target);
-    message.set(beast::http::field::host, request->host.empty() ? host : request->host);
-    insertHeaders(message, request->headers);
-    message.body() = request->body;
-    message.prepare_payload();
-    return message;
+    std::string text;
+    text.reserve(reservedBytes(request->headers, request->target.size()));
+    text.append(request->method).append(" ").append(request->target).append(" HTTP/1.1\r\n");
+    appendField(text, "Host", request->host.empty() ? host : request->host);
+    appendFields(text, request->headers);
+    const bool hasPayload = request->method == "POST" || request->method == "PUT" || request->method == "OPTIONS";
+    appendEnd(text, request->body, hasPayload || !request->body.empty());
+    return text;
+}
+
+std::string serializeHead(const Response &response, bool keepAlive)
+{
+    std::string text;
+    text.reserve(reservedBytes(response->headers, 0));
+    const auto reason = beast::http::obsolete_reason(beast::http::int_to_status(response->status));
+    text.append("HTTP/1.1 ").append(std::to_string(response->status)).append(" ");
+    text.append(reason.data(), reason.size()).append("\r\n");
+    appendFields(text, response->headers);
+    if (!keepAlive) {
+        appendField(text, "Connection", "close");
+    }
+    appendEnd(text, response->body, allowsBody(response->status));
+    return text;
 }
 
-BeastResponse toBeast(const Response &response, bool keepAlive)
+std::string_view bodyOf(const Response &response) noexcept
 {
-    BeastResponse message;
-    message.result(static_cast<unsigned>(response->status));
-    insertHeaders(message, response->headers);
-    message.keep_alive(keepAlive);
-    message.body() = response->body;
-    message.prepare_payload();
-    return message;
+    return allowsBody(response->status) ? std::string_view(response->body) : std::string_view();
 }
 
 }
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -1,10 +1,12 @@
 #include "berylspring/http/client.h"
 
 #include "berylspring/async/await_on.h"
+#include "berylspring/async/strand.h"
 #include "http/address.h"
 #include "http/beast_convert.h"
 #include "http/body_share.h"
 #include "http/read_buffer.h"
+#include "http/write_all.h"
 
 #include <charconv>
 #include <chrono>
@@ -17,7 +19,6 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -67,7 +68,7 @@
     }
     error_code error;
     char byte = 0;
-    connection.stream.socket().non_blocking(true, error);
+    detail::makeNonBlocking(connection.stream.socket(), error);
     connection.stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
     return error == asio::error::would_block;
 }
@@ -145,7 +146,7 @@
     {
         ConnectionPointer connection = acquireIdle();
         if (!connection) {
-            connection = std::make_shared<Connection>(asio::make_strand(m_executor));
+            connection = std::make_shared<Connection>(async::makeStrand(m_executor));
         }
         // All operations of the stream run on the connection's strand, because its timer does.
         const asio::any_io_executor strand = connection->stream.get_executor();
@@ -156,7 +157,7 @@
 
     asio::awaitable<bool> isRefusingConnections(core::Duration timeout)
     {
-        const auto connection = std::make_shared<Connection>(asio::make_strand(m_executor));
+        const auto connection = std::make_shared<Connection>(async::makeStrand(m_executor));
         const asio::any_io_executor strand = connection->stream.get_executor();
         std::function<void()> cancel = [connection] { connection->stream.close(); };
         co_return co_await async::awaitOn<bool>(
@@ -237,9 +238,8 @@
     asio::awaitable<Result<Response>>
     transfer(Connection &connection, Request request, Deadline deadline, bool &keepAlive)
     {
-        error_code error;
-        const detail::BeastRequest message = detail::toBeast(request, m_address);
-        co_await beast::http::async_write(connection.stream, message, asio::redirect_error(asio::use_awaitable, error));
+        const std::string head = detail::serializeHead(request, m_address);
+        const error_code error = co_await detail::writeAll(connection.stream, head, request->body);
         if (error) {
             co_return tl::unexpected(Error(codeOf(error), true, error.message()));
         }
--- a/src/http/line_stream.cpp
+++ b/src/http/line_stream.cpp
@@ -3,6 +3,7 @@
 #include "http/address.h"
 #include "http/beast_convert.h"
 #include "http/read_buffer.h"
+#include "http/write_all.h"
 
 #include <array>
 
@@ -72,8 +73,8 @@
     if (error) {
         co_return tl::unexpected(Error(ErrorCode::Unreachable, false, address + ": " + error.message()));
     }
-    const detail::BeastRequest message = detail::toBeast(request, address);
-    co_await beast::http::async_write(stream, message, asio::redirect_error(asio::use_awaitable, error));
+    const std::string head = detail::serializeHead(request, address);
+    error = co_await detail::writeAll(stream, head, request->body);
     if (error) {
         co_return tl::unexpected(connectionLost(error));
     }
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -1,8 +1,10 @@
 #include "berylspring/http/server.h"
 
+#include "berylspring/async/strand.h"
 #include "berylspring/core/sharded_map.h"
 #include "berylspring/http/problem.h"
 #include "http/beast_convert.h"
+#include "http/write_all.h"
 
 #include <array>
 #include <atomic>
@@ -17,7 +19,6 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -123,7 +124,7 @@
         , m_options(std::move(options))
         , m_handler(std::move(handler))
         , m_rejected(std::move(rejected))
-        , m_acceptor(asio::make_strand(m_executor))
+        , m_acceptor(async::makeStrand(m_executor))
     {
     }
 
@@ -197,7 +198,7 @@
     {
         while (self->m_acceptor.is_open()) {
             error_code error;
-            auto strand = asio::make_strand(self->m_executor);
+            const asio::any_io_executor strand = async::makeStrand(self->m_executor);
             tcp::socket socket =
                 co_await self->m_acceptor.async_accept(strand, asio::redirect_error(asio::use_awaitable, error));
             if (error == asio::error::operation_aborted || error == asio::error::bad_descriptor) {
@@ -444,9 +445,12 @@
 
     asio::awaitable<void> write(Session &session, const Response &response, bool keepAlive)
     {
-        const detail::BeastResponse message = detail::toBeast(response, keepAlive);
+        const std::string head = detail::serializeHead(response, keepAlive);
         session.stream.expires_after(m_options().readTimeout);
-        co_await beast::http::async_write(session.stream, message, asio::use_awaitable);
+        const error_code error = co_await detail::writeAll(session.stream, head, detail::bodyOf(response));
+        if (error) {
+            throw boost::system::system_error(error);
+        }
     }
 
     asio::awaitable<void> writeStream(Session &session, const StreamedResponse &streamed)
--- a/src/node/in_flight_table.cpp
+++ b/src/node/in_flight_table.cpp
@@ -4,22 +4,39 @@
 
 #include <algorithm>
 #include <array>
+#include <span>
 
 namespace berylspring::node {
 
 namespace {
 
 constexpr std::size_t TokenBytes = 16;
+/** Tokens for which random bytes are drawn together, as the generator takes several microseconds for each call. */
+constexpr std::size_t TokensPerDraw = 64;
+
+/** @brief Random bytes that were drawn and not used yet. */
+struct RandomBytes
+{
+    std::array<unsigned char, TokenBytes * TokensPerDraw> bytes{};
+    std::size_t used = sizeof(bytes);
+};
 
 /** A token grants the rights of a workspace, so it comes from a cryptographic random generator. */
 std::string makeToken(const core::RandomSource &fallback)
 {
-    std::array<unsigned char, TokenBytes> bytes{};
-    if (RAND_bytes(bytes.data(), static_cast<int>(bytes.size())) != 1) {
-        std::generate(bytes.begin(), bytes.end(), [&] { return static_cast<unsigned char>(fallback()); });
+    thread_local RandomBytes random;
+    if (random.used == random.bytes.size()) {
+        if (RAND_bytes(random.bytes.data(), static_cast<int>(random.bytes.size())) != 1) {
+            std::generate(
+                random.bytes.begin(), random.bytes.end(), [&] { return static_cast<unsigned char>(fallback()); });
+        }
+        random.used = 0;
     }
+    const auto bytes = std::span(random.bytes).subspan(random.used, TokenBytes);
+    random.used += TokenBytes;
     constexpr std::string_view Digits = "0123456789abcdef";
     std::string token;
+    token.reserve(2 * TokenBytes);
     for (const unsigned char byte : bytes) {
         token.push_back(Digits[byte >> 4U]);
         token.push_back(Digits[byte & 0xfU]);
--- a/src/wire/peer_pool.cpp
+++ b/src/wire/peer_pool.cpp
@@ -1,5 +1,6 @@
 #include "berylspring/wire/peer_pool.h"
 
+#include "berylspring/async/strand.h"
 #include "wire/peer_connection.h"
 
 #include <algorithm>
@@ -13,7 +14,6 @@
 #include <vector>
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/strand.hpp>
 
 namespace berylspring::wire {
 
@@ -137,7 +137,7 @@
                                                          const std::optional<Error> &error) {
             self->forget(to, connection, error.has_value());
         };
-        asio::ip::tcp::socket socket(asio::any_io_executor(asio::make_strand(executor)));
+        asio::ip::tcp::socket socket(async::makeStrand(executor));
         return std::make_shared<PeerConnection>(
             std::move(socket), options, detail::Role::Client, ++lastEpoch, std::move(hooks));
     }
--- a/src/wire/peer_server.cpp
+++ b/src/wire/peer_server.cpp
@@ -1,5 +1,6 @@
 #include "berylspring/wire/peer_server.h"
 
+#include "berylspring/async/strand.h"
 #include "berylspring/core/sharded_map.h"
 #include "wire/peer_connection.h"
 #include "wire/running_requests.h"
@@ -18,7 +19,6 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 namespace berylspring::wire {
@@ -68,7 +68,7 @@
         : executor(std::move(serverExecutor))
         , options(std::make_shared<const PeerOptions>(std::move(serverOptions)))
         , handler(std::move(serverHandler))
-        , acceptor(asio::any_io_executor(asio::make_strand(executor)))
+        , acceptor(async::makeStrand(executor))
     {
     }
 
@@ -109,7 +109,7 @@
     {
         asio::steady_timer retryTimer(self->acceptor.get_executor());
         while (self->acceptor.is_open()) {
-            const asio::any_io_executor strand(asio::make_strand(self->executor));
+            const asio::any_io_executor strand = async::makeStrand(self->executor);
             auto [error, socket] = co_await self->acceptor.async_accept(strand, AsTuple);
             if (!error) {
                 self->addSession(std::move(socket));
@@ -159,7 +159,7 @@
                       Message message,
                       detail::Resume resume)
     {
-        const auto request = std::make_shared<RunningRequest>(asio::make_strand(executor));
+        const auto request = std::make_shared<RunningRequest>(async::makeStrand(executor));
         switch (running->add(key.number, request)) {
         case RunningRequests::AddResult::Added:
             break;
