Look the counter of a request up by a number

Each finished request built three label texts and a map to find its counter in the registry. The counters and their labels are the same; test-telemetry passes.

--- a/src/telemetry/metrics.cpp
+++ b/src/telemetry/metrics.cpp
@@ -1,6 +1,9 @@
 #include "berylspring/telemetry/metrics.h"
 
+#include "berylspring/core/sharded_map.h"
+
 #include <array>
+#include <cstdint>
 #include <mutex>
 
 #include <prometheus/collectable.h>
@@ -20,6 +23,15 @@
 const prometheus::Histogram::BucketBoundaries HopBucketsSeconds{
     0.0002, 0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5};
 
+/** @return A number for each combination of the labels of a counter of requests. */
+std::uint32_t
+requestKey(core::Outcome outcome, std::optional<core::RefusalReason> reason, core::PriorityLevel priority) noexcept
+{
+    constexpr std::uint32_t ValuesPerLabel = 256;
+    const std::uint32_t reasonNumber = reason ? static_cast<std::uint32_t>(*reason) + 1 : 0;
+    return (static_cast<std::uint32_t>(outcome) * ValuesPerLabel + reasonNumber) * ValuesPerLabel + priority;
+}
+
 }
 
 class Metrics::Implementation
@@ -48,11 +60,16 @@
 
     void countRequest(core::Outcome outcome, std::optional<core::RefusalReason> reason, core::PriorityLevel priority)
     {
-        m_requests
-            .Add({{"outcome", std::string(core::toString(outcome))},
-                  {"reason", reason ? std::string(core::toString(*reason)) : std::string()},
-                  {"priority", std::to_string(priority)}})
-            .Increment();
+        // Looking a counter up by its labels takes longer than all other work of a metric.
+        const std::uint32_t key = requestKey(outcome, reason, priority);
+        prometheus::Counter *counter = m_requestCounters.find(key).value_or(nullptr);
+        if (counter == nullptr) {
+            counter = &m_requests.Add({{"outcome", std::string(core::toString(outcome))},
+                                       {"reason", reason ? std::string(core::toString(*reason)) : std::string()},
+                                       {"priority", std::to_string(priority)}});
+            m_requestCounters.insertOrAssign(key, counter);
+        }
+        counter->Increment();
     }
 
     void countRetry()
@@ -95,6 +112,7 @@
 
     std::shared_ptr<prometheus::Registry> m_registry;
     prometheus::Family<prometheus::Counter> &m_requests;
+    core::ShardedMap<std::uint32_t, prometheus::Counter *> m_requestCounters; ///< By requestKey().
     prometheus::Counter &m_retries;
     prometheus::Family<prometheus::Histogram> &m_hopSeconds;
     std::array<prometheus::Histogram *, HopNames.size()> m_hops{};
