Leave the time of nested calls out of the learned limit

What callers saw: 503 for badge-history (SHORT) while slots of the deepest service were free.

Cause: the latency of an endpoint whose requests mostly wait for their own calls follows the load of the service behind. In an overload it rises, the limit is halved for a trial, the service behind is relieved by that, the latency falls, and the rule takes it for contention on the endpoint. Slots behind stay free while requests wait and are refused in front, and their waiting counts as pressure, so the entries shed more than necessary. Class: a local estimate that takes the delay of a dependency for its own.

Change: the node counts the calls of its endpoint that are in flight. By Little's law their share in the running requests is their share in the latency; the rule compares latencies in which that part has its usual value. Contention on the endpoint itself is found as before, since the rest of the latency shows it.

--- a/include/berylspring/admission/admission_service.h
+++ b/include/berylspring/admission/admission_service.h
@@ -39,6 +39,8 @@
     std::function<bool(const core::Digest &)> isKeyWithdrawn;
     /** Weight of a workspace; values that are not positive count as 1. */
     std::function<double(const core::WorkspaceId &)> weightOf;
+    /** Calls of the endpoint to other services that are in flight; empty: it makes none. */
+    std::function<std::uint32_t()> nestedInFlight;
     /** Reports a request that ran during a crash, so that the peers run it alone or, in quarantine, not at all. */
     std::function<void(CrashReport)> crashed;
 };
--- a/include/berylspring/admission/concurrency_limit.h
+++ b/include/berylspring/admission/concurrency_limit.h
@@ -15,6 +15,7 @@
     core::Duration latency{}; ///< From start to end on the endpoint.
     std::uint32_t inFlight = 0; ///< Requests running when it finished, including itself.
     bool isOverloadError = false; ///< The endpoint itself refused the request because of overload.
+    std::uint32_t nestedInFlight = 0; ///< Calls of the endpoint to other services in flight when it finished.
     [[nodiscard]] bool operator==(const LimitSample &) const = default;
 };
 
@@ -23,6 +24,10 @@
  *
  * Samples are collected in windows. At the end of each window the rule computes the next limit, between 1 and the
  * slots that the endpoint announces.
+ *
+ * The time that requests spend in calls to other services tells nothing about contention on the endpoint, so Elasticity
+ * leaves its changes out. By Little's law, its share of the latency is the share of the running requests that wait for
+ * a call.
  */
 class ConcurrencyLimit
 {
@@ -52,9 +57,12 @@
         std::uint32_t samples = 0;
         std::uint32_t errors = 0;
         double inFlightSum = 0;
+        double nestedSum = 0; ///< Of the calls in flight, each sample at most its requests in flight.
         double latencySum = 0; ///< Of the samples without overload errors, seconds.
         [[nodiscard]] bool operator==(const Window &) const = default;
         [[nodiscard]] double meanLatency() const noexcept;
+        /** @return Mean time of a request in calls to other services, seconds. */
+        [[nodiscard]] double nestedLatency() const noexcept;
     };
     /** A reduction of the limit that is kept only if the latency falls with it. */
     struct Trial
@@ -67,6 +75,9 @@
     [[nodiscard]] bool isSettling(const LimitSample &sample, core::TimePoint now) noexcept;
     [[nodiscard]] bool isWindowComplete(core::TimePoint now) const noexcept;
     [[nodiscard]] bool hasErrors() const noexcept;
+    /** @return Mean latency as it would be if calls to other services took their usual time, seconds. */
+    [[nodiscard]] double comparableLatency() const noexcept;
+    void learnNestedLatency() noexcept;
     [[nodiscard]] bool isSaturated() const noexcept;
     void applyRule(core::TimePoint now);
     void cutAfterErrors();
@@ -83,6 +94,7 @@
     std::uint32_t m_slots;
     double m_limit;
     std::optional<double> m_baseline; ///< Mean latency of an endpoint that is not saturated, seconds.
+    std::optional<double> m_nestedLatency; ///< Usual time of a request in calls to other services, seconds.
     std::optional<double> m_knee; ///< Limit at which the endpoint was last found overloaded.
     std::optional<Trial> m_trial;
     core::TimePoint m_lastTrial;
--- a/include/berylspring/admission/endpoint_gate.h
+++ b/include/berylspring/admission/endpoint_gate.h
@@ -57,6 +57,7 @@
     bool isSample = false; ///< Whether the latency is a sample of the endpoint's service time.
     bool isOverloadError = false;
     core::Duration latency{};
+    std::uint32_t nestedInFlight = 0; ///< Calls that the running requests are waiting for.
 };
 
 /**
--- a/include/berylspring/node/entry.h
+++ b/include/berylspring/node/entry.h
@@ -14,6 +14,8 @@
 #include "berylspring/telemetry/span.h"
 #include "berylspring/wire/messages.h"
 
+#include <atomic>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -61,6 +63,12 @@
         return m_rootControl;
     }
 
+    /** @return Nested calls of the endpoint of this host that are in flight. */
+    [[nodiscard]] std::uint32_t nestedInFlight() const noexcept
+    {
+        return m_nestedInFlight;
+    }
+
 private:
     /** @brief What the log line and the metrics of a request name besides its response. */
     struct Summary
@@ -98,6 +106,7 @@
     routing::WeightedSplitter m_splitter;
     RootControl m_rootControl;
     core::ShardedMap<core::RouteId, CallTime> m_nestedTimes;
+    std::atomic<std::uint32_t> m_nestedInFlight{0};
 };
 
 }
--- a/src/admission/concurrency_limit.cpp
+++ b/src/admission/concurrency_limit.cpp
@@ -65,6 +65,11 @@
     return samples > errors ? latencySum / (samples - errors) : 0;
 }
 
+double ConcurrencyLimit::Window::nestedLatency() const noexcept
+{
+    return inFlightSum > 0 ? meanLatency() * nestedSum / inFlightSum : 0;
+}
+
 ConcurrencyLimit::ConcurrencyLimit(LimitRule rule, std::uint32_t slots, core::TimePoint now)
     : m_rule(rule)
     , m_slots(slots)
@@ -104,6 +109,7 @@
     Window &window = next.m_window;
     ++window.samples;
     window.inFlightSum += sample.inFlight;
+    window.nestedSum += std::min(sample.nestedInFlight, sample.inFlight);
     if (sample.isOverloadError) {
         ++window.errors;
     } else {
@@ -130,7 +136,7 @@
 bool ConcurrencyLimit::isWindowComplete(core::TimePoint now) const noexcept
 {
     if (m_trial && m_window.samples % TrialCheckSamples == 0
-        && m_window.meanLatency() >= TrialFailureLatencyRatio * m_trial->latencyBefore) {
+        && comparableLatency() >= TrialFailureLatencyRatio * m_trial->latencyBefore) {
         return true;
     }
     const core::Duration length = now - m_window.countsFrom;
@@ -149,6 +155,19 @@
     return m_window.errors > TolerableErrorRatio * m_window.samples;
 }
 
+double ConcurrencyLimit::comparableLatency() const noexcept
+{
+    const double nested = m_window.nestedLatency();
+    return m_window.meanLatency() - nested + m_nestedLatency.value_or(nested);
+}
+
+void ConcurrencyLimit::learnNestedLatency() noexcept
+{
+    const double nested = m_window.nestedLatency();
+    const double known = m_nestedLatency.value_or(nested);
+    m_nestedLatency = known + (nested < known ? BaselineSmoothing : BaselineRiseSmoothing) * (nested - known);
+}
+
 void ConcurrencyLimit::applyRule(core::TimePoint now)
 {
     const double before = m_limit;
@@ -178,7 +197,10 @@
 
 void ConcurrencyLimit::applyElasticity(core::TimePoint now)
 {
-    const double latency = m_window.meanLatency();
+    if (!m_trial) {
+        learnNestedLatency();
+    }
+    const double latency = comparableLatency();
     if (hasErrors()) {
         cutAfterErrors();
     } else if (m_trial) {
@@ -202,7 +224,7 @@
 
 void ConcurrencyLimit::beginTrial(core::TimePoint now)
 {
-    m_trial = Trial{m_limit, m_window.meanLatency()};
+    m_trial = Trial{m_limit, comparableLatency()};
     m_lastTrial = now;
     m_wasLastWindowSlow = false;
     setLimit(m_limit * TrialLimitFactor);
@@ -215,7 +237,7 @@
 
 void ConcurrencyLimit::evaluateTrial(core::TimePoint now)
 {
-    const double latency = m_window.meanLatency();
+    const double latency = comparableLatency();
     const double share = limit() / std::floor(m_trial->limitBefore);
     // If requests contend inside the endpoint, latency falls in proportion to the limit and the cut costs no
     // throughput. If the cause is elsewhere, latency stays and the cut costs throughput in proportion.
--- a/src/admission/endpoint_gate.cpp
+++ b/src/admission/endpoint_gate.cpp
@@ -298,7 +298,7 @@
     const std::scoped_lock lock(m_mutex);
     refreshStartRate(now);
     if (report.isSample) {
-        const LimitSample sample{report.latency, m_running, report.isOverloadError};
+        const LimitSample sample{report.latency, m_running, report.isOverloadError, report.nestedInFlight};
         m_limit = m_limit.withSample(sample, now);
         if (!report.isOverloadError) {
             m_serviceTimes = m_serviceTimes.withSample(report.latency, now);
--- a/src/admission/service_core.cpp
+++ b/src/admission/service_core.cpp
@@ -70,6 +70,7 @@
         m_report.isSample = isLatencySample(result);
         m_report.isOverloadError = isOverloadStatus(result.response->status);
         m_report.latency = latency;
+        m_report.nestedInFlight = m_core.m_hooks.nestedInFlight ? m_core.m_hooks.nestedInFlight() : 0;
     }
 
 private:
--- a/src/node/entry.cpp
+++ b/src/node/entry.cpp
@@ -53,6 +53,30 @@
     return refusal.withRetryAfter(core::withJitter(StoppingRetryAfter, StoppingRetryAfter, random));
 }
 
+/** @brief Counts a nested call while it is in flight, also if its coroutine is destroyed. */
+class NestedCallScope
+{
+public:
+    NestedCallScope(std::atomic<std::uint32_t> &count, bool isNested)
+        : m_count(isNested ? &count : nullptr)
+    {
+        if (m_count != nullptr) {
+            ++*m_count;
+        }
+    }
+    ~NestedCallScope()
+    {
+        if (m_count != nullptr) {
+            --*m_count;
+        }
+    }
+    NestedCallScope(const NestedCallScope &) = delete;
+    NestedCallScope &operator=(const NestedCallScope &) = delete;
+
+private:
+    std::atomic<std::uint32_t> *m_count;
+};
+
 /** @brief Reserves a part of the parent's retry allowance for the duration of a nested call. */
 class RetryReservation
 {
@@ -140,6 +164,7 @@
             co_return refused(refusalBeforeHome(admitted.error(), request, *plan));
         }
     }
+    const NestedCallScope scope(m_nestedInFlight, (*plan)->isNested);
     RetryReservation allowance(m_inFlight, request, (*plan)->retries);
     const core::Duration remaining = (*plan)->timeout - (m_hooks.now() - startedAt);
     wire::CallRequest call({.service = (*plan)->service,
--- a/src/node/node_hooks.cpp
+++ b/src/node/node_hooks.cpp
@@ -218,6 +218,7 @@
     hooks.random = m_random;
     hooks.isKeyWithdrawn = [this](const core::Digest &digest) { return m_config.isKeyWithdrawn(digest); };
     hooks.weightOf = [this](const core::WorkspaceId &name) { return weightOf(name); };
+    hooks.nestedInFlight = [this] { return m_entry.nestedInFlight(); };
     hooks.crashed = [this](const admission::CrashReport &report) { m_quarantineExchange.report(report, now()); };
     return hooks;
 }
