Compress frames with Zstandard

With messages shared, a profile of the four busiest nodes had 21% of its samples in libz. A frame of 744 bytes, a response with 300 bytes that do not compress, took 26 us to compress and 3.5 us to decompress with zlib at level 4, 24 us and 3.7 us at level 1; a new stream for each frame is not the reason (0.4 us).

Change: Zstandard with a dictionary that is prepared once for all connections, at its fast level -1: 4.6 us and 0.5 us; the frame takes 433 bytes in place of 438, a request of 664 bytes 131 in place of 125.

test-wire passes; it covers damaged, truncated and foreign frames.

--- a/src/wire/frame_compression.cpp
+++ b/src/wire/frame_compression.cpp
@@ -8,7 +8,7 @@
 #include <utility>
 
 #include <xxhash.h>
-#include <zlib.h>
+#include <zstd.h>
 
 namespace berylspring::wire {
 
@@ -35,10 +35,10 @@
 constexpr std::size_t MinFrameBytes = 96;
 /** Longer frames are mostly bodies, which are often compressed already; compressing them would waste CPU time. */
 constexpr std::size_t MaxFrameBytes = std::size_t{8} * 1024;
-/** Window and hash table for frames of a few KiB; larger ones cost memory and setup time for each frame. */
-constexpr int WindowBits = 12;
-constexpr int MemoryLevel = 4;
-constexpr int CompressionLevel = 4;
+/** Negative levels of Zstandard favour speed. Nearly all of the gain on short frames comes from the dictionary. */
+constexpr int CompressionLevel = -1;
+/** Part of the dictionary id, so that nodes of a version with another format exchange uncompressed frames. */
+constexpr std::uint64_t FormatId = 2;
 
 std::uint32_t readLength(std::span<const std::uint8_t> bytes) noexcept
 {
@@ -56,27 +56,29 @@
     }
 }
 
-/** zlib takes its input as a pointer to non-const, but does not change it. */
-Bytef *inputOf(const void *bytes) noexcept
-{
-    return static_cast<Bytef *>(const_cast<void *>(bytes));
-}
+using CompressionContext = std::unique_ptr<ZSTD_CCtx, decltype(&ZSTD_freeCCtx)>;
+using DecompressionContext = std::unique_ptr<ZSTD_DCtx, decltype(&ZSTD_freeDCtx)>;
 
-const Bytef *dictionaryOf(const std::string &dictionary) noexcept
+/** @return A context that is kept for further frames; null if there is no memory. */
+ZSTD_CCtx *compressionContext()
 {
-    return reinterpret_cast<const Bytef *>(dictionary.data());
+    thread_local const CompressionContext context = [] {
+        CompressionContext created(ZSTD_createCCtx(), &ZSTD_freeCCtx);
+        if (created) {
+            // The length precedes the Zstandard frame.
+            ZSTD_CCtx_setParameter(created.get(), ZSTD_c_contentSizeFlag, 0);
+            ZSTD_CCtx_setParameter(created.get(), ZSTD_c_checksumFlag, 1);
+        }
+        return created;
+    }();
+    return context.get();
 }
 
-/** @brief Releases a zlib stream on scope exit. */
-template<int (*End)(z_stream *)>
-struct StreamGuard
+ZSTD_DCtx *decompressionContext()
 {
-    z_stream &stream;
-    ~StreamGuard()
-    {
-        End(&stream);
-    }
-};
+    thread_local const DecompressionContext context(ZSTD_createDCtx(), &ZSTD_freeDCtx);
+    return context.get();
+}
 
 Error malformed(const char *detail)
 {
@@ -85,9 +87,22 @@
 
 }
 
-FrameCompression::FrameCompression(std::string dictionary)
-    : m_dictionary(std::move(dictionary))
-    , m_dictionaryId(m_dictionary.empty() ? 0 : XXH64(m_dictionary.data(), m_dictionary.size(), 0))
+/** @brief The dictionary, prepared for both directions. */
+struct FrameCompression::Dictionary
+{
+    explicit Dictionary(const std::string &bytes)
+        : forCompression(ZSTD_createCDict(bytes.data(), bytes.size(), CompressionLevel), &ZSTD_freeCDict)
+        , forDecompression(ZSTD_createDDict(bytes.data(), bytes.size()), &ZSTD_freeDDict)
+    {
+    }
+
+    std::unique_ptr<ZSTD_CDict, decltype(&ZSTD_freeCDict)> forCompression;
+    std::unique_ptr<ZSTD_DDict, decltype(&ZSTD_freeDDict)> forDecompression;
+};
+
+FrameCompression::FrameCompression(const std::string &dictionary)
+    : m_dictionary(dictionary.empty() ? nullptr : std::make_shared<const Dictionary>(dictionary))
+    , m_dictionaryId(dictionary.empty() ? 0 : XXH64(dictionary.data(), dictionary.size(), FormatId))
 {
 }
 
@@ -98,25 +113,21 @@
 
 EncodedFrame FrameCompression::compressed(const EncodedFrame &frame) const
 {
-    if (m_dictionary.empty() || frame.size() < MinFrameBytes || frame.size() > MaxFrameBytes) {
+    if (!m_dictionary || frame.size() < MinFrameBytes || frame.size() > MaxFrameBytes) {
         return frame;
     }
-    z_stream stream{};
-    if (deflateInit2(&stream, CompressionLevel, Z_DEFLATED, WindowBits, MemoryLevel, Z_DEFAULT_STRATEGY) != Z_OK) {
+    ZSTD_CCtx *const context = compressionContext();
+    if (context == nullptr || ZSTD_isError(ZSTD_CCtx_refCDict(context, m_dictionary->forCompression.get())) != 0) {
         return frame;
     }
-    const StreamGuard<deflateEnd> guard{stream};
-    deflateSetDictionary(&stream, dictionaryOf(m_dictionary), static_cast<uInt>(m_dictionary.size()));
-    // A stream that does not fit into this buffer is not shorter than the frame.
+    // A result that does not fit into this buffer is not shorter than the frame.
     auto bytes = std::make_shared<std::vector<std::uint8_t>>(frame.size());
-    stream.next_in = inputOf(frame.bytes().data());
-    stream.avail_in = static_cast<uInt>(frame.size());
-    stream.next_out = bytes->data() + HeaderBytes;
-    stream.avail_out = static_cast<uInt>(bytes->size() - HeaderBytes);
-    if (deflate(&stream, Z_FINISH) != Z_STREAM_END) {
+    const std::size_t size = ZSTD_compress2(
+        context, bytes->data() + HeaderBytes, bytes->size() - HeaderBytes, frame.bytes().data(), frame.size());
+    if (ZSTD_isError(size) != 0) {
         return frame;
     }
-    bytes->resize(HeaderBytes + stream.total_out);
+    bytes->resize(HeaderBytes + size);
     writeLength(*bytes, static_cast<std::uint32_t>(bytes->size() - PrefixBytes) | CompressedFlag);
     writeLength(std::span(*bytes).subspan(PrefixBytes), static_cast<std::uint32_t>(frame.size()));
     const std::span<const std::uint8_t> view(*bytes);
@@ -125,29 +136,25 @@
 
 Result<std::vector<std::uint8_t>> FrameCompression::decompressed(std::span<const std::uint8_t> frame) const
 {
-    if (frame.size() < HeaderBytes) {
-        return tl::unexpected(malformed("compressed frame is too short"));
+    if (frame.size() < HeaderBytes || !m_dictionary) {
+        return tl::unexpected(malformed("compressed frame is too short, or has no dictionary"));
     }
     const std::uint32_t length = readLength(frame.subspan(PrefixBytes));
     if (length < MinFrameBytes || length > MaxFrameBytes) {
         return tl::unexpected(malformed("length inside a compressed frame is out of range"));
     }
-    z_stream stream{};
-    if (inflateInit2(&stream, WindowBits) != Z_OK) {
+    ZSTD_DCtx *const context = decompressionContext();
+    if (context == nullptr) {
         return tl::unexpected(malformed("no memory for a compressed frame"));
     }
-    const StreamGuard<inflateEnd> guard{stream};
     std::vector<std::uint8_t> bytes(length);
-    stream.next_in = inputOf(frame.data() + HeaderBytes);
-    stream.avail_in = static_cast<uInt>(frame.size() - HeaderBytes);
-    stream.next_out = bytes.data();
-    stream.avail_out = static_cast<uInt>(bytes.size());
-    int status = inflate(&stream, Z_FINISH);
-    if (status == Z_NEED_DICT) {
-        status = inflateSetDictionary(&stream, dictionaryOf(m_dictionary), static_cast<uInt>(m_dictionary.size()));
-        status = status == Z_OK ? inflate(&stream, Z_FINISH) : status;
-    }
-    if (status != Z_STREAM_END || stream.avail_out != 0 || stream.avail_in != 0) {
+    const std::size_t size = ZSTD_decompress_usingDDict(context,
+                                                        bytes.data(),
+                                                        bytes.size(),
+                                                        frame.data() + HeaderBytes,
+                                                        frame.size() - HeaderBytes,
+                                                        m_dictionary->forDecompression.get());
+    if (ZSTD_isError(size) != 0 || size != length) {
         return tl::unexpected(malformed("compressed frame is damaged"));
     }
     return bytes;
--- a/src/wire/frame_compression.h
+++ b/src/wire/frame_compression.h
@@ -5,30 +5,33 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <span>
 #include <string>
 #include <vector>
 
 namespace berylspring::wire::detail {
 
-/** Limit of one message of a dictionary; zlib uses no more of the dictionary than its window of 4 KiB. */
+/** Limit of one message of a dictionary; typical messages that are longer make up little of the traffic. */
 inline constexpr std::size_t MaxDictionaryMessageBytes = 2048;
 /** Flag in the length prefix of a compressed frame. */
 inline constexpr std::uint32_t CompressedFlag = 1U << 31U;
 
 /**
- * @brief Compresses individual frames with zlib and a preset dictionary that both sides share. Immutable.
+ * @brief Compresses individual frames with Zstandard and a preset dictionary that both sides share. Immutable; copies
+ * share the dictionary.
  *
  * A compressed frame consists of the length prefix with CompressedFlag, the length of the original frame (4 bytes,
- * little-endian) and a zlib stream. Each frame is a stream of its own, because a queued frame can still be withdrawn.
+ * little-endian) and a Zstandard frame with a checksum. Each frame is compressed on its own, because a queued frame can
+ * still be withdrawn.
  */
 class FrameCompression
 {
 public:
-    /** @param dictionary Byte sequences that are common in frames, the most common last; empty: no compression. */
-    explicit FrameCompression(std::string dictionary);
+    /** @param dictionary Byte sequences that are common in frames; empty: no compression. */
+    explicit FrameCompression(const std::string &dictionary);
 
-    /** @return Hash by which two sides detect that they have the same dictionary; 0 without a dictionary. */
+    /** @return Hash by which two sides detect that they have the same format and dictionary; 0 without a dictionary. */
     [[nodiscard]] std::uint64_t dictionaryId() const noexcept
     {
         return m_dictionaryId;
@@ -45,7 +48,9 @@
     [[nodiscard]] static bool isCompressed(std::span<const std::uint8_t> frame) noexcept;
 
 private:
-    std::string m_dictionary;
+    struct Dictionary;
+
+    std::shared_ptr<const Dictionary> m_dictionary; ///< Null: no compression.
     std::uint64_t m_dictionaryId = 0;
 };
 
--- a/src/wire/peer_connection.cpp
+++ b/src/wire/peer_connection.cpp
@@ -51,6 +51,7 @@
 
 PeerConnection::PeerConnection(asio::ip::tcp::socket socket,
                                std::shared_ptr<const PeerOptions> options,
+                               FrameCompression compression,
                                Role role,
                                std::uint64_t epoch,
                                Hooks hooks)
@@ -58,7 +59,7 @@
     , m_role(role)
     , m_epoch(epoch)
     , m_hooks(std::move(hooks))
-    , m_compression(m_options->dictionary)
+    , m_compression(std::move(compression))
     , m_socket(std::move(socket))
     , m_reader(MaxHandshakeFrameBytes)
     , m_isConnected(role == Role::Server)
--- a/src/wire/peer_connection.h
+++ b/src/wire/peer_connection.h
@@ -56,12 +56,14 @@
     /**
      * @param socket Socket whose executor is a strand.
      * @param options Settings.
+     * @param compression With the dictionary of the options.
      * @param role Role of this process.
      * @param epoch Epoch of the connection; used by a client only.
      * @param hooks Callbacks to the owner.
      */
     PeerConnection(boost::asio::ip::tcp::socket socket,
                    std::shared_ptr<const PeerOptions> options,
+                   FrameCompression compression,
                    Role role,
                    std::uint64_t epoch,
                    Hooks hooks);
--- a/src/wire/peer_pool.cpp
+++ b/src/wire/peer_pool.cpp
@@ -139,7 +139,7 @@
         };
         asio::ip::tcp::socket socket(async::makeStrand(executor));
         return std::make_shared<PeerConnection>(
-            std::move(socket), options, detail::Role::Client, ++lastEpoch, std::move(hooks));
+            std::move(socket), options, compression, detail::Role::Client, ++lastEpoch, std::move(hooks));
     }
 
     void forget(const core::HostId &to, const PeerConnection::Pointer &connection, bool isLost)
@@ -193,6 +193,7 @@
 
     asio::any_io_executor executor;
     std::shared_ptr<const PeerOptions> options;
+    const detail::FrameCompression compression{options->dictionary};
     AddressLookup addressLookup;
     std::array<Shard, ShardCount> shards;
     std::atomic<bool> isClosed{false};
--- a/src/wire/peer_server.cpp
+++ b/src/wire/peer_server.cpp
@@ -144,8 +144,8 @@
             self->sessions.erase(id);
             running->close();
         };
-        const auto connection =
-            std::make_shared<PeerConnection>(std::move(socket), options, detail::Role::Server, 0, std::move(hooks));
+        const auto connection = std::make_shared<PeerConnection>(
+            std::move(socket), options, compression, detail::Role::Server, 0, std::move(hooks));
         sessions.insertOrAssign(id, Session{connection, running});
         PeerConnection::accept(connection);
         if (isClosed) {
@@ -252,6 +252,7 @@
 
     asio::any_io_executor executor;
     std::shared_ptr<const PeerOptions> options;
+    const detail::FrameCompression compression{options->dictionary};
     PeerHandler handler;
     Acceptor acceptor; ///< Used on its strand only after listen().
     core::ShardedMap<std::uint64_t, Session> sessions;
