Take an append with an unknown status for one in doubt

An answer below 200 is no final response and tells nothing.

Test: TheLogOverHttp.tellsWhetherAFailedAppendIsInDoubt failed in its new section before the change.

--- a/src/eventlog/http_log.cpp
+++ b/src/eventlog/http_log.cpp
@@ -29,6 +29,8 @@
 constexpr std::size_t MaxIdleConnections = 4;
 /** Limits the memory used by one response. */
 constexpr std::uint64_t MaxResponseBytes = 64ULL * 1024 * 1024;
+/** Lower ones are informational, or no status at all. */
+constexpr unsigned FirstFinalStatus = 200;
 constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
 
 using Request = http::request<http::string_body>;
@@ -123,10 +125,11 @@
 private:
     static Error refused(const Response &response, bool isAppend)
     {
-        // 500, 502 and 504 may come from servers or proxies that have forwarded the append.
+        // 500, 502 and 504 may come from servers or proxies that have forwarded the append, and a status that no final
+        // response has tells nothing.
         const auto status = response.result();
         const bool isInDoubt = status == http::status::internal_server_error || status == http::status::bad_gateway
-                               || status == http::status::gateway_timeout;
+                               || status == http::status::gateway_timeout || response.result_int() < FirstFinalStatus;
         return {ErrorCode::Refused, isAppend && isInDoubt, "log: status " + std::to_string(response.result_int())};
     }
 
--- a/tests/eventlog/the_log_over_http.cpp
+++ b/tests/eventlog/the_log_over_http.cpp
@@ -174,6 +174,10 @@
         CHECK_TRUE(failureOf({200, "{}"}) == std::pair(ErrorCode::Malformed, true));
         CHECK_TRUE(failureOf({500, ""}) == std::pair(ErrorCode::Refused, true));
     });
+    section("it is in doubt after a response without a final status", [&] {
+        CHECK_TRUE(failureOf({0, ""}) == std::pair(ErrorCode::Refused, true));
+        CHECK_TRUE(failureOf({99, ""}) == std::pair(ErrorCode::Refused, true));
+    });
     section("it is not in doubt after a refusal", [&] {
         CHECK_TRUE(failureOf({429, ""}) == std::pair(ErrorCode::Refused, false));
         CHECK_TRUE(failureOf({503, ""}) == std::pair(ErrorCode::Refused, false));
