Refuse an answer of another node that has no final status

MIXED: a status 000 reached the client. A node rejects such an answer of its endpoint, but passed on what another node sent, whose version or fault it cannot know. It now counts as a lost answer, with the outcome unknown.

Test: AnAnswerWithoutAStatus.isNotPassedOnFromAnotherNode failed before the change at status 0.

--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -92,6 +92,13 @@
     report.pace = response->pace;
 }
 
+/** @brief Whether the response is a refusal or has a final status. */
+bool hasResult(const wire::CallResponse &response)
+{
+    constexpr std::uint16_t FirstFinalStatus = 200;
+    return response->refusal || response->status >= FirstFinalStatus;
+}
+
 Refusal refusalOf(const wire::Error &error)
 {
     const Outcome outcome = error.maybeSent() ? Outcome::Unknown : Outcome::NotRun;
@@ -355,7 +362,8 @@
     if (!answer) {
         co_return refused(refusalOf(answer.error()));
     }
-    if (auto *response = std::get_if<wire::CallResponse>(&*answer)) {
+    auto *response = std::get_if<wire::CallResponse>(&*answer);
+    if (response != nullptr && hasResult(*response)) {
         co_return std::move(*response);
     }
     co_return refused(
