--- a/tests/http/scripted_server.cpp
+++ b/tests/http/scripted_server.cpp
@@ -100,7 +100,10 @@
     co_await wait(script.pause);
     if (script.ending != Ending::None) {
         boost::system::error_code ignored;
-        if (script.ending == Ending::Reset) {
+        if (script.ending == Ending::ShutdownThenReset) {
+            socket.shutdown(tcp::socket::shutdown_send, ignored);
+        }
+        if (script.ending != Ending::Close) {
             socket.set_option(asio::socket_base::linger(true, 0), ignored);
         }
         socket.close(ignored);
--- a/tests/http/scripted_server.h
+++ b/tests/http/scripted_server.h
@@ -18,6 +18,7 @@
     None, ///< It goes on with `repeated`.
     Close, ///< It closes the connection in an orderly way.
     Reset,
+    ShutdownThenReset, ///< It ends its side in an orderly way and resets the connection right after that.
 };
 
 /** @brief Bytes that a server sends on one connection after it has received a request. */
