Order calls by the deadline of their root in every fleet

A chain of ten calls fails with the first one.

Cause: the queue orders nested calls by the deadline of their root, but entries passed that on only where endpoints report their pace, which none does there. The condition had nothing to do with the order; it kept deployments of older kinds as they were.

Change: the condition is gone.

--- a/include/berylspring/node/entry.h
+++ b/include/berylspring/node/entry.h
@@ -84,7 +84,7 @@
     admit(const http::CallerRequest &request, const CallPlan &plan, Summary &summary);
     /** @return The plan within the time that a graceful stop leaves, or a refusal. */
     [[nodiscard]] tl::expected<CallPlan, core::Refusal> planWithinStop(const CallPlan &plan, core::TimePoint now) const;
-    /** @return Time left to the root of a nested call; 0 while no endpoint reports its pace, or if it is not known. */
+    /** @return Time left to the root of a nested call; 0 if it is not known. */
     [[nodiscard]] core::Duration
     rootRemaining(const http::CallerRequest &request, const CallPlan &plan, core::TimePoint startedAt) const;
     /** @return Time that few calls of the route exceed; the timeout if none has ended yet. */
--- a/src/node/entry.cpp
+++ b/src/node/entry.cpp
@@ -226,7 +226,7 @@
 Entry::rootRemaining(const http::CallerRequest &request, const CallPlan &plan, core::TimePoint startedAt) const
 {
     const core::TimePoint now = m_hooks.now();
-    if (!plan->isNested || !m_rootControl.isPaceReported(now)) {
+    if (!plan->isNested) {
         return core::Duration::zero();
     }
     if (request->contextToken) {
