--- a/include/berylspring/wire/peer_options.h
+++ b/include/berylspring/wire/peer_options.h
@@ -46,7 +46,7 @@
 };
 
 /**
- * @param typical Typical messages of the fleet; the most frequent one last, since a dictionary is matched best at its end.
+ * @param typical Typical messages of the fleet; the most frequent one last, as the end is matched best.
  * @return The value for PeerOptions::dictionary; empty if there are no messages.
  */
 [[nodiscard]] std::string makeDictionary(const std::vector<Message> &typical);
--- a/tests/node/a_nested_call_inherits.cpp
+++ b/tests/node/a_nested_call_inherits.cpp
@@ -69,8 +69,8 @@
                   });
 }
 
-// Guards against calls of a long chain that are ordered by the time of a route instead of that of their root, so that in
-// an overload most chains lose a call and their work is wasted (SHORT), also where endpoints report no pace.
+// Guards against calls of a long chain that are ordered by the time of a route instead of that of their root. In an
+// overload, most chains then lose a call, and their work is wasted (SHORT).
 TEST(ANestedCallInherits, theTimeOfItsRoot)
 {
     test::EntryHarness entry(test::catalogueWithRoutes());
