--- a/review/support-2/standins.h
+++ b/review/support-2/standins.h
@@ -902,6 +902,21 @@
     {
         m_workMs = workMs;
     }
+    /** @brief Replaces the answer to a request that has run; returns false to close the connection. */
+    using Answering = std::function<bool(int fd, const std::string &requestId)>;
+    void setAnswering(Answering answering)
+    {
+        m_answering = std::move(answering);
+    }
+    /** @return The text of an answer with the headers of an upstream. */
+    static std::string answerTo(const std::string &requestId, int status)
+    {
+        return answerText(status,
+                          {{"Berylspring-Request-Id", requestId},
+                           {"Berylspring-Response-Stamp", "stamp." + requestId},
+                           {"Keep-Alive", "timeout=10"}},
+                          "body of " + requestId);
+    }
 
 private:
     bool handle(int fd, const Message &request)
@@ -929,12 +944,7 @@
             const std::scoped_lock lock(m_mutex);
             m_runs[index].endedAt = nowMs();
         }
-        return sendAll(fd,
-                       answerText(200,
-                                  {{"Berylspring-Request-Id", requestId},
-                                   {"Berylspring-Response-Stamp", "stamp." + requestId},
-                                   {"Keep-Alive", "timeout=10"}},
-                                  "body of " + requestId));
+        return m_answering ? m_answering(fd, requestId) : sendAll(fd, answerTo(requestId, 200));
     }
 
     const Machine &m_machine;
@@ -943,6 +953,7 @@
     const int m_slots;
     std::atomic<int> m_workMs;
     const std::int64_t m_born;
+    Answering m_answering; ///< Set before the first request.
     std::atomic<std::uint64_t> m_sequence{0};
     mutable std::mutex m_mutex;
     std::vector<Run> m_runs;
