--- a/review/support-2/standins.h
+++ b/review/support-2/standins.h
@@ -448,6 +448,13 @@
         , m_server(ip, port, [this](int fd, const Message &request) { return answer(fd, request); })
     {
     }
+    ~Store()
+    {
+        stop();
+    }
+    Store(const Store &) = delete;
+    Store &operator=(const Store &) = delete;
+
     [[nodiscard]] std::string address() const
     {
         return m_ip + ":" + std::to_string(m_port);
@@ -458,6 +465,12 @@
         const std::scoped_lock lock(m_mutex);
         m_topics[topic].push_back({key, value});
     }
+    /** @brief While set, the store is down and answers nothing; calls that arrive meanwhile are not done. */
+    void setSilent(bool isSilent)
+    {
+        note(isSilent ? "the store is down (silent)" : "the store is back");
+        m_isSilent = isSilent;
+    }
     void stop()
     {
         m_isStopping = true;
@@ -520,6 +533,12 @@
         const std::string topic = parameter(target, "Topic");
         const std::string path = target.substr(0, target.find('?'));
         sleepMs(4);
+        if (m_isSilent) {
+            while (m_isSilent && !m_isStopping) {
+                sleepMs(5);
+            }
+            return false; // A connection on which an answer is lost returns nothing further.
+        }
         if (path == "/api/log-append") {
             return append(fd, topic, request.body);
         }
@@ -563,6 +582,9 @@
             {
                 const std::scoped_lock lock(m_mutex);
                 const std::vector<Entry> &entries = m_topics[topic];
+                if (m_isSilent) {
+                    return false;
+                }
                 if (from < entries.size() || nowMs() >= until || m_isStopping) {
                     std::string body = bigEndian(entries.size(), 8) + bigEndian(0, 8);
                     for (std::size_t i = from; i < entries.size(); ++i) {
@@ -607,6 +629,7 @@
     std::uint16_t m_port;
     std::mutex m_mutex;
     std::atomic<bool> m_isStopping{false};
+    std::atomic<bool> m_isSilent{false};
     std::map<std::string, std::vector<Entry>> m_topics;
     HttpServer m_server;
 };
