--- a/review/support-2/standins.h
+++ b/review/support-2/standins.h
@@ -397,6 +397,7 @@
     std::string host;
     std::string id;
     std::string key;
+    std::string cookie; ///< Value of a header field that the system only passes on.
     std::string body;
     int deadlineMs = 5000;
 };
@@ -412,6 +413,9 @@
     if (isLast) {
         text += "Connection: close\r\n";
     }
+    if (!request.cookie.empty()) {
+        text += "Cookie: " + request.cookie + "\r\n";
+    }
     if (request.method != "GET") {
         text += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
     }
