--- a/src/node/announcer.cpp
+++ b/src/node/announcer.cpp
@@ -2,6 +2,7 @@
 
 #include "berylspring/core/ip_address.h"
 #include "berylspring/telemetry/log.h"
+#include "node/json_text.h"
 #include "node/log_reader.h"
 
 #include <limits>
@@ -42,10 +43,7 @@
     if (error || !value.is_object()) {
         return tl::unexpected<std::string>("not a JSON object");
     }
-    const auto text = [&](std::string_view name) {
-        const boost::json::value *member = value.as_object().if_contains(name);
-        return member != nullptr && member->is_string() ? std::string(member->as_string()) : std::string();
-    };
+    const auto text = [&](std::string_view name) { return textOf(value.as_object(), name); };
     const boost::json::value *port = value.as_object().if_contains("port");
     constexpr std::int64_t MaxPort = std::numeric_limits<std::uint16_t>::max();
     const bool isPort = port != nullptr && port->is_int64() && port->as_int64() > 0 && port->as_int64() <= MaxPort;
--- a/src/node/quarantine_record.cpp
+++ b/src/node/quarantine_record.cpp
@@ -1,5 +1,7 @@
 #include "node/quarantine_record.h"
 
+#include "node/json_text.h"
+
 #include <chrono>
 #include <optional>
 
@@ -11,12 +13,6 @@
 
 namespace json = boost::json;
 
-std::string textOf(const json::object &object, std::string_view name)
-{
-    const json::value *member = object.if_contains(name);
-    return member != nullptr && member->is_string() ? std::string(member->as_string()) : std::string();
-}
-
 std::optional<RecordedQuarantine> quarantineOf(const json::value &value)
 {
     if (!value.is_object()) {
--- a/tests/node/quarantines_in_the_log.cpp
+++ b/tests/node/quarantines_in_the_log.cpp
@@ -1,3 +1,4 @@
+#include "node/memory_log.h"
 #include "node/quarantine_exchange.h"
 #include "node/quarantine_record.h"
 #include "support/section.h"
@@ -18,6 +19,7 @@
 using admission::QuarantineState;
 using node::detail::QuarantineExchange;
 using node::detail::QuarantineExchangeHooks;
+using test::MemoryLog;
 using test::section;
 
 namespace {
@@ -26,37 +28,6 @@
 
 constexpr core::Duration QuarantineTime = 10min;
 
-/** @brief A log in memory that keeps the records of one stream. */
-class MemoryLog
-{
-public:
-    [[nodiscard]] eventlog::LogHooks hooks()
-    {
-        eventlog::LogHooks hooks;
-        hooks.append = [this](std::string, std::string data) -> asio::awaitable<eventlog::Result<core::Offset>> {
-            if (isDown) {
-                co_return tl::unexpected(eventlog::Error(eventlog::ErrorCode::Unreachable, false, "down"));
-            }
-            records.push_back(std::move(data));
-            co_return records.size() - 1;
-        };
-        hooks.read = [this](std::string,
-                            core::Offset from,
-                            std::uint32_t,
-                            core::Duration) -> asio::awaitable<eventlog::Result<eventlog::LogPage>> {
-            eventlog::LogPageFields fields{.records = {}, .next = records.size(), .reachesEnd = true};
-            for (std::size_t offset = from; offset < records.size(); ++offset) {
-                fields.records.push_back({offset, records[offset]});
-            }
-            co_return eventlog::LogPage(std::move(fields));
-        };
-        return hooks;
-    }
-
-    std::vector<std::string> records;
-    bool isDown = false;
-};
-
 }
 
 TEST_GROUP(QuarantinesInTheLog)
