Store the leaves of endpoints outside the process

Callers: bookings reached an endpoint seconds after its node had acknowledged its leave, and were answered 502 when it exited.

Cause: the leave, the drain, the incarnation and the sequence number lived in LocalEndpoint only. A new process took the first heartbeat for the present state. In the node's log: "endpoint leaves", "started", and the late heartbeat as "endpoint changed". Ruled out: the entry, and the order of heartbeats within a process (without the kill the same heartbeat is ignored).

Change: LeaveExchange stores leaves and drains before they are acknowledged, in the log (stream endpoint-leaves, a record for each host) and at three other nodes, whose copy suffices while the log does not answer. A process holds heartbeats back (HeartbeatGate) until it has read the log and asked other nodes. What becomes known later drains the endpoint. Heartbeats without an id never wait, since no leave can name them.

--- a/include/berylspring/http/endpoint_announcement.h
+++ b/include/berylspring/http/endpoint_announcement.h
@@ -2,6 +2,7 @@
 
 #include "berylspring/core/name.h"
 #include "berylspring/core/time.h"
+#include "berylspring/wire/messages.h"
 
 #include <cstdint>
 #include <string>
@@ -32,14 +33,7 @@
     [[nodiscard]] bool operator==(const EndpointHeartbeat &) const = default;
 };
 
-/** @brief Notice of an endpoint that it shuts down. */
-struct EndpointLeave
-{
-    std::string id; ///< Empty: the endpoint of this host, regardless of its id.
-    /** Incarnations of the id up to this one, and the one that is registered, are never used again. */
-    std::uint64_t lastIncarnation = 0;
-    [[nodiscard]] bool operator==(const EndpointLeave &) const = default;
-};
+using EndpointLeave = wire::EndpointLeave;
 
 /** @brief Load reported by an endpoint. */
 struct LoadReport
--- a/include/berylspring/node/local_endpoint.h
+++ b/include/berylspring/node/local_endpoint.h
@@ -4,12 +4,12 @@
 #include "berylspring/core/time.h"
 #include "berylspring/http/client.h"
 #include "berylspring/http/endpoint_announcement.h"
+#include "berylspring/node/endpoint_leaves.h"
 #include "berylspring/node/in_flight_table.h"
 #include "berylspring/node/protocols.h"
 #include "berylspring/telemetry/span.h"
 #include "berylspring/wire/datagrams.h"
 
-#include <deque>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -63,6 +63,15 @@
      * @return Whether it is the endpoint registered here, which the caller must then drain.
      */
     [[nodiscard]] bool leave(const http::EndpointLeave &leave);
+    /** @brief Records that the endpoint of a heartbeat drains, without registering it. */
+    void recordDrain(const http::EndpointHeartbeat &heartbeat);
+    /**
+     * @brief Adds the leaves that earlier processes of this host have acknowledged.
+     * @return Whether the registered endpoint is among them and is not draining; the caller must then drain it.
+     */
+    [[nodiscard]] bool restoreLeaves(const EndpointLeaves &earlier);
+    /** @return The endpoints that have announced their end, by a drain or a leave. */
+    [[nodiscard]] EndpointLeaves leaves() const;
     void reportLoad(const http::LoadReport &report);
     /** @brief Records that its data centre was taken back after an evacuation, in which it may have become cold. */
     void takenBack(core::TimePoint now);
@@ -98,7 +107,6 @@
     };
     [[nodiscard]] HeartbeatResult registerHeartbeat(const http::EndpointHeartbeat &heartbeat, core::TimePoint now);
     [[nodiscard]] Target target() const;
-    [[nodiscard]] bool hasLeft(const http::EndpointAnnouncement &announcement) const;
     [[nodiscard]] Registration makeRegistration(const http::EndpointHeartbeat &heartbeat, core::TimePoint now) const;
     [[nodiscard]] boost::asio::awaitable<admission::EndpointResult>
     failedCall(const std::string &requestId, const http::Error &error, const Target &target);
@@ -116,7 +124,7 @@
     mutable std::mutex m_mutex;
     std::optional<Registration> m_registration;
     admission::ColdState m_cold{HeartbeatTimeout};
-    std::deque<http::EndpointLeave> m_recentLeaves; ///< Most recent leaves, oldest first.
+    EndpointLeaves m_leaves;
 };
 
 }
--- a/include/berylspring/wire/messages.h
+++ b/include/berylspring/wire/messages.h
@@ -265,6 +265,38 @@
 };
 using QuarantineNotice = core::Immutable<QuarantineNoticeFields>;
 
+/** @brief Notice of an endpoint that it shuts down. */
+struct EndpointLeave
+{
+    std::string id; ///< Empty: the endpoint of the host, regardless of its id.
+    /** Incarnations of the id up to this one, and the one that is registered, are never used again. */
+    std::uint64_t lastIncarnation = 0;
+    [[nodiscard]] bool operator==(const EndpointLeave &) const = default;
+};
+
+/** @brief Leaves that the sender has acknowledged, for the receiver to keep. */
+struct EndpointLeaveNoticeFields
+{
+    std::vector<EndpointLeave> leaves;
+    [[nodiscard]] bool operator==(const EndpointLeaveNoticeFields &) const = default;
+};
+using EndpointLeaveNotice = core::Immutable<EndpointLeaveNoticeFields>;
+
+/** @brief Asks for the leaves that the receiver keeps for the sender. */
+struct EndpointLeaveQueryFields
+{
+    [[nodiscard]] bool operator==(const EndpointLeaveQueryFields &) const = default;
+};
+using EndpointLeaveQuery = core::Immutable<EndpointLeaveQueryFields>;
+
+struct EndpointLeaveReplyFields
+{
+    std::vector<EndpointLeave> leaves;
+    bool isRestored = false; ///< Otherwise the replying process has just started and may lack some.
+    [[nodiscard]] bool operator==(const EndpointLeaveReplyFields &) const = default;
+};
+using EndpointLeaveReply = core::Immutable<EndpointLeaveReplyFields>;
+
 struct AckFields
 {
     [[nodiscard]] bool operator==(const AckFields &) const = default;
@@ -297,6 +329,9 @@
                              RecordPull,
                              RecordBatch,
                              Tombstone,
-                             QuarantineNotice>;
+                             QuarantineNotice,
+                             EndpointLeaveNotice,
+                             EndpointLeaveQuery,
+                             EndpointLeaveReply>;
 
 }
--- a/include/berylspring/wire/traffic_meter.h
+++ b/include/berylspring/wire/traffic_meter.h
@@ -17,6 +17,7 @@
     Claim, ///< Claims of idempotency keys.
     Configuration,
     Quarantine,
+    EndpointLeave, ///< Leaves of endpoints that other nodes keep.
     Membership, ///< Datagrams, which carry load reports too.
     KeepAlive,
     Handshake,
--- /dev/null
+++ b/src/node/leave_exchange.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include "berylspring/admission/notice_outbox.h"
+#include "berylspring/core/name.h"
+#include "berylspring/core/sharded_map.h"
+#include "berylspring/core/time.h"
+#include "berylspring/eventlog/log_hooks.h"
+#include "berylspring/node/endpoint_leaves.h"
+#include "berylspring/wire/messages.h"
+#include "berylspring/wire/peer_call.h"
+#include "node/leave_replication.h"
+#include "node/leave_restore.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <vector>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/experimental/concurrent_channel.hpp>
+
+namespace berylspring::node::detail {
+
+/** @brief Dependencies of the exchange on the endpoint, the peers and the log. */
+struct LeaveExchangeHooks
+{
+    eventlog::LogHooks log;
+    wire::PeerCall call;
+    std::function<EndpointLeaves()> leaves; ///< Of this host.
+    /** Called with leaves that earlier processes of this host have acknowledged; possibly several times. */
+    std::function<void(const EndpointLeaves &)> restored;
+    std::function<void()> heartbeatsAllowed; ///< Called once: heartbeats may be applied from now on.
+    std::function<std::vector<admission::NoticeReceiver>()> holders; ///< Peers that keep the leaves of this host.
+    std::function<std::vector<admission::NoticeReceiver>()> witnesses; ///< Peers that may keep them.
+    std::function<bool()> knowsPeers; ///< Whether the live members of the data centre are known.
+    std::function<std::uint64_t()> logGeneration; ///< Rises when the log has lost its latest records.
+    std::function<core::TimePoint()> now;
+    std::function<bool()> isStopping;
+};
+
+/** @brief What the exchange does at the start of the process. */
+struct LeaveExchangeSettings
+{
+    core::HostId self;
+    bool isFirstStart = false; ///< The whole fleet starts, and no earlier process has acknowledged a leave.
+    [[nodiscard]] bool operator==(const LeaveExchangeSettings &) const = default;
+};
+
+/**
+ * @brief Stores the leaves that this host has acknowledged outside its process, and learns those of earlier processes.
+ *
+ * The acknowledgement of a leave binds the host, not the process: a late heartbeat at the next process must not
+ * register the endpoint again. The stream `endpoint-leaves` of the log holds one record for each host with its latest
+ * leaves; some peers keep them too, for the time in which the log is down. Thread-safe.
+ */
+class LeaveExchange
+{
+public:
+    LeaveExchange(boost::asio::any_io_executor executor, LeaveExchangeSettings settings, LeaveExchangeHooks hooks);
+
+    /** @brief Starts to learn the leaves of earlier processes. */
+    void start();
+    /**
+     * @brief Stores the present leaves of this host.
+     * @return Whether they outlive this process: the log has them, or a peer if the log does not answer.
+     */
+    [[nodiscard]] boost::asio::awaitable<bool> store();
+    /** @brief Repeats what has failed; to be called several times a second. */
+    void tick(core::TimePoint now);
+
+    /** @brief Keeps the leaves of another host. */
+    void keep(const core::HostId &from, const wire::EndpointLeaveNotice &notice);
+    /** @return The leaves kept for the host. */
+    [[nodiscard]] wire::EndpointLeaveReply answer(const core::HostId &from) const;
+
+private:
+    /** Wakes a coroutine that waits for a leave to be stored; may be signalled from any thread. */
+    using Signal = boost::asio::experimental::concurrent_channel<void(boost::system::error_code)>;
+
+    [[nodiscard]] boost::asio::awaitable<void> readLog();
+    [[nodiscard]] boost::asio::awaitable<void> askPeers();
+    /** @return Whether each of the hosts has answered. */
+    [[nodiscard]] boost::asio::awaitable<bool> askOnce(std::vector<admission::NoticeReceiver> hosts);
+    [[nodiscard]] boost::asio::awaitable<bool> askHost(core::HostId host);
+    /** @brief Adds leaves of earlier processes; those in the log need not be appended again. */
+    void restore(const EndpointLeaves &earlier);
+    void completeRestore(core::TimePoint now);
+    void updateRestore(const std::function<LeaveRestore(const LeaveRestore &)> &change);
+    [[nodiscard]] LeaveRestore restoreProgress() const;
+
+    /** @brief Counts a change if the leaves differ from the last ones; with m_mutex held. @return The latest change. */
+    std::uint64_t noteLeaves();
+    void startStoring(core::TimePoint now);
+    [[nodiscard]] boost::asio::awaitable<void> append();
+    [[nodiscard]] boost::asio::awaitable<void> deliver(admission::NoticeReceiver holder);
+    [[nodiscard]] std::shared_ptr<Signal> subscribe();
+    void wakeWaiting();
+
+    boost::asio::any_io_executor m_executor;
+    LeaveExchangeSettings m_settings;
+    LeaveExchangeHooks m_hooks;
+    LeaveReplication m_replication;
+    core::ShardedMap<core::HostId, EndpointLeaves> m_kept; ///< Leaves of other hosts.
+    mutable std::mutex m_mutex;
+    LeaveRestore m_restore;
+    bool m_isRestored;
+    EndpointLeaves m_notedLeaves; ///< As of the latest change.
+    core::TimePoint m_nextHolderCheckAt{core::TimePoint::min()};
+    std::vector<std::weak_ptr<Signal>> m_waiting;
+};
+
+}
--- a/src/node/local_endpoint.cpp
+++ b/src/node/local_endpoint.cpp
@@ -24,9 +24,6 @@
 /** Bounds how long bytes that an endpoint sends on an idle connection stay unread. */
 constexpr core::Duration IdleCheckInterval = std::chrono::seconds(1);
 
-/** Leaves that are remembered; a few are enough, since a host runs one endpoint at a time. */
-constexpr std::size_t MaxRecentLeaves = 8;
-
 using core::Outcome;
 using core::Refusal;
 using core::RefusalReason;
@@ -59,6 +56,15 @@
                   error.maybeSent());
 }
 
+/** @return The leave that a draining heartbeat announces. */
+http::EndpointLeave leaveOf(const http::EndpointHeartbeat &heartbeat)
+{
+    const http::EndpointAnnouncement &announcement = heartbeat.announcement;
+    // Without an incarnation, the next start of the endpoint could not be told from the one that drains.
+    return announcement.incarnation == 0 ? http::EndpointLeave()
+                                         : http::EndpointLeave{announcement.id, announcement.incarnation};
+}
+
 /** @brief RAII entry of a running request in the in-flight table. */
 class InFlightEntry
 {
@@ -117,6 +123,9 @@
     if (result != HeartbeatResult::Stale) {
         m_cold = m_cold.withHeartbeat(heartbeat.coldFor, now);
     }
+    if (heartbeat.isDraining) {
+        m_leaves = m_leaves.with(leaveOf(heartbeat));
+    }
     return result;
 }
 
@@ -125,7 +134,7 @@
 {
     const http::EndpointAnnouncement &announcement = heartbeat.announcement;
     const bool isDifferent = !m_registration || m_registration->announcement.id != announcement.id;
-    if (isDifferent && hasLeft(announcement)) {
+    if (isDifferent && m_leaves.cover(announcement.id, announcement.incarnation)) {
         return HeartbeatResult::Stale;
     }
     if (!m_registration) {
@@ -187,27 +196,34 @@
 {
     const std::scoped_lock lock(m_mutex);
     const bool isRegistered = m_registration && (leave.id.empty() || m_registration->announcement.id == leave.id);
-    if (!leave.id.empty()) {
-        // A heartbeat sent before the leave may arrive after it, and this node may have no registration to compare it
-        // with.
-        http::EndpointLeave recent = leave;
-        if (isRegistered) {
-            // The clock of this host may have been set back since the endpoint started.
-            recent.lastIncarnation = std::max(leave.lastIncarnation, m_registration->announcement.incarnation);
-        }
-        m_recentLeaves.push_back(std::move(recent));
-        if (m_recentLeaves.size() > MaxRecentLeaves) {
-            m_recentLeaves.pop_front();
-        }
+    // A heartbeat sent before the leave may arrive after it, and this node may have no registration to compare it with.
+    http::EndpointLeave recorded = leave;
+    if (isRegistered) {
+        // The clock of this host may have been set back since the endpoint started.
+        recorded.lastIncarnation = std::max(leave.lastIncarnation, m_registration->announcement.incarnation);
     }
+    m_leaves = m_leaves.with(recorded);
     return isRegistered;
 }
 
-bool LocalEndpoint::hasLeft(const http::EndpointAnnouncement &announcement) const
+void LocalEndpoint::recordDrain(const http::EndpointHeartbeat &heartbeat)
 {
-    return std::any_of(m_recentLeaves.begin(), m_recentLeaves.end(), [&](const http::EndpointLeave &left) {
-        return left.id == announcement.id && announcement.incarnation <= left.lastIncarnation;
-    });
+    const std::scoped_lock lock(m_mutex);
+    m_leaves = m_leaves.with(leaveOf(heartbeat));
+}
+
+bool LocalEndpoint::restoreLeaves(const EndpointLeaves &earlier)
+{
+    const std::scoped_lock lock(m_mutex);
+    m_leaves = earlier.with(m_leaves);
+    return m_registration && !m_registration->isDraining
+           && m_leaves.cover(m_registration->announcement.id, m_registration->announcement.incarnation);
+}
+
+EndpointLeaves LocalEndpoint::leaves() const
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_leaves;
 }
 
 void LocalEndpoint::reportLoad(const http::LoadReport &report)
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -100,6 +100,8 @@
           idempotencyHooks())
     , m_endpoint(
           m_executor, m_settings->maxBodyBytes, m_protocols, m_inFlight, m_random, spanSink(), localEndpointHooks())
+    , m_heartbeatGate(m_settings->isFirstStart)
+    , m_leaveExchange(m_executor, {m_settings->host, m_settings->isFirstStart}, leaveExchangeHooks())
     , m_admissionHistory(std::make_shared<admission::AdmissionHistory>(admission::AdmissionSettings()))
     , m_quarantineExchange(m_executor,
                            {m_settings->host, m_settings->isFirstStart},
@@ -159,6 +161,7 @@
     m_limits.start();
     asio::co_spawn(m_executor, publishLoop(), detail::logFailure("publishing"));
     asio::co_spawn(m_executor, m_quarantineExchange.restore(), detail::logFailure("quarantine record"));
+    m_leaveExchange.start();
     asio::co_spawn(m_executor,
                    detail::announceThroughLog(
                        {.log = m_log,
--- a/src/node/node_handlers.cpp
+++ b/src/node/node_handlers.cpp
@@ -83,6 +83,13 @@
         m_quarantineExchange.receive(from, *notice, now());
         co_return wire::Message(wire::Ack());
     }
+    if (const auto *notice = std::get_if<wire::EndpointLeaveNotice>(&message)) {
+        m_leaveExchange.keep(from, *notice);
+        co_return wire::Message(wire::Ack());
+    }
+    if (std::holds_alternative<wire::EndpointLeaveQuery>(message)) {
+        co_return wire::Message(m_leaveExchange.answer(from));
+    }
     co_return wire::Message(wire::Refused({.detail = "not a request"}));
 }
 
@@ -158,17 +165,28 @@
 
 asio::awaitable<http::Reply> Node::Implementation::handleEndpoint(http::Request request)
 {
+    bool isLeaving = false;
     const EndpointApiHooks hooks{
-        .heartbeat = [this](const http::EndpointHeartbeat &heartbeat) { processHeartbeat(heartbeat); },
+        .heartbeat =
+            [&](const http::EndpointHeartbeat &heartbeat) {
+                isLeaving = heartbeat.isDraining;
+                processHeartbeat(heartbeat);
+            },
         .leave =
-            [this](const http::EndpointLeave &leave) {
+            [&](const http::EndpointLeave &leave) {
+                isLeaving = true;
                 telemetry::log(telemetry::Severity::Info, "endpoint leaves", {{"endpoint", leave.id}});
                 if (m_endpoint.leave(leave)) {
                     drainEndpoint();
                 }
             },
         .reportLoad = [this](const http::LoadReport &report) { m_endpoint.reportLoad(report); }};
-    co_return m_protocols.handleEndpoint(request, hooks);
+    http::Response response = m_protocols.handleEndpoint(request, hooks);
+    // The acknowledgement binds the next process of this host too.
+    if (isLeaving && !co_await m_leaveExchange.store()) {
+        telemetry::log(telemetry::Severity::Warning, "leave acknowledged, but stored in this process only");
+    }
+    co_return response;
 }
 
 void Node::Implementation::processHeartbeat(const http::EndpointHeartbeat &heartbeat)
@@ -177,9 +195,22 @@
         // The endpoint was drained together with this node; a heartbeat must not undo that.
         return;
     }
+    if (heartbeat.isDraining) {
+        // Also while the heartbeat is held back, since it is acknowledged.
+        m_endpoint.recordDrain(heartbeat);
+    }
+    // Leaves name their endpoint, so that one without an id is never among them.
+    const bool mayHaveLeft = !heartbeat.announcement.id.empty();
+    if (!mayHaveLeft || !m_heartbeatGate.hold(heartbeat, now())) {
+        applyHeartbeat(heartbeat, now());
+    }
+}
+
+void Node::Implementation::applyHeartbeat(const http::EndpointHeartbeat &heartbeat, core::TimePoint receivedAt)
+{
     using HeartbeatResult = LocalEndpoint::HeartbeatResult;
     const http::EndpointAnnouncement &announcement = heartbeat.announcement;
-    const HeartbeatResult result = m_endpoint.heartbeat(heartbeat, now());
+    const HeartbeatResult result = m_endpoint.heartbeat(heartbeat, receivedAt);
     if (result == HeartbeatResult::Renewed) {
         updateCold();
         return;
@@ -301,6 +332,7 @@
     while (true) {
         publishEndpoint();
         m_quarantineExchange.tick(now());
+        m_leaveExchange.tick(now());
         if (now() - lastStatus >= StatusInterval) {
             lastStatus = now();
             logStatus();
--- a/src/node/node_hooks.cpp
+++ b/src/node/node_hooks.cpp
@@ -1,4 +1,5 @@
 #include "node/background.h"
+#include "node/leave_holders.h"
 #include "node/node_implementation.h"
 
 #include "berylspring/core/rendezvous.h"
@@ -258,6 +259,34 @@
     return hooks;
 }
 
+detail::LeaveExchangeHooks Node::Implementation::leaveExchangeHooks()
+{
+    const auto peers = [this](detail::HolderCounts counts) {
+        return detail::leaveHolders(*m_membership->snapshot(), m_membership->self(), counts);
+    };
+    detail::LeaveExchangeHooks hooks;
+    hooks.log = m_log;
+    hooks.call = m_peers.asPeerCall();
+    hooks.leaves = [this] { return m_endpoint.leaves(); };
+    hooks.restored = [this](const EndpointLeaves &earlier) {
+        if (m_endpoint.restoreLeaves(earlier)) {
+            drainEndpoint();
+        }
+    };
+    hooks.heartbeatsAllowed = [this] {
+        for (const detail::HeldHeartbeat &held : m_heartbeatGate.open()) {
+            applyHeartbeat(held.heartbeat, held.receivedAt);
+        }
+    };
+    hooks.holders = [peers] { return peers(detail::LeaveHolders); };
+    hooks.witnesses = [peers] { return peers(detail::LeaveWitnesses); };
+    hooks.knowsPeers = [this] { return knowsDataCentre(joinProgress(), now()); };
+    hooks.logGeneration = [this] { return m_config.logGeneration(); };
+    hooks.now = now;
+    hooks.isStopping = [this] { return m_isStopping.load(); };
+    return hooks;
+}
+
 DispatcherHooks Node::Implementation::dispatcherHooks()
 {
     DispatcherHooks hooks;
--- a/src/node/node_implementation.h
+++ b/src/node/node_implementation.h
@@ -25,6 +25,8 @@
 #include "berylspring/wire/peer_pool.h"
 #include "berylspring/wire/peer_server.h"
 #include "node/evacuations.h"
+#include "node/heartbeat_gate.h"
+#include "node/leave_exchange.h"
 #include "node/quarantine_exchange.h"
 
 #include <atomic>
@@ -56,6 +58,7 @@
     idempotency::IdempotencyHooks idempotencyHooks();
     admission::AdmissionHooks admissionHooks();
     detail::QuarantineExchangeHooks quarantineExchangeHooks();
+    detail::LeaveExchangeHooks leaveExchangeHooks();
     LocalEndpointHooks localEndpointHooks();
     DispatcherHooks dispatcherHooks();
     EntryHooks entryHooks();
@@ -77,6 +80,7 @@
 
     boost::asio::awaitable<http::Reply> handleOperator(http::Request request);
     void processHeartbeat(const http::EndpointHeartbeat &heartbeat);
+    void applyHeartbeat(const http::EndpointHeartbeat &heartbeat, core::TimePoint receivedAt);
     /** @brief Starts afresh with an endpoint that has just announced itself. */
     void replaceAdmission();
     void drainEndpoint();
@@ -153,6 +157,8 @@
     limit::LimitService m_limits;
     idempotency::IdempotencyService m_idempotency;
     LocalEndpoint m_endpoint;
+    detail::HeartbeatGate m_heartbeatGate;
+    detail::LeaveExchange m_leaveExchange;
     std::mutex m_coldMutex;
     std::optional<core::TimePoint> m_coldSince; ///< While the endpoint is cold, as last logged.
     /** Outlives the endpoints: a request that has ended one of them ends the next one too. */
--- a/src/wire/envelope_decode.cpp
+++ b/src/wire/envelope_decode.cpp
@@ -96,6 +96,12 @@
             return read(*envelope.payload_as_Tombstone());
         case schema::Payload::QuarantineNotice:
             return read(*envelope.payload_as_QuarantineNotice());
+        case schema::Payload::EndpointLeaveNotice:
+            return read(*envelope.payload_as_EndpointLeaveNotice());
+        case schema::Payload::EndpointLeaveQuery:
+            return EndpointLeaveQuery();
+        case schema::Payload::EndpointLeaveReply:
+            return read(*envelope.payload_as_EndpointLeaveReply());
         default:
             fail("unknown message");
             return Ack{};
@@ -317,6 +323,24 @@
         return QuarantineNotice(QuarantineNoticeFields{digest(value.request_digest()), duration(value.remaining_ns())});
     }
 
+    [[nodiscard]] EndpointLeaveNotice read(const schema::EndpointLeaveNotice &value)
+    {
+        return EndpointLeaveNotice(EndpointLeaveNoticeFields{leaves(value.leaves())});
+    }
+
+    [[nodiscard]] EndpointLeaveReply read(const schema::EndpointLeaveReply &value)
+    {
+        return EndpointLeaveReply(EndpointLeaveReplyFields{leaves(value.leaves()), value.is_restored()});
+    }
+
+    [[nodiscard]] std::vector<EndpointLeave>
+    leaves(const flatbuffers::Vector<flatbuffers::Offset<schema::EndpointLeave>> *values)
+    {
+        return list<EndpointLeave>(values, [this](const schema::EndpointLeave &leave) {
+            return EndpointLeave{text(leave.id()), leave.last_incarnation()};
+        });
+    }
+
     std::uint64_t m_requestNumber;
 };
 
--- a/src/wire/envelope_encode.cpp
+++ b/src/wire/envelope_encode.cpp
@@ -282,6 +282,23 @@
         const auto requestDigest = digest(value->requestDigest);
         return schema::CreateQuarantineNotice(m_builder, &requestDigest, value->remaining.count());
     }
+    Offset<schema::EndpointLeave> write(const EndpointLeave &value)
+    {
+        return schema::CreateEndpointLeave(m_builder, text(value.id), value.lastIncarnation);
+    }
+    Offset<schema::EndpointLeaveNotice> write(const EndpointLeaveNotice &value)
+    {
+        return schema::CreateEndpointLeaveNotice(m_builder, list<schema::EndpointLeave>(value->leaves));
+    }
+    Offset<schema::EndpointLeaveQuery> write(const EndpointLeaveQuery &)
+    {
+        return schema::CreateEndpointLeaveQuery(m_builder);
+    }
+    Offset<schema::EndpointLeaveReply> write(const EndpointLeaveReply &value)
+    {
+        return schema::CreateEndpointLeaveReply(
+            m_builder, list<schema::EndpointLeave>(value->leaves), value->isRestored);
+    }
 
     flatbuffers::FlatBufferBuilder m_builder;
     RequestKey m_key;
@@ -318,6 +335,9 @@
 BERYLSPRING_PAYLOAD(RecordBatch);
 BERYLSPRING_PAYLOAD(Tombstone);
 BERYLSPRING_PAYLOAD(QuarantineNotice);
+BERYLSPRING_PAYLOAD(EndpointLeaveNotice);
+BERYLSPRING_PAYLOAD(EndpointLeaveQuery);
+BERYLSPRING_PAYLOAD(EndpointLeaveReply);
 #undef BERYLSPRING_PAYLOAD
 
 /** Initial capacity for a message without body, so that most buffers never grow. */
--- a/src/wire/traffic_meter.cpp
+++ b/src/wire/traffic_meter.cpp
@@ -23,6 +23,8 @@
         return TrafficClass::Configuration;
     } else if constexpr (isOneOf<Type, QuarantineNotice>) {
         return TrafficClass::Quarantine;
+    } else if constexpr (isOneOf<Type, EndpointLeaveNotice, EndpointLeaveQuery, EndpointLeaveReply>) {
+        return TrafficClass::EndpointLeave;
     } else {
         return TrafficClass::Other;
     }
@@ -43,6 +45,8 @@
         return "configuration";
     case TrafficClass::Quarantine:
         return "quarantine";
+    case TrafficClass::EndpointLeave:
+        return "endpoint_leave";
     case TrafficClass::Membership:
         return "membership";
     case TrafficClass::KeepAlive:
--- a/tests/integration/harness/platform_fleet.cpp
+++ b/tests/integration/harness/platform_fleet.cpp
@@ -1,6 +1,7 @@
 #include "integration/harness/platform_fleet.h"
 
 #include <chrono>
+#include <filesystem>
 #include <fstream>
 
 namespace berylspring::test {
@@ -14,11 +15,12 @@
                           const std::string &dataCentre,
                           const std::string &service,
                           std::uint16_t storePort,
-                          const TemporaryDirectory &directory)
+                          const TemporaryDirectory &directory,
+                          std::uint16_t peerPort)
 {
     std::string path = directory.file(host + ".ini");
     std::ofstream(path) << "[node]\nhost = " << host << "\ndata_centre = " << dataCentre
-                        << "\naddress = 127.0.0.1\nservice = " << service
+                        << "\naddress = 127.0.0.1\nservice = " << service << "\n[ports]\npeer = " << peerPort
                         << "\n[fleet]\ndata_centres = a,b\nsecret = at-least-16-characters\n"
                         << "[operator]\ntoken_digest = " << std::string(64, 'f')
                         << "\n[platform]\nkind = store\nlog = 127.0.0.1:" << storePort
@@ -27,6 +29,17 @@
     return path;
 }
 
+/** @return A file without output of an earlier process of the host, whose ports would be taken for those of the next.
+ */
+std::string unusedLogFile(const std::string &host, const TemporaryDirectory &directory)
+{
+    std::string path = directory.file(host + ".log");
+    for (int process = 2; std::filesystem::exists(path); ++process) {
+        path = directory.file(host + "-" + std::to_string(process) + ".log");
+    }
+    return path;
+}
+
 }
 
 std::string platformDocument(int version, const std::string &keys, int maxBodyBytes, const std::string &routes)
@@ -73,15 +86,17 @@
                            const std::string &dataCentre,
                            const std::string &service,
                            std::uint16_t storePort,
-                           const TemporaryDirectory &directory)
+                           const TemporaryDirectory &directory,
+                           std::uint16_t fixedPeerPort)
     : process(host,
               {std::string(BERYLSPRING_BINARY_DIR) + "/berylspringd",
                "--settings",
-               writeSettings(host, dataCentre, service, storePort, directory)},
-              directory.file(host + ".log"))
+               writeSettings(host, dataCentre, service, storePort, directory, fixedPeerPort)},
+              unusedLogFile(host, directory))
     , callerPort(process.waitForPort("caller"))
     , endpointPort(process.waitForPort("endpoint"))
     , operatorPort(process.waitForPort("operator"))
+    , peerPort(process.waitForPort("peer"))
 {
 }
 
@@ -100,6 +115,13 @@
     return {host, dataCentre, service, store.port(), m_directory};
 }
 
+PlatformNode PlatformFleet::restartFirst()
+{
+    first.process.kill();
+    first.process.wait();
+    return {"h1", "a", "visits", store.port(), m_directory, first.peerPort};
+}
+
 int PlatformFleet::status(std::uint16_t port,
                           const std::string &method,
                           const std::string &target,
@@ -118,12 +140,22 @@
 }
 
 int PlatformFleet::heartbeat(const std::string &state)
+{
+    return heartbeatTo(first.endpointPort, "i-1", state, ++m_sequence);
+}
+
+int PlatformFleet::heartbeatTo(std::uint16_t port, const std::string &id, const std::string &state, int sequence)
 {
     const std::string body =
         R"({"Address":"127.0.0.1:)" + std::to_string(upstream.port())
         + R"(","Info":{"Service":"visits","Version":"v1","Zone":"a","Slots":8},"Status":{"State":")" + state
-        + R"(","Seq":)" + std::to_string(++m_sequence) + R"(,"ColdRemainingMs":0},"born":1700000000000})";
-    return status(first.endpointPort, "PUT", "/api/instances/i-1", body);
+        + R"(","Seq":)" + std::to_string(sequence) + R"(,"ColdRemainingMs":0},"born":1700000000000})";
+    return status(port, "PUT", "/api/instances/" + id, body);
+}
+
+int PlatformFleet::leaveAt(std::uint16_t port, const std::string &id)
+{
+    return status(port, "DELETE", "/api/instances/" + id);
 }
 
 bool PlatformFleet::waitForStatus(int expected, std::uint16_t port, const std::string &target, const std::string &key)
--- a/tests/integration/harness/platform_fleet.h
+++ b/tests/integration/harness/platform_fleet.h
@@ -65,12 +65,14 @@
                  const std::string &dataCentre,
                  const std::string &service,
                  std::uint16_t storePort,
-                 const TemporaryDirectory &directory);
+                 const TemporaryDirectory &directory,
+                 std::uint16_t fixedPeerPort = 0);
 
     Process process;
     std::uint16_t callerPort;
     std::uint16_t endpointPort;
     std::uint16_t operatorPort;
+    std::uint16_t peerPort;
 };
 
 /**
@@ -90,12 +92,18 @@
                const std::string &key = {});
     /** @brief Sends a heartbeat of the endpoint to its node. @return The HTTP status. */
     int heartbeat(const std::string &state);
+    /** @brief Sends a heartbeat of an endpoint at the same address to any node. @return The HTTP status. */
+    int heartbeatTo(std::uint16_t port, const std::string &id, const std::string &state, int sequence);
+    /** @brief Tells a node that an endpoint has left. @return The HTTP status. */
+    int leaveAt(std::uint16_t port, const std::string &id);
     /** @brief Repeats a request until its answer has the status; keeps the endpoint announced. @return False on
      * timeout. */
     bool waitForStatus(int expected, std::uint16_t port, const std::string &target, const std::string &key);
     /** @brief Starts a further node, which reaches the store directly. */
     [[nodiscard]] PlatformNode
     start(const std::string &host, const std::string &dataCentre, const std::string &service) const;
+    /** @brief Kills the first node and starts its host again, at the same peer port. */
+    [[nodiscard]] PlatformNode restartFirst();
 
 private:
     TemporaryDirectory m_directory;
--- a/tests/node/heartbeats_of_an_endpoint.cpp
+++ b/tests/node/heartbeats_of_an_endpoint.cpp
@@ -143,3 +143,34 @@
         CHECK(endpoint.isDraining());
     });
 }
+
+// Guards against an endpoint that is in service again although an earlier process has acknowledged that it drains.
+TEST(HeartbeatsOfAnEndpoint, doNotBringBackOneThatLeftAnEarlierProcess)
+{
+    const node::EndpointLeaves earlier({{"i-5", 5}, {"i-6", 6}});
+    section("one that is not registered yet is ignored", [&] {
+        CHECK_FALSE(endpoint.restoreLeaves(earlier));
+        CHECK(send(heartbeatOf(5, 2)) == HeartbeatResult::Stale);
+        CHECK(send(heartbeatOf(6, 2, true)) == HeartbeatResult::Stale);
+    });
+    section("one that was registered before its leave became known has to be drained", [&] {
+        CHECK(send(heartbeatOf(7, 1)) == HeartbeatResult::Started);
+        CHECK(endpoint.restoreLeaves(node::EndpointLeaves({{"i-7", 7}})));
+        endpoint.drain();
+        CHECK_FALSE(endpoint.restoreLeaves(node::EndpointLeaves({{"i-7", 7}})));
+    });
+    section("the leaves of this process are added to them, the oldest are dropped", [&] {
+        for (std::uint64_t incarnation = 10; incarnation < 10 + node::EndpointLeaves::MaxLeaves; ++incarnation) {
+            CHECK(send(heartbeatOf(incarnation, 1)) == HeartbeatResult::Started);
+            CHECK(send(heartbeatOf(incarnation, 2, true)) == HeartbeatResult::Draining);
+        }
+        LONGS_EQUAL(node::EndpointLeaves::MaxLeaves, endpoint.leaves().list().size());
+        CHECK(endpoint.leaves().cover("i-10", 10));
+        CHECK_FALSE(endpoint.leaves().cover("i-7", 7));
+    });
+    section("a drain of an endpoint without incarnations is not recorded, since its next start would look the same",
+            [&] {
+                endpoint.recordDrain(heartbeatOf(0, 1, true));
+                CHECK_FALSE(endpoint.leaves().cover("i-0", 0));
+            });
+}
--- a/tests/wire/generators.h
+++ b/tests/wire/generators.h
@@ -50,6 +50,15 @@
     return static_cast<Enumeration>(*rc::gen::inRange(0, static_cast<int>(last) + 1));
 }
 
+inline std::vector<wire::EndpointLeave> endpointLeaves()
+{
+    std::vector<wire::EndpointLeave> leaves(*rc::gen::inRange<std::size_t>(0, 4));
+    for (wire::EndpointLeave &leave : leaves) {
+        leave = {text(), value<std::uint64_t>()};
+    }
+    return leaves;
+}
+
 inline core::PriorityLevel priority()
 {
     return *rc::gen::inRange<core::PriorityLevel>(0, core::MaxPriority + 1);
@@ -209,8 +218,13 @@
         [] {
             return QuarantineNotice(QuarantineNoticeFields{digest(), duration()});
         },
+        [] { return EndpointLeaveNotice(EndpointLeaveNoticeFields{endpointLeaves()}); },
+        [] { return EndpointLeaveQuery(); },
+        [] {
+            return EndpointLeaveReply(EndpointLeaveReplyFields{endpointLeaves(), value<bool>()});
+        },
     };
-    static_assert(std::variant_size_v<Message> == 18, "add a maker for each new message");
+    static_assert(std::variant_size_v<Message> == 21, "add a maker for each new message");
     return makers.at(index)();
 }
 
