Record a drain that is reported while the node stops

A node that is stopping acknowledged a draining heartbeat and dropped it, so that a late heartbeat registered the endpoint at the next process.

Cause: processHeartbeat() returned before it looked at the heartbeat, since none may undo the drain of the stop itself.

Change: a drain is recorded and stored whatever the heartbeat does besides.

--- a/src/node/node_handlers.cpp
+++ b/src/node/node_handlers.cpp
@@ -191,12 +191,8 @@
 
 void Node::Implementation::processHeartbeat(const http::EndpointHeartbeat &heartbeat)
 {
-    if (m_isStopping) {
-        // The endpoint was drained together with this node; a heartbeat must not undo that.
-        return;
-    }
     if (heartbeat.isDraining) {
-        // Also while the heartbeat is held back, since it is acknowledged.
+        // Also while the heartbeat itself has no effect, since it is acknowledged.
         m_endpoint.recordDrain(heartbeat);
     }
     // Leaves name their endpoint, so that one without an id is never among them.
@@ -208,6 +204,10 @@
 
 void Node::Implementation::applyHeartbeat(const http::EndpointHeartbeat &heartbeat, core::TimePoint receivedAt)
 {
+    if (m_isStopping) {
+        // The endpoint was drained together with this node; a heartbeat must not undo that.
+        return;
+    }
     using HeartbeatResult = LocalEndpoint::HeartbeatResult;
     const http::EndpointAnnouncement &announcement = heartbeat.announcement;
     const HeartbeatResult result = m_endpoint.heartbeat(heartbeat, receivedAt);
--- a/tests/integration/an_endpoint_that_has_left.cpp
+++ b/tests/integration/an_endpoint_that_has_left.cpp
@@ -74,6 +74,22 @@
     });
 }
 
+// Guards against a drain that is acknowledged but forgotten because it is reported while its node stops.
+TEST(AnEndpointThatHasLeft, isNotBroughtBackAfterAPlannedStop)
+{
+    startServing();
+    section("it reports that it drains while its node finishes what runs", [&] {
+        platform.first.process.terminate();
+        LONGS_EQUAL(200, platform.heartbeatTo(platform.first.endpointPort, "i-1", "draining", LateSequence));
+        LONGS_EQUAL(0, platform.first.process.wait().exitStatus);
+    });
+    const PlatformNode next = platform.start("h1", "a", "visits");
+    section("a heartbeat sent before the drain reaches the next process", [&] {
+        CHECK_FALSE(isServedAfter(platform.second, next, "i-1", EarlySequence));
+        CHECK(isServedAfter(platform.second, next, "i-2", EarlySequence));
+    });
+}
+
 // Guards against a leave that is lost with its process because the store was down when it was acknowledged.
 TEST(AnEndpointThatHasLeft, isRememberedByOtherNodesWhileTheStoreIsDown)
 {
