End an append of leaves that an exception has ended

An exception out of the log hook left the append marked as running, so that the process would have appended no leave any more. Found by reading; no hook throws today.

--- a/src/node/leave_exchange.cpp
+++ b/src/node/leave_exchange.cpp
@@ -245,7 +245,12 @@
     }
     // Before the log is read, a record would replace that of an earlier process.
     if (restoreProgress()->isLogRead && m_replication.takeAppend(m_hooks.logGeneration(), now)) {
-        asio::co_spawn(m_executor, append(), logFailure("leave record"));
+        asio::co_spawn(m_executor, append(), [this](const std::exception_ptr &failure) {
+            if (failure) {
+                m_replication.appendFailed(m_hooks.now());
+            }
+            logFailure("leave record")(failure);
+        });
     }
     {
         const std::scoped_lock lock(m_mutex);
