Split the restorer of leaves from their exchange

Learning the leaves of earlier processes and storing those of this one are two jobs: LeaveRestorer and LeaveExchange. No hook is called under a lock any more, as the other hooks of the package promise, and a leave that is recorded while the record in the log is compared with the leaves of the process can't be taken for one that the log has. Found by reading.

--- a/src/node/leave_exchange.h
+++ b/src/node/leave_exchange.h
@@ -9,7 +9,7 @@
 #include "berylspring/wire/messages.h"
 #include "berylspring/wire/peer_call.h"
 #include "node/leave_replication.h"
-#include "node/leave_restore.h"
+#include "node/leave_restorer.h"
 
 #include <cstdint>
 #include <functional>
@@ -23,7 +23,7 @@
 
 namespace berylspring::node::detail {
 
-/** @brief Dependencies of the exchange on the endpoint, the peers and the log. */
+/** @brief Dependencies of the exchange on the endpoint, the peers and the log. No hook is called under a lock. */
 struct LeaveExchangeHooks
 {
     eventlog::LogHooks log;
@@ -40,25 +40,17 @@
     std::function<bool()> isStopping;
 };
 
-/** @brief What the exchange does at the start of the process. */
-struct LeaveExchangeSettings
-{
-    core::HostId self;
-    bool isFirstStart = false; ///< The whole fleet starts, and no earlier process has acknowledged a leave.
-    [[nodiscard]] bool operator==(const LeaveExchangeSettings &) const = default;
-};
-
 /**
- * @brief Stores the leaves that this host has acknowledged outside its process, and learns those of earlier processes.
+ * @brief Stores the leaves that this host has acknowledged outside its process, and keeps those of other hosts.
  *
  * The acknowledgement of a leave binds the host, not the process: a late heartbeat at the next process must not
- * register the endpoint again. The stream `endpoint-leaves` of the log holds one record for each host with its latest
- * leaves; some peers keep them too, for the time in which the log is down. Thread-safe.
+ * register the endpoint again. Each host has a record in the log; some peers keep its leaves too, for the time in which
+ * the log is down. Thread-safe.
  */
 class LeaveExchange
 {
 public:
-    LeaveExchange(boost::asio::any_io_executor executor, LeaveExchangeSettings settings, LeaveExchangeHooks hooks);
+    LeaveExchange(boost::asio::any_io_executor executor, LeaveRestorerSettings settings, LeaveExchangeHooks hooks);
 
     /** @brief Starts to learn the leaves of earlier processes. */
     void start();
@@ -79,18 +71,8 @@
     /** Wakes a coroutine that waits for a leave to be stored; may be signalled from any thread. */
     using Signal = boost::asio::experimental::concurrent_channel<void(boost::system::error_code)>;
 
-    [[nodiscard]] boost::asio::awaitable<void> readLog();
-    [[nodiscard]] boost::asio::awaitable<void> askPeers();
-    /** @return Whether each of the hosts has answered. */
-    [[nodiscard]] boost::asio::awaitable<bool> askOnce(std::vector<admission::NoticeReceiver> hosts);
-    [[nodiscard]] boost::asio::awaitable<bool> askHost(core::HostId host);
-    /** @brief Adds leaves of earlier processes; those in the log need not be appended again. */
-    void restore(const EndpointLeaves &earlier);
-    void completeRestore(core::TimePoint now);
-    void updateRestore(const std::function<LeaveRestore(const LeaveRestore &)> &change);
-    [[nodiscard]] LeaveRestore restoreProgress() const;
-
-    /** @brief Counts a change if the leaves differ from the last ones; with m_mutex held. @return The latest change. */
+    [[nodiscard]] LeaveRestorerHooks restorerHooks();
+    /** @brief Counts a change if the leaves differ from the last ones. @return The latest change. */
     std::uint64_t noteLeaves();
     void startStoring(core::TimePoint now);
     [[nodiscard]] boost::asio::awaitable<void> append();
@@ -99,13 +81,12 @@
     void wakeWaiting();
 
     boost::asio::any_io_executor m_executor;
-    LeaveExchangeSettings m_settings;
+    core::HostId m_self;
     LeaveExchangeHooks m_hooks;
+    LeaveRestorer m_restorer;
     LeaveReplication m_replication;
     core::ShardedMap<core::HostId, EndpointLeaves> m_kept; ///< Leaves of other hosts.
-    mutable std::mutex m_mutex;
-    LeaveRestore m_restore;
-    bool m_isRestored;
+    std::mutex m_mutex;
     EndpointLeaves m_notedLeaves; ///< As of the latest change.
     core::TimePoint m_nextHolderCheckAt{core::TimePoint::min()};
     std::vector<std::weak_ptr<Signal>> m_waiting;
--- a/src/node/leave_restore.cpp
+++ b/src/node/leave_restore_progress.cpp
@@ -1,4 +1,4 @@
-#include "node/leave_restore.h"
+#include "node/leave_restore_progress.h"
 
 namespace berylspring::node::detail {
 
@@ -13,12 +13,12 @@
 
 }
 
-bool isRestored(const LeaveRestore &restore, core::TimePoint now)
+bool isRestored(const LeaveRestoreProgress &progress, core::TimePoint now)
 {
-    const core::Duration elapsed = now - restore->startedAt;
-    if (restore->arePeersAsked) {
-        const bool isLogLate = restore->hasLogFailed || elapsed >= LogPatience;
-        if (restore->isLogRead || (isLogLate && restore->hasPeerAnswered)) {
+    const core::Duration elapsed = now - progress->startedAt;
+    if (progress->arePeersAsked) {
+        const bool isLogLate = progress->hasLogFailed || elapsed >= LogPatience;
+        if (progress->isLogRead || (isLogLate && progress->hasPeerAnswered)) {
             return true;
         }
     }
--- a/tests/node/leaves_of_earlier_processes.cpp
+++ b/tests/node/leaves_of_earlier_processes.cpp
@@ -20,7 +20,7 @@
 using node::EndpointLeaves;
 using node::detail::LeaveExchange;
 using node::detail::LeaveExchangeHooks;
-using node::detail::LeaveRestore;
+using node::detail::LeaveRestoreProgress;
 using test::checkProperty;
 using test::MemoryLog;
 using test::section;
@@ -49,7 +49,7 @@
         process.incarnation = m_processes.size();
         process.exchange =
             std::make_unique<LeaveExchange>(m_context.get_executor(),
-                                            node::detail::LeaveExchangeSettings{core::HostId(host), isFirstStart},
+                                            node::detail::LeaveRestorerSettings{core::HostId(host), isFirstStart},
                                             hooksOf(host, process));
         m_running[host] = &process;
         process.exchange->start();
@@ -226,7 +226,7 @@
 // Guards against a slow log that keeps the endpoints of a restarted node out of service.
 TEST(LeavesOfEarlierProcesses, areTakenFromPeersIfTheLogIsSlow)
 {
-    const LeaveRestore waiting({.startedAt = hosts.now, .arePeersAsked = true, .hasPeerAnswered = true});
+    const LeaveRestoreProgress waiting({.startedAt = hosts.now, .arePeersAsked = true, .hasPeerAnswered = true});
     CHECK_FALSE(isRestored(waiting, hosts.now + 500ms));
     CHECK(isRestored(waiting, hosts.now + 1s));
 }
