Count the wait for leaves from the construction of the restorer

The start of the wait was set by start(), but the tick of the publishing loop may come before it on a node with several threads; the wait then counted from the epoch and ended at once, and heartbeats were applied unchecked. Found by reading, not seen in a run. It is set in the constructor now. The identity and kind of start of a process, which the exchanges of quarantines and of leaves both need, is one type (ProcessStart).

--- a/src/node/leave_exchange.cpp
+++ b/src/node/leave_exchange.cpp
@@ -34,11 +34,11 @@
 
 }
 
-LeaveExchange::LeaveExchange(asio::any_io_executor executor, LeaveRestorerSettings settings, LeaveExchangeHooks hooks)
+LeaveExchange::LeaveExchange(asio::any_io_executor executor, ProcessStart start, LeaveExchangeHooks hooks)
     : m_executor(std::move(executor))
-    , m_self(settings.self)
+    , m_self(start.host)
     , m_hooks(std::move(hooks))
-    , m_restorer(m_executor, std::move(settings), restorerHooks())
+    , m_restorer(m_executor, std::move(start), restorerHooks())
 {
 }
 
@@ -67,9 +67,9 @@
     return hooks;
 }
 
-void LeaveExchange::start()
+void LeaveExchange::run()
 {
-    m_restorer.start();
+    m_restorer.run();
 }
 
 std::uint64_t LeaveExchange::noteLeaves()
--- a/src/node/leave_exchange.h
+++ b/src/node/leave_exchange.h
@@ -50,10 +50,10 @@
 class LeaveExchange
 {
 public:
-    LeaveExchange(boost::asio::any_io_executor executor, LeaveRestorerSettings settings, LeaveExchangeHooks hooks);
+    LeaveExchange(boost::asio::any_io_executor executor, ProcessStart start, LeaveExchangeHooks hooks);
 
     /** @brief Starts to learn the leaves of earlier processes. */
-    void start();
+    void run();
     /**
      * @brief Stores the present leaves of this host.
      * @return Whether they outlive this process: the log has them, or a peer if the log does not answer.
--- a/src/node/leave_restorer.cpp
+++ b/src/node/leave_restorer.cpp
@@ -42,24 +42,20 @@
 
 }
 
-LeaveRestorer::LeaveRestorer(asio::any_io_executor executor, LeaveRestorerSettings settings, LeaveRestorerHooks hooks)
+LeaveRestorer::LeaveRestorer(asio::any_io_executor executor, ProcessStart start, LeaveRestorerHooks hooks)
     : m_executor(std::move(executor))
-    , m_settings(std::move(settings))
+    , m_start(std::move(start))
     , m_hooks(std::move(hooks))
-    , m_progress({.isLogRead = m_settings.isFirstStart})
-    , m_isCompleted(m_settings.isFirstStart)
+    , m_progress({.startedAt = m_hooks.now(), .isLogRead = m_start.isFirstStart})
+    , m_isCompleted(m_start.isFirstStart)
 {
 }
 
-void LeaveRestorer::start()
+void LeaveRestorer::run()
 {
-    if (m_settings.isFirstStart) {
+    if (m_start.isFirstStart) {
         return;
     }
-    {
-        const std::scoped_lock lock(m_mutex);
-        m_progress = m_progress.with(&LeaveRestoreProgressFields::startedAt, m_hooks.now());
-    }
     asio::co_spawn(m_executor, readLog(), logFailure("leaves in the log"));
     asio::co_spawn(m_executor, askPeers(), logFailure("leaves kept by peers"));
 }
@@ -71,7 +67,7 @@
         StreamPosition position;
         const auto collect = [&](const eventlog::LogEntry &entry) {
             const auto record = parseLeaveRecord(entry.data);
-            if (record && (*record)->host == m_settings.self) {
+            if (record && (*record)->host == m_start.host) {
                 leaves = (*record)->leaves;
             } else if (!record && !entry.data.empty()) {
                 telemetry::log(telemetry::Severity::Warning,
--- a/src/node/leave_restorer.h
+++ b/src/node/leave_restorer.h
@@ -7,6 +7,7 @@
 #include "berylspring/node/endpoint_leaves.h"
 #include "berylspring/wire/peer_call.h"
 #include "node/leave_restore_progress.h"
+#include "node/process_start.h"
 
 #include <cstdint>
 #include <functional>
@@ -39,22 +40,15 @@
     std::function<bool()> isStopping;
 };
 
-/** @brief What the restorer does at the start of the process. */
-struct LeaveRestorerSettings
-{
-    core::HostId self;
-    bool isFirstStart = false; ///< The whole fleet starts, and no earlier process has acknowledged a leave.
-    [[nodiscard]] bool operator==(const LeaveRestorerSettings &) const = default;
-};
-
 /** @brief Learns the leaves that earlier processes of this host have acknowledged, from the log and peers. Thread-safe.
  */
 class LeaveRestorer
 {
 public:
-    LeaveRestorer(boost::asio::any_io_executor executor, LeaveRestorerSettings settings, LeaveRestorerHooks hooks);
+    LeaveRestorer(boost::asio::any_io_executor executor, ProcessStart start, LeaveRestorerHooks hooks);
 
-    void start();
+    /** @brief Starts to read the log and to ask peers. */
+    void run();
     /** @brief Ends the wait for answers that do not come; to be called several times a second. */
     void tick(core::TimePoint now);
     [[nodiscard]] bool isLogRead() const;
@@ -70,7 +64,7 @@
     void recordProgress(bool LeaveRestoreProgressFields::*step);
 
     boost::asio::any_io_executor m_executor;
-    LeaveRestorerSettings m_settings;
+    ProcessStart m_start;
     LeaveRestorerHooks m_hooks;
     mutable std::mutex m_mutex;
     LeaveRestoreProgress m_progress;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -161,7 +161,7 @@
     m_limits.start();
     asio::co_spawn(m_executor, publishLoop(), detail::logFailure("publishing"));
     asio::co_spawn(m_executor, m_quarantineExchange.restore(), detail::logFailure("quarantine record"));
-    m_leaveExchange.start();
+    m_leaveExchange.run();
     asio::co_spawn(m_executor,
                    detail::announceThroughLog(
                        {.log = m_log,
--- a/src/node/quarantine_exchange.cpp
+++ b/src/node/quarantine_exchange.cpp
@@ -53,15 +53,15 @@
 }
 
 QuarantineExchange::QuarantineExchange(asio::any_io_executor executor,
-                                       QuarantineExchangeSettings settings,
+                                       ProcessStart start,
                                        std::shared_ptr<admission::Quarantine> quarantine,
                                        QuarantineExchangeHooks hooks)
     : m_executor(std::move(executor))
-    , m_settings(std::move(settings))
+    , m_start(std::move(start))
     , m_quarantine(std::move(quarantine))
     , m_hooks(std::move(hooks))
     , m_outbox(NoticeRetryInterval)
-    , m_isRestored(m_settings.isFirstStart)
+    , m_isRestored(m_start.isFirstStart)
 {
 }
 
@@ -161,7 +161,7 @@
     const core::TimePoint now = m_hooks.now();
     const core::WallTime wallTime = m_hooks.wallTime();
     const std::uint64_t generation = m_hooks.logGeneration();
-    QuarantineRecordFields fields{.host = m_settings.self, .quarantines = {}};
+    QuarantineRecordFields fields{.host = m_start.host, .quarantines = {}};
     for (const admission::QuarantineFinding &finding : m_outbox.findings(now)) {
         const auto until = wallTime + std::chrono::duration_cast<core::WallTime::duration>(finding.until - now);
         fields.quarantines.push_back({finding.requestDigest, finding.service, until});
@@ -219,7 +219,7 @@
                        {{"digest", quarantine.requestDigest.toHex()},
                         {"from", (*record)->host.value()},
                         {"remaining_ms", milliseconds(remaining)}});
-        if ((*record)->host == m_settings.self) {
+        if ((*record)->host == m_start.host) {
             // Ends no later than what was applied, also if the clock of this host was set back since.
             const core::Duration bounded = m_quarantine->remaining(quarantine.requestDigest, now);
             m_outbox.add({quarantine.requestDigest, quarantine.service, now + bounded}, now);
--- a/src/node/quarantine_exchange.h
+++ b/src/node/quarantine_exchange.h
@@ -7,6 +7,7 @@
 #include "berylspring/core/time.h"
 #include "berylspring/eventlog/log_hooks.h"
 #include "berylspring/wire/messages.h"
+#include "node/process_start.h"
 
 #include <atomic>
 #include <cstdint>
@@ -33,14 +34,6 @@
     std::function<bool()> isStopping;
 };
 
-/** @brief What the exchange does at the start of the process. */
-struct QuarantineExchangeSettings
-{
-    core::HostId self;
-    bool isFirstStart = false; ///< The whole fleet starts, and no earlier process has recorded a quarantine.
-    [[nodiscard]] bool operator==(const QuarantineExchangeSettings &) const = default;
-};
-
 /**
  * @brief Shares the quarantines of this host with the other hosts that provide the service, and with later processes.
  *
@@ -51,7 +44,7 @@
 {
 public:
     QuarantineExchange(boost::asio::any_io_executor executor,
-                       QuarantineExchangeSettings settings,
+                       ProcessStart start,
                        std::shared_ptr<admission::Quarantine> quarantine,
                        QuarantineExchangeHooks hooks);
 
@@ -74,7 +67,7 @@
     void applyRecord(const eventlog::LogEntry &entry, core::TimePoint now);
 
     boost::asio::any_io_executor m_executor;
-    QuarantineExchangeSettings m_settings;
+    ProcessStart m_start;
     std::shared_ptr<admission::Quarantine> m_quarantine;
     QuarantineExchangeHooks m_hooks;
     admission::NoticeOutbox m_outbox;
--- a/tests/node/leaves_of_earlier_processes.cpp
+++ b/tests/node/leaves_of_earlier_processes.cpp
@@ -47,12 +47,12 @@
     {
         Process &process = *m_processes.emplace_back(std::make_unique<Process>());
         process.incarnation = m_processes.size();
-        process.exchange =
-            std::make_unique<LeaveExchange>(m_context.get_executor(),
-                                            node::detail::LeaveRestorerSettings{core::HostId(host), isFirstStart},
-                                            hooksOf(host, process));
+        process.exchange = std::make_unique<LeaveExchange>(m_context.get_executor(),
+                                                           node::detail::ProcessStart{core::HostId(host), isFirstStart},
+                                                           hooksOf(host, process));
         m_running[host] = &process;
-        process.exchange->start();
+        process.exchange->tick(now); // The first one may come before run().
+        process.exchange->run();
         poll();
         return process;
     }
--- a/tests/node/quarantines_in_the_log.cpp
+++ b/tests/node/quarantines_in_the_log.cpp
@@ -57,11 +57,11 @@
         hooks.wallTime = [this] { return wallTime; };
         hooks.isStopping = [] { return false; };
         Process process;
-        process.exchange = std::make_unique<QuarantineExchange>(
-            context.get_executor(),
-            node::detail::QuarantineExchangeSettings{core::HostId(host), isFirstStart},
-            process.quarantine,
-            std::move(hooks));
+        process.exchange =
+            std::make_unique<QuarantineExchange>(context.get_executor(),
+                                                 node::detail::ProcessStart{core::HostId(host), isFirstStart},
+                                                 process.quarantine,
+                                                 std::move(hooks));
         asio::co_spawn(context, process.exchange->restore(), asio::detached);
         poll();
         return process;
