Read a stream to its end in one call where the page tells

Cause: a process that starts read the stream of leaves in two calls, the second of which finds nothing; so do the readers of announcements and quarantines. A leave after a drain was stored again though the end of the endpoint was known, and a log that failed was read each second.

Change: readToEnd() ends with a page that says that it reaches the end of the stream. A leave after a recorded drain changes nothing. A log that fails is read again after 2 s, like that of the other exchanges.

--- a/src/node/leave_restorer.cpp
+++ b/src/node/leave_restorer.cpp
@@ -32,7 +32,7 @@
 /** Interval at which a starting process checks what it knows of the members. */
 constexpr core::Duration MemberCheckInterval = 25ms;
 /** Bounds the calls to a log that fails. */
-constexpr core::Duration LogRetryInterval = 1s;
+constexpr core::Duration LogRetryInterval = 2s;
 
 asio::awaitable<void> sleep(core::Duration duration)
 {
--- a/src/node/local_endpoint.cpp
+++ b/src/node/local_endpoint.cpp
@@ -196,14 +196,18 @@
 {
     const std::scoped_lock lock(m_mutex);
     const bool isRegistered = m_registration && (leave.id.empty() || m_registration->announcement.id == leave.id);
-    // A heartbeat sent before the leave may arrive after it, and this node may have no registration to compare it with.
-    http::EndpointLeave recorded = leave;
-    if (isRegistered) {
+    if (!isRegistered) {
+        // A heartbeat sent before the leave may arrive after it, and there is no registration to compare it with.
+        m_leaves = m_leaves.with(leave);
+        return false;
+    }
+    const std::uint64_t incarnation = m_registration->announcement.incarnation;
+    // After a drain, the end of the endpoint is known and stored already.
+    if (!m_leaves.cover(leave.id, incarnation)) {
         // The clock of this host may have been set back since the endpoint started.
-        recorded.lastIncarnation = std::max(leave.lastIncarnation, m_registration->announcement.incarnation);
+        m_leaves = m_leaves.with(http::EndpointLeave{leave.id, std::max(leave.lastIncarnation, incarnation)});
     }
-    m_leaves = m_leaves.with(recorded);
-    return isRegistered;
+    return true;
 }
 
 void LocalEndpoint::recordDrain(const http::EndpointHeartbeat &heartbeat)
--- a/src/node/log_reader.cpp
+++ b/src/node/log_reader.cpp
@@ -33,7 +33,7 @@
             onRecord(record);
         }
         // A page before the end may hold no record, if none in its range can be read.
-        const bool reachesEnd = (*page)->records.empty() && (*page)->reachesEnd.value_or(true);
+        const bool reachesEnd = (*page)->reachesEnd.value_or((*page)->records.empty());
         const bool hasAdvanced = (*page)->next > position.from;
         position.from = (*page)->next;
         if (reachesEnd || !hasAdvanced) {
--- a/tests/node/heartbeats_of_an_endpoint.cpp
+++ b/tests/node/heartbeats_of_an_endpoint.cpp
@@ -168,6 +168,11 @@
         CHECK(endpoint.leaves().cover("i-10", 10));
         CHECK_FALSE(endpoint.leaves().cover("i-7", 7));
     });
+    section("the leave that follows a drain changes nothing that would have to be stored again", [&] {
+        const node::EndpointLeaves drained = endpoint.leaves();
+        CHECK(endpoint.leave({.id = drained.list().back().id, .lastIncarnation = 99}));
+        CHECK(endpoint.leaves() == drained);
+    });
     section("a drain of an endpoint without incarnations is not recorded, since its next start would look the same",
             [&] {
                 endpoint.recordDrain(heartbeatOf(0, 1, true));
