--- a/review/support-3/rig.h
+++ b/review/support-3/rig.h
@@ -942,14 +942,15 @@
     std::function<std::optional<bool>(Peer &, Message &)> behaviour;
     std::atomic<bool> sendsHeartbeats = true;
 
-    void start(const std::string &ownIp, const Node &node, const std::string &instance, std::uint64_t born)
+    // @param port That of the machine's upstream; 0 for a free one.
+    void start(const std::string &ownIp, const Node &node, const std::string &instance, std::uint64_t born, int port = 0)
     {
         ip = ownIp;
         id = instance;
         m_born = born;
         m_node = &node;
         service = node.machine.service;
-        m_server.listen(ip, 0, [this](Peer &peer, Message &message) { return answer(peer, message); });
+        m_server.listen(ip, port, [this](Peer &peer, Message &message) { return answer(peer, message); });
         std::thread([this] {
             for (;;) {
                 if (sendsHeartbeats) {
@@ -993,9 +994,10 @@
     {
         return send("DELETE /api/instances/" + id + " HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n");
     }
-    int sequence() const
+    // Number of a heartbeat that is sent now; its text may be delivered later.
+    int takeSequence()
     {
-        return m_seq;
+        return ++m_seq;
     }
     Server &server()
     {
