--- a/review/11/case.cpp
+++ b/review/11/case.cpp
@@ -1,4 +1,5 @@
-// An upstream leaves, starts again under its id and leaves again, before its first heartbeat, which is late, has arrived.
+// An upstream leaves, starts again under its id and leaves again, before its first heartbeat, which is late, has
+// arrived.
 #include "../support-3/drain.h"
 
 using namespace rig;
@@ -36,7 +37,9 @@
     pause(1.2); // Before the next heartbeat is due.
     status = second.leave();
     const double acknowledgedAt = now();
-    record.line("upstream %s: DELETE answered %d; in the store: %s", nextId.c_str(), status,
+    record.line("upstream %s: DELETE answered %d; in the store: %s",
+                nextId.c_str(),
+                status,
                 deployment.store.newestOf("keyed.leaves", "m1").c_str());
     if (status != 200) {
         finish(deployment, 2, "the leave was not acknowledged");
@@ -50,7 +53,8 @@
     if (served < 50) {
         finish(deployment, 2, "too few requests were served");
     }
-    finish(deployment, late > 0 ? 1 : 0,
-           std::string("DRAIN ") + (late > 0 ? "broken: " : "held: ") + std::to_string(late) + " requests reached " + nextId
-               + " later than 2 s after its leave was acknowledged; served in all " + std::to_string(served));
+    finish(deployment,
+           late > 0 ? 1 : 0,
+           std::string("DRAIN ") + (late > 0 ? "broken: " : "held: ") + std::to_string(late) + " requests reached "
+               + nextId + " later than 2 s after its leave was acknowledged; served in all " + std::to_string(served));
 }
--- a/review/12/case.cpp
+++ b/review/12/case.cpp
@@ -51,7 +51,9 @@
     if (served < 50) {
         finish(deployment, 2, "too few requests were served");
     }
-    finish(deployment, late > 0 ? 1 : 0,
+    finish(deployment,
+           late > 0 ? 1 : 0,
            std::string("DRAIN ") + (late > 0 ? "broken: " : "held: ") + std::to_string(late)
-               + " requests reached i-1 later than 2 s after its leave was acknowledged; served in all " + std::to_string(served));
+               + " requests reached i-1 later than 2 s after its leave was acknowledged; served in all "
+               + std::to_string(served));
 }
--- a/review/13/case.cpp
+++ b/review/13/case.cpp
@@ -19,7 +19,8 @@
     Traffic traffic(deployment);
     pause(6);
 
-    // The first upstream of m1 leaves. The answer to the write that m1 makes for it is lost, and the write is done late.
+    // The first upstream of m1 leaves. The answer to the write that m1 makes for it is lost, and the write is done
+    // late.
     std::atomic<int> writes = 0;
     deployment.store.setLateness(6);
     deployment.store.onAppend = [&](const std::string &topic, const std::string &key, const std::string &value) {
@@ -27,7 +28,8 @@
             return StoreMode::Serves;
         }
         const bool isLost = isWriteLost && ++writes == 1;
-        record.line("store: write to %s of %s%s: %s", topic.c_str(), key.c_str(), isLost ? " (lost)" : "", value.c_str());
+        record.line(
+            "store: write to %s of %s%s: %s", topic.c_str(), key.c_str(), isLost ? " (lost)" : "", value.c_str());
         return isLost ? StoreMode::LateWrites : StoreMode::Serves;
     };
     first.sendsHeartbeats = false;
@@ -71,7 +73,9 @@
     if (served < 50) {
         finish(deployment, 2, "too few requests were served");
     }
-    finish(deployment, late > 0 ? 1 : 0,
+    finish(deployment,
+           late > 0 ? 1 : 0,
            std::string("DRAIN ") + (late > 0 ? "broken: " : "held: ") + std::to_string(late)
-               + " requests reached i-1b later than 2 s after its leave was acknowledged; served in all " + std::to_string(served));
+               + " requests reached i-1b later than 2 s after its leave was acknowledged; served in all "
+               + std::to_string(served));
 }
--- a/review/14/case.cpp
+++ b/review/14/case.cpp
@@ -25,7 +25,8 @@
     pause(0.2);
     const int status = upstream.leave();
     const double acknowledgedAt = now();
-    record.line("upstream i-1: DELETE answered %d; in the store: %s", status,
+    record.line("upstream i-1: DELETE answered %d; in the store: %s",
+                status,
                 deployment.store.newestOf("keyed.leaves", "m1").c_str());
     if (status != 200) {
         finish(deployment, 2, "the leave was not acknowledged");
@@ -52,7 +53,9 @@
     if (served < 50) {
         finish(deployment, 2, "too few requests were served");
     }
-    finish(deployment, late > 0 ? 1 : 0,
+    finish(deployment,
+           late > 0 ? 1 : 0,
            std::string("DRAIN ") + (late > 0 ? "broken: " : "held: ") + std::to_string(late)
-               + " requests that m1 took reached i-1 later than 2 s after its leave was acknowledged; served in all " + std::to_string(served));
+               + " requests that m1 took reached i-1 later than 2 s after its leave was acknowledged; served in all "
+               + std::to_string(served));
 }
--- a/review/support-3/drain.h
+++ b/review/support-3/drain.h
@@ -53,7 +53,11 @@
                     call.key = "key-1";
                     const double sentAt = now();
                     const Answer answer = client.call(call);
-                    record.line("client at m%zu: %s sent at %.3f, answered %d", node + 1, call.id.c_str(), sentAt, answer.status);
+                    record.line("client at m%zu: %s sent at %.3f, answered %d",
+                                node + 1,
+                                call.id.c_str(),
+                                sentAt,
+                                answer.status);
                     ++(answer.status == 200 ? m_served : m_others);
                     pause(0.05);
                 }
@@ -83,7 +87,10 @@
 {
     int late = 0;
     for (const Run &run : runs.all()) {
-        late += run.id.rfind(taker, 0) == 0 && run.instance == instance && run.at > acknowledgedAt + DrainSeconds && run.at >= inTouchFrom ? 1 : 0;
+        late += run.id.rfind(taker, 0) == 0 && run.instance == instance && run.at > acknowledgedAt + DrainSeconds
+                        && run.at >= inTouchFrom
+                    ? 1
+                    : 0;
     }
     return late;
 }
--- a/review/support-3/rig.h
+++ b/review/support-3/rig.h
@@ -404,8 +404,7 @@
             std::thread([this, peer] {
                 Message message;
                 while (peer->socket.isOpen() && readMessage(peer->socket, peer->buffer, message, 1e9, false) == 1
-                       && m_handler(*peer, message)) {
-                }
+                       && m_handler(*peer, message)) { }
                 peer->socket.close();
             }).detach();
         }
@@ -530,8 +529,7 @@
 
     static bool reply(Peer &peer, int status, const std::string &body, bool isJson = true)
     {
-        return peer.socket.send(
-            httpAnswer(status, isJson ? "Content-Type: application/json\r\n" : "", body));
+        return peer.socket.send(httpAnswer(status, isJson ? "Content-Type: application/json\r\n" : "", body));
     }
 
     bool answer(Door &door, Peer &peer, Message &message)
@@ -564,8 +562,7 @@
     {
         // No answer until the other side closes.
         std::string ignored;
-        while (peer.socket.receive(ignored, now() + 60) == 1) {
-        }
+        while (peer.socket.receive(ignored, now() + 60) == 1) { }
     }
 
     bool append(Peer &peer, const std::string &topic, const std::string &body, StoreMode mode)
@@ -596,7 +593,10 @@
             std::thread([this, topic, records, lateness = m_lateness.load()] {
                 pause(lateness);
                 for (const StoreRecord &each : records) {
-                    record.line("store: does a late write to %s of %s: %s", topic.c_str(), each.key.c_str(), each.value.c_str());
+                    record.line("store: does a late write to %s of %s: %s",
+                                topic.c_str(),
+                                each.key.c_str(),
+                                each.value.c_str());
                     put(topic, each.key, each.value);
                 }
             }).detach();
@@ -659,8 +659,9 @@
             std::set<std::string> seen;
             for (std::size_t i = end; i-- > 0;) {
                 if (seen.insert(records[i].key).second && !records[i].value.empty()) {
-                    items += (items.empty() ? "" : ",") + std::string("{\"Key\":\"") + records[i].key + "\",\"Value\":\""
-                             + base64(records[i].value) + "\",\"Offset\":" + std::to_string(i) + "}";
+                    items += (items.empty() ? "" : ",") + std::string("{\"Key\":\"") + records[i].key
+                             + "\",\"Value\":\"" + base64(records[i].value) + "\",\"Offset\":" + std::to_string(i)
+                             + "}";
                 }
             }
         }
@@ -695,8 +696,13 @@
     int ready = 0;
     pid_t pid = -1;
 
-    void start(const std::string &binary, const std::string &folder, const std::string &zones, bool firstStart, int threads,
-               const std::string &storeIp, int portBase)
+    void start(const std::string &binary,
+               const std::string &folder,
+               const std::string &zones,
+               bool firstStart,
+               int threads,
+               const std::string &storeIp,
+               int portBase)
     {
         m_binary = binary;
         m_folder = folder;
@@ -915,7 +921,8 @@
     {
         const std::scoped_lock lock(m_mutex);
         std::vector<Run> found;
-        std::copy_if(m_runs.begin(), m_runs.end(), std::back_inserter(found), [&](const Run &run) { return run.id == id; });
+        std::copy_if(
+            m_runs.begin(), m_runs.end(), std::back_inserter(found), [&](const Run &run) { return run.id == id; });
         return found;
     }
 
@@ -927,7 +934,8 @@
 
 inline std::string stampOf(const std::string &instance, const std::string &id, const std::string &body)
 {
-    return instance + "." + id + "." + std::to_string(body.size()) + "." + std::to_string(std::hash<std::string>{}(body));
+    return instance + "." + id + "." + std::to_string(body.size()) + "."
+           + std::to_string(std::hash<std::string>{}(body));
 }
 
 class Upstream
@@ -943,7 +951,8 @@
     std::atomic<bool> sendsHeartbeats = true;
 
     // @param port That of the machine's upstream; 0 for a free one.
-    void start(const std::string &ownIp, const Node &node, const std::string &instance, std::uint64_t born, int port = 0)
+    void
+    start(const std::string &ownIp, const Node &node, const std::string &instance, std::uint64_t born, int port = 0)
     {
         ip = ownIp;
         id = instance;
@@ -962,10 +971,10 @@
     }
     std::string heartbeatText(const std::string &state, int seq) const
     {
-        const std::string body = "{\"Address\":\"" + ip + ":" + std::to_string(m_server.port()) + "\",\"Info\":{\"Service\":\""
-                                 + service + "\",\"Version\":\"v1\",\"Zone\":\"" + m_node->machine.zone
-                                 + "\",\"Slots\":" + std::to_string(slots) + "},\"Status\":{\"State\":\"" + state
-                                 + "\",\"Seq\":" + std::to_string(seq)
+        const std::string body = "{\"Address\":\"" + ip + ":" + std::to_string(m_server.port())
+                                 + "\",\"Info\":{\"Service\":\"" + service + "\",\"Version\":\"v1\",\"Zone\":\""
+                                 + m_node->machine.zone + "\",\"Slots\":" + std::to_string(slots)
+                                 + "},\"Status\":{\"State\":\"" + state + "\",\"Seq\":" + std::to_string(seq)
                                  + ",\"ColdRemainingMs\":0},\"born\":" + std::to_string(m_born) + "}";
         return "PUT /api/instances/" + id + " HTTP/1.1\r\nHost: x\r\nContent-Type: application/json\r\nContent-Length: "
                + std::to_string(body.size()) + "\r\n\r\n" + body;
@@ -1035,9 +1044,18 @@
     {
         const std::string requestId = message.header("Berylspring-Request-Id");
         const std::string line = message.word(0) + " " + message.word(1);
-        runs.add({requestId, id, message.header("Berylspring-Tenant"), message.header("Berylspring-Caller-Service"), line,
-                  message.header("Berylspring-Key"), std::hash<std::string>{}(message.body), now()});
-        record.line("upstream %s: runs %s (%s), tenant %s", id.c_str(), requestId.c_str(), line.c_str(),
+        runs.add({requestId,
+                  id,
+                  message.header("Berylspring-Tenant"),
+                  message.header("Berylspring-Caller-Service"),
+                  line,
+                  message.header("Berylspring-Key"),
+                  std::hash<std::string>{}(message.body),
+                  now()});
+        record.line("upstream %s: runs %s (%s), tenant %s",
+                    id.c_str(),
+                    requestId.c_str(),
+                    line.c_str(),
                     message.header("Berylspring-Tenant").c_str());
     }
     bool reply(Peer &peer, const Message &message, int status, const std::string &extra = {})
@@ -1046,7 +1064,8 @@
         const std::string body = bodyOf(requestId, message.word(1));
         return peer.socket.send(httpAnswer(status,
                                            extra + "Berylspring-Request-Id: " + requestId
-                                               + "\r\nBerylspring-Response-Stamp: " + stampOf(id, requestId, body) + "\r\n",
+                                               + "\r\nBerylspring-Response-Stamp: " + stampOf(id, requestId, body)
+                                               + "\r\n",
                                            body));
     }
     static std::string bodyOf(const std::string &requestId, const std::string &target)
@@ -1071,9 +1090,9 @@
 
 inline std::uint64_t unixMs()
 {
-    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(
-                                          std::chrono::system_clock::now().time_since_epoch())
-                                          .count());
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
+            .count());
 }
 
 class Deployment
@@ -1097,8 +1116,11 @@
         const int base = freePorts();
         for (std::size_t i = 0; i < services.size(); ++i) {
             auto node = std::make_unique<Node>();
-            node->machine = {"m" + std::to_string(i + 1), "z" + std::to_string(i % 3 + 1), services[i],
-                             m_net + std::to_string(10 + i), store.open(m_net + "2")};
+            node->machine = {"m" + std::to_string(i + 1),
+                             "z" + std::to_string(i % 3 + 1),
+                             services[i],
+                             m_net + std::to_string(10 + i),
+                             store.open(m_net + "2")};
             node->start(binary, folder, "z1,z2,z3", true, threads, m_net + "2", base);
             nodes.push_back(std::move(node));
         }
@@ -1140,7 +1162,8 @@
         Socket socket;
         Message message;
         std::string buffer;
-        return socket.connect(node.machine.ip, node.ready, 0.5) && socket.send("GET /api/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+        return socket.connect(node.machine.ip, node.ready, 0.5)
+               && socket.send("GET /api/ready HTTP/1.1\r\nHost: x\r\n\r\n")
                && readMessage(socket, buffer, message, now() + 1, true) == 1 && message.status() == 200;
     }
     Client client(std::size_t node) const
@@ -1187,12 +1210,16 @@
     std::string m_net;
 };
 
-inline std::string route(const std::string &name, const std::string &prefix, const std::string &service, const std::string &kind,
-                         int attempts = 2, int timeoutMs = 5000)
+inline std::string route(const std::string &name,
+                         const std::string &prefix,
+                         const std::string &service,
+                         const std::string &kind,
+                         int attempts = 2,
+                         int timeoutMs = 5000)
 {
-    return "{\"Name\":\"" + name + "\",\"PathPrefix\":\"" + prefix + "\",\"Kind\":\"" + kind
-           + "\",\"TimeoutMs\":" + std::to_string(timeoutMs) + ",\"TargetLatencyMs\":1000,\"MaxAttempts\":"
-           + std::to_string(attempts) + ",\"Priority\":1,\"Service\":\"" + service + "\"}";
+    return "{\"Name\":\"" + name + "\",\"PathPrefix\":\"" + prefix + "\",\"Kind\":\"" + kind + "\",\"TimeoutMs\":"
+           + std::to_string(timeoutMs) + ",\"TargetLatencyMs\":1000,\"MaxAttempts\":" + std::to_string(attempts)
+           + ",\"Priority\":1,\"Service\":\"" + service + "\"}";
 }
 
 inline std::string tenant(const std::string &name, const std::string &keys, double rate = 0, double burst = 0)
